End an attempt whose answer announces a body over the limit

The eager parser of Beast 1.74 drops the body_limit error when bytes of the body come in the same read as the header. The parser is no longer eager.

Ruled out: a client's endless body (strace: the growth follows reads from a server's connection), connections (153 of 384 descriptors), a slow leak. The new test fails without the change.

--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -130,10 +130,7 @@
   }
 
   void Write() {
-    parser_.emplace();
-    parser_->eager(true);
-    parser_->header_limit(kMostHeader);
-    parser_->body_limit(kMostBody);
+    RenewParser();
     writing_ = true;
     whole_ = false;
     http::async_write(socket_, job_->request,
@@ -180,9 +177,13 @@
   }
 
   void Restart() {
-    if (!parser_->is_done()) return;
+    if (parser_->is_done()) RenewParser();
+  }
+
+  // Not eager: an eager parser forgets that the header announced too long a body when bytes of the body came
+  // along with it, and then takes in as much as the server sends.
+  void RenewParser() {
     parser_.emplace();
-    parser_->eager(true);
     parser_->header_limit(kMostHeader);
     parser_->body_limit(kMostBody);
   }
--- a/tests/net/sidecar_test.cpp
+++ b/tests/net/sidecar_test.cpp
@@ -107,6 +107,8 @@
       {"GET /api HTTP/1.1\r\nno colon\r\n\r\n", "400"},
       {"POST /api HTTP/1.1\r\nContent-Length: -4\r\n\r\n", "400"},
       {"POST /api HTTP/1.1\r\nContent-Length: 70000\r\n\r\n" + std::string(70000, 'x'), "413"},
+      {"POST /api HTTP/1.1\r\nContent-Length: 70000\r\n\r\nits first bytes", "413"},
+      {"POST /api HTTP/1.1\r\nContent-Length: 70000\r\n\r\n" + Get("smuggled"), "413"},
       {"GET /api HTTP/1.1\r\nX: " + std::string(30000, 'x') + "\r\n\r\n", "431"}};
   for (const auto& [text, status] : cases) {
     auto client = Client(text);
--- a/tests/net/upstream_test.cpp
+++ b/tests/net/upstream_test.cpp
@@ -72,6 +72,20 @@
   EXPECT_EQ(answers.back().response.body(), "later");
 }
 
+// An answer that is too long must not be taken in, however it says so and however it is cut.
+TEST_F(UpstreamTest, AnAnswerOverTheLargestBodyEndsTheAttemptAtOnce) {
+  const std::string length = "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n";
+  EXPECT_EQ(TryReply(length), Result::kError);
+  EXPECT_EQ(TryReply(length + "its first bytes"), Result::kError);
+  EXPECT_EQ(TryReply(length + Reply("200 OK", "in the body")), Result::kError);
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  EXPECT_EQ(TryReply(chunked + "b2d05e00\r\nits first bytes"), Result::kError);
+  EXPECT_EQ(TryReply("HTTP/1.1 200 OK\r\n\r\n" + std::string(kMostBody + 1, 'x')), Result::kError);
+  EXPECT_EQ(TryReply(Reply("200 OK", std::string(kMostBody, 'x'))), Result::kSuccess);
+  EXPECT_EQ(TryReply(chunked + "5\r\nhello\r\n1\r\n!\r\n0\r\n\r\n"), Result::kSuccess);
+  EXPECT_EQ(answers.back().response.body(), "hello!");
+}
+
 TEST_F(UpstreamTest, WhatBreaksAfterTheLastByteMayHaveRun) {
   EXPECT_EQ(TryReply("", /*close=*/true), Result::kReset);
   EXPECT_EQ(TryReply("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort", /*close=*/true), Result::kReset);
