Give peers 2.2 s for a whole request and 6 s to read an answer

A session's first request, and any later one that has begun, now has a deadline (408, or a close where nothing came), and so has the reading of an answer.

Ruled out with it: dials to silent machines (strace: 250 ms). The new test fails without the change.

--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -18,6 +18,11 @@
 // How long a connection that is closed with an answer still reads: closing it with input unread would reset
 // it, and the answer might be lost with that.
 constexpr auto kLinger = std::chrono::seconds(1);
+// How long a peer may take from its connection to its first whole request, and from the first byte of a later
+// one: anyone may connect, and those who say nothing, or only half, must not keep a client's place.
+constexpr auto kMostReading = std::chrono::milliseconds(2200);
+// How long a peer may take to read its answer; its client has given up by then.
+constexpr auto kMostWriting = std::chrono::seconds(6);
 
 HttpResponse Plain(http::status status, std::string text) {
   HttpResponse response(status, 11);
@@ -42,10 +47,11 @@
 class Inbound::Session : public std::enable_shared_from_this<Session> {
  public:
   Session(Inbound& owner, Tcp::socket socket)
-      : owner_(owner), socket_(std::move(socket)), linger_(owner.io_) {}
+      : owner_(owner), socket_(std::move(socket)), deadline_(owner.io_) {}
 
   void Start() {
     NextRequest();
+    ExpireAfter(kMostReading);
     Read();
   }
 
@@ -62,6 +68,7 @@
     response.keep_alive(keep_alive_ && !owner_.draining_);
     response.prepare_payload();
     response_ = std::move(response);
+    ExpireAfter(kMostWriting);
     http::async_write(socket_, response_,
                       [self = shared_from_this()](ErrorCode error, std::size_t) { self->OnWritten(error); });
   }
@@ -69,7 +76,7 @@
   void Close() {
     if (state_ == State::kClosed) return;
     Abandon();
-    linger_.cancel();
+    deadline_.cancel();
     owner_.Remove(*this);
   }
 
@@ -88,6 +95,22 @@
   void NextRequest() {
     state_ = State::kReading;
     parser_.emplace();
+    deadline_.cancel();  // between requests a client may rest
+  }
+
+  void ExpireAfter(std::chrono::milliseconds time) {
+    deadline_.expires_after(time);
+    deadline_.async_wait([self = shared_from_this()](ErrorCode stopped) {
+      // A wait may have ended in the very turn of the loop in which the deadline was moved.
+      if (!stopped && self->deadline_.expiry() <= std::chrono::steady_clock::now()) self->OnExpired();
+    });
+  }
+
+  void OnExpired() {
+    if (state_ == State::kBusy || state_ == State::kClosed) return;
+    if (state_ == State::kReading && parser_->begun)
+      return Reject(http::status::request_timeout, "request not whole in time\n");
+    Close();
   }
 
   // Stays posted while a request is held, so that a client that leaves is noticed. Stops only when a client
@@ -120,7 +143,7 @@
   void Parse() {
     while (buffer_.size() > 0 && !parser_->parser.is_done()) {
       ErrorCode error;
-      parser_->begun = true;
+      if (!std::exchange(parser_->begun, true) && heard_) ExpireAfter(kMostReading);
       const std::size_t used = parser_->parser.put(buffer_.data(), error);
       buffer_.consume(used);
       if (error == http::error::need_more) return;
@@ -130,17 +153,22 @@
   }
 
   void Reject(ErrorCode error) {
+    if (error == http::error::body_limit) return Reject(http::status::payload_too_large, "too large\n");
+    if (error == http::error::header_limit)
+      return Reject(http::status::request_header_fields_too_large, "header too large\n");
+    Reject(http::status::bad_request, "malformed request\n");
+  }
+
+  void Reject(http::status status, const char* text) {
     state_ = State::kBusy;
     keep_alive_ = false;
-    if (error == http::error::body_limit)
-      return Respond(Plain(http::status::payload_too_large, "too large\n"));
-    if (error == http::error::header_limit)
-      return Respond(Plain(http::status::request_header_fields_too_large, "header too large\n"));
-    Respond(Plain(http::status::bad_request, "malformed request\n"));
+    Respond(Plain(status, text));
   }
 
   void Dispatch(HttpRequest request) {
     state_ = State::kBusy;
+    deadline_.cancel();
+    heard_ = true;
     keep_alive_ = request.keep_alive();
     if (request.target() == kReadyPath) {
       const bool ready = !owner_.draining_ && owner_.events_.ready();
@@ -166,16 +194,13 @@
     socket_.shutdown(Tcp::socket::shutdown_send, error);
     if (error) return Close();
     buffer_.consume(buffer_.size());
-    linger_.expires_after(kLinger);
-    linger_.async_wait([self = shared_from_this()](ErrorCode stopped) {
-      if (!stopped) self->Close();
-    });
+    ExpireAfter(kLinger);
     Read();
   }
 
   Inbound& owner_;
   Tcp::socket socket_;
-  asio::steady_timer linger_;
+  asio::steady_timer deadline_;          // of what the state waits for from the peer
   std::array<char, kReadSize> input_{};  // of its own: the buffer may move what it holds while a read is out
   beast::flat_buffer buffer_{2 * kMostUnparsed};
   std::optional<Incoming> parser_;
@@ -183,6 +208,7 @@
   State state_ = State::kReading;
   bool reading_ = false;
   bool keep_alive_ = true;
+  bool heard_ = false;  // its first request has come whole
 };
 
 Inbound::Inbound(asio::io_context& io, const Tcp::endpoint& address, std::size_t most_sessions, Events events)
--- a/tests/net/sidecar_test.cpp
+++ b/tests/net/sidecar_test.cpp
@@ -224,6 +224,27 @@
   EXPECT_FALSE(clients.back()->ended);
 }
 
+// Else they fill the places of clients, who then cannot connect.
+TEST_F(SidecarTest, PeersThatSendNothingOrHalfARequestLoseTheirPlaces) {
+  ScriptedServer server(io, Serves("ok"));
+  Start({Entry("s1", server.address)}, [](nlohmann::json& json) { json["limits"]["sockets"] = 64; });
+  auto client = Client(Get("r1"));
+  EXPECT_EQ(Status(*client), "200");
+  std::vector<std::shared_ptr<Peer>> peers;
+  for (int i = 0; i < 30; ++i) peers.push_back(Client(i % 2 == 0 ? "" : "POST /api HTTP/1.1\r\nReq-"));
+  ASSERT_TRUE(RunUntil(io, [&] {
+    return std::all_of(peers.begin(), peers.end(), [](const auto& peer) { return peer->ended; });
+  }));
+  EXPECT_EQ(peers[0]->received, "");
+  EXPECT_EQ(Status(*peers[1]), "408");
+  client = Client(Get("r2"));
+  EXPECT_EQ(Status(*client), "200");
+  client->Write("GET /api HTTP/1.1\r\n");  // a later request that does not come whole
+  EXPECT_EQ(Status(*client, 2), "408");
+  EXPECT_TRUE(RunUntil(io, [&] { return client->ended; }));
+  EXPECT_EQ(server.requests(), 2);
+}
+
 TEST_F(SidecarTest, ADrainTakesWhatStillComesAndFinishesWhatIsHeld) {
   ScriptedServer server(io);
   Start({Entry("s1", server.address)});
