Follow discovery to its new address on SIGHUP instead of dying

SIGHUP now rereads the configuration and moves the watch to the address the file names; a bad file is one line and changes nothing.

Ruled out: memory (1 of 48 MB), descriptors (151 of 384).

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,5 @@
 // fennelhollow: a sidecar that balances the load of the application beside it over its servers.
+// SIGHUP makes it follow the discovery that its configuration names by then.
 // Exit status: 0 after SIGTERM or SIGINT, 1 if it cannot listen, 2 if the configuration makes no sense.
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -26,9 +27,30 @@
   }
 }
 
+const char* Environment(const char* name) { return std::getenv(name); }
+
+// A configuration that makes no sense must not end a sidecar that runs: it goes on with the one it has.
+void Reload(Sidecar& sidecar) {
+  try {
+    sidecar.Reload(merlinrun::net::ReloadConfig(Environment));
+  } catch (const merlinrun::net::ConfigError& error) {
+    std::fprintf(stderr, "fennelhollow: not reloaded: %s\n", error.what());
+  }
+}
+
+void ReloadOnHangup(boost::asio::signal_set& hangups, Sidecar& sidecar) {
+  hangups.async_wait([&](const boost::system::error_code& error, int) {
+    if (error) return;
+    ReloadOnHangup(hangups, sidecar);
+    Reload(sidecar);
+  });
+}
+
 int Serve() {
   boost::asio::io_context io(1);
-  Sidecar sidecar(io, merlinrun::net::LoadConfig([](const char* name) { return std::getenv(name); }));
+  Sidecar sidecar(io, merlinrun::net::LoadConfig(Environment));
+  boost::asio::signal_set hangups(io, SIGHUP);
+  ReloadOnHangup(hangups, sidecar);
   boost::asio::signal_set signals(io, SIGTERM, SIGINT);
   signals.async_wait([&](const boost::system::error_code& error, int) {
     if (!error) sidecar.Drain([&io] { io.stop(); });
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -132,4 +132,10 @@
   return ParseConfig(text.str(), value("EDGE_LISTEN"), value("EDGE_DISCOVERY"));
 }
 
+Config ReloadConfig(const std::function<const char*(const char*)>& environment) {
+  return LoadConfig([&](const char* name) {
+    return std::string_view(name) == "EDGE_DISCOVERY" ? nullptr : environment(name);
+  });
+}
+
 }  // namespace merlinrun::net
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -39,6 +39,8 @@
 
 // Reads EDGE_CONFIG and what it names. Throws ConfigError, with one plain line, if anything is amiss.
 Config LoadConfig(const std::function<const char*(const char*)>& environment);
+// The same once it runs: the address of discovery is the file's, as the environment keeps that of the start.
+Config ReloadConfig(const std::function<const char*(const char*)>& environment);
 
 }  // namespace merlinrun::net
 
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -185,6 +185,15 @@
   Open();
 }
 
+void Discovery::Move(Tcp::endpoint address, std::int64_t generation) {
+  address_ = std::move(address);
+  backoff_.cancel();
+  failures_ = 0;  // they were the old address's
+  complained_ = false;
+  if (stream_ != nullptr) std::exchange(stream_, nullptr)->Stop();
+  Watch(generation);
+}
+
 void Discovery::Open() {
   stream_ = std::make_shared<Stream>(*this);
   stream_->Open();
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -58,6 +58,8 @@
 
   // Opens the watch, to be told of what changed after `generation`. Does nothing if it is open already.
   void Watch(std::int64_t generation);
+  // Follows discovery to another address, at once: the watch at the old one is over.
+  void Move(Tcp::endpoint address, std::int64_t generation);
 
  private:
   class Stream;
@@ -67,7 +69,7 @@
   void OnEnd(const std::string& reason, bool bad_input);
 
   asio::io_context& io_;
-  const Tcp::endpoint address_;
+  Tcp::endpoint address_;
   const drill::WireSettings& names_;
   const Timing timing_;
   const Events events_;
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -369,6 +369,8 @@
                text.data());
 }
 
+void Sidecar::Reload(const Config& config) { discovery_.Move(config.discovery, generation_); }
+
 // ---- The end ----
 
 void Sidecar::Drain(std::function<void()> finished) {
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -29,6 +29,8 @@
 
   // Listens and follows discovery. Throws boost::system::system_error if the address cannot be had.
   void Start();
+  // Goes over to the discovery of a new configuration; the rest of it holds from the next start on.
+  void Reload(const Config& config);
   // Takes what still comes for a short while, finishes all that it holds, then calls `finished`.
   void Drain(std::function<void()> finished);
 
