Leave no server alone for a connection that breaks

Each struck its server, which was left alone for up to 0.5 s and more, so that near half the window idled, the rest queued (0 to 24 requests out by server) and admission refused half of what came. A reset now says nothing of its server; a process that has died refuses the next dial, and that counts as before.

Ruled out: refusals for lack of a server or by the attempt limit (none counted), overload alone. The new test fails without the change.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -65,7 +65,7 @@
 // Answers over which a server's slowness is remembered, and the most that one answer may say of it.
 constexpr double kSlowMemory = 8;
 constexpr double kSlowMost = 4;
-// A server that fails to connect, resets, times out or lets a request outlive its aim is left alone for
+// A server that fails to connect, times out or lets a request outlive its aim is left alone for
 // random(0, min(kRetryCap, base * 2^n)), n being such events in a row: the request's own wait, applied to a
 // server.
 constexpr Micros kServerBase = 500 * kMillisecond;
@@ -368,13 +368,15 @@
   void Judge(const Held& held, Server& server, const Outcome& outcome) {
     ClassLoad& load = load_[held.request_class];
     const double elapsed = static_cast<double>(outcome.elapsed);
-    double slow = kSlowMost;  // timed out, unreachable or reset
+    double slow = kSlowMost;  // timed out or unreachable
     if (outcome.result == Result::kSuccess) {
       if (load.answer <= 0) load.answer = elapsed;
       load.answer += (elapsed - load.answer) / kMixMemory;
       slow = std::min(elapsed / std::max(load.answer, 1.0), kSlowMost);
-    } else if (outcome.result == Result::kError || outcome.result == Result::kCancelled ||
-               outcome.result == Result::kNeverSent) {
+    } else if (outcome.result == Result::kError || outcome.result == Result::kReset ||
+               outcome.result == Result::kCancelled || outcome.result == Result::kNeverSent) {
+      // A reset tells of a connection. Were servers left alone for it, a path that breaks now and then would
+      // keep half the window idle; one whose process has died cannot be reached next, and that counts.
       return;
     }
     server.refuses.resize(load_.size());
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -452,6 +452,20 @@
   EXPECT_GT(back, 100);
 }
 
+// Met where connections break now and then on all paths: with servers left alone for it, the rest choked.
+TEST_F(BalancerTest, AServerIsNotLeftAloneForAConnectionThatBreaks) {
+  Start(MakeSettings(), 4);
+  std::map<std::string, int> sent;
+  for (int i = 0; i < 400; ++i) {
+    now_ += 10 * kMs;
+    const std::string id = "r" + std::to_string(i);
+    const std::string server = Arrive(id, 2)[0].server;
+    const bool broken = server == "s01" && ++sent[server] % 4 == 0;
+    Resolve(id, 0, broken ? Result::kReset : Result::kSuccess, !broken);
+  }
+  EXPECT_GT(sent["s01"], 75);  // its share is 100
+}
+
 TEST_F(BalancerTest, ATroubleThatAllShareDoesNotEmptyTheWindow) {
   Start(MakeSettings(), 4);
   for (int i = 0; i < 100; ++i) {
