Count a server with 12 own attempts out as full

A server with 12 own attempts out now counts as full; if all are, the request waits its jittered turn as after a refusal.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -31,6 +31,9 @@
 constexpr Micros kRetryCap = 30 * kSecond;
 // The design's stop; the deployment may set a lower limit.
 constexpr int kMaxAttempts = 5;
+// Own attempts that one server may have out; with so many it counts as full. More would only wait in its
+// queue until they are late, and a server that is overdriven so for seconds chokes. 8 to 24 were tried.
+constexpr int kMostOut = 12;
 // Draws from the window before it is searched from end to end: bounds the work of an ordinary choice.
 constexpr int kDraws = 8;
 // Overload. Each outcome moves the share of the work that is let in by kAdmitStep for each whole aim that the
@@ -430,6 +433,8 @@
   // not see a slow server that answers in the end, nor do they tell idle servers apart.
   static double Busy(const Server& server) { return (server.out + 1) * server.slow; }
 
+  static bool Full(const Server& server) { return server.out >= kMostOut; }
+
   // The less busy of two random window servers. Null if the window holds none that may be used.
   Server* Choose(const Held& held) {
     const Pool& pool = pools_[pools_[held.pool].ring.empty() ? 1 - held.pool : held.pool];
@@ -439,7 +444,9 @@
     int found = 0;
     for (int draw = 0; draw < kDraws && found < 2; ++draw) {
       Server& server = pool.InWindow(random_.Below(width));
-      if (Away(server) || Refuses(held, server) || !MayUse(held, server) || !AcceptYoung(server)) continue;
+      if (Full(server) || Away(server) || Refuses(held, server) || !MayUse(held, server) ||
+          !AcceptYoung(server))
+        continue;
       ++found;
       if (best == nullptr || Busy(server) < Busy(*best)) best = &server;
     }
@@ -449,7 +456,7 @@
     const std::size_t start = random_.Below(width);
     for (std::size_t i = 0; i < width; ++i) {
       Server& server = pool.InWindow((start + i) % width);
-      if (!MayUse(held, server)) continue;
+      if (Full(server) || !MayUse(held, server)) continue;
       if (AcceptYoung(server) || (none_warm && random_.Unit() < Warmth(server))) return &server;
     }
     return held.MayHaveRun() == nullptr ? nullptr : OutsideWindow(held);
@@ -462,7 +469,7 @@
       const std::size_t start = random_.Below(pool.ring.size());
       for (std::size_t i = 0; i < pool.ring.size(); ++i) {
         Server& server = *pool.ring[(start + i) % pool.ring.size()];
-        if (!Away(server) && MayUse(held, server) && AcceptYoung(server)) return &server;
+        if (!Full(server) && !Away(server) && MayUse(held, server) && AcceptYoung(server)) return &server;
       }
     }
     return nullptr;
