--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,4 +1,4 @@
-// Every decision of merlinrun. Interface: include/merlinrun/balancer.hpp. Why it is so: docs/design.md.
+// Every decision of merlinrun. Interface: include/merlinrun/balancer.hpp.
 //
 // Order of this file: tunables, state, the list of servers and the window, a request's life (arrival, choice
 // of a server, outcome, wait, end), discovery.
