Give a busy sidecar a server for each attempt out, not for each four

Counted per server, six neighbours on the ring got 60 a second each in the first second, choked and answered after 0.4 to 1 s. Sidecars 93 and 96 bring a fifth of all requests; their windows of 10 servers overlap there. Of 100 sidecars the 14 that met one of the six refused 2609 of 3937 requests, the other 86 refused 44 of 4806.

Ruled out: too little capacity (the median server idles); refusals by servers, connections or discovery (none before 9 s); bad servers by chance (six in a row of sixty, fast in the first half second).

At fault: kServersPerOut = 0.25 in src/policy.cpp. At four attempts a server such a sidecar fills all cores of its window alone, and its neighbours come on top. Where connections are free it was 1 already; the special case goes.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -22,10 +22,9 @@
 // Servers in the window. Few enough that each server holds connections from few sidecars, enough to leave a
 // choice.
 constexpr std::size_t kWindowWidth = 3;
-// A busy sidecar's window is wider: this many servers for each attempt it lately had out at once.
-constexpr double kServersPerOut = 0.25;
-// The same where open connections cost nothing. 0.25 to 2 were tried.
-constexpr double kServersPerOutFree = 1;
+// A busy sidecar's window is wider: this many servers for each attempt it lately had out at once, so that it
+// alone never takes more than one core of a server that other sidecars use too. 0.25 to 2 were tried.
+constexpr double kServersPerOut = 1;
 // The wait before attempt n+1 is random(0, min(cap, base * 2^n)).
 constexpr Micros kRetryBase = 100 * kMillisecond;
 constexpr Micros kRetryCap = 30 * kSecond;
@@ -101,9 +100,8 @@
 // The window is of fixed size for all but the busiest sidecars. One that has more attempts out than window
 // servers takes a longer run of the ring, by its own traffic and never by the fleet's size: else a few busy
 // callers choke the servers of their windows while others idle.
-std::size_t Width(const Pool& pool, const Settings& set) {
-  const double per_out = set.price_connection > 0 ? kServersPerOut : kServersPerOutFree;
-  return std::min(std::max(kWindowWidth, static_cast<std::size_t>(per_out * pool.out_peak)),
+std::size_t Width(const Pool& pool) {
+  return std::min(std::max(kWindowWidth, static_cast<std::size_t>(kServersPerOut * pool.out_peak)),
                   pool.ring.size());
 }
 
@@ -400,7 +398,7 @@
   void Strike(Server& server) {
     if (now_ < server.away_until) return;
     const Pool& pool = pools_[server.pool];
-    const std::size_t width = Width(pool, set_);
+    const std::size_t width = Width(pool);
     std::size_t away = 0;
     for (std::size_t i = 0; i < width; ++i) away += Away(pool.InWindow(i));
     if (static_cast<double>(away + 1) > kMostAway * static_cast<double>(width)) return;
@@ -438,7 +436,7 @@
   // The less busy of two random window servers. Null if the window holds none that may be used.
   Server* Choose(const Held& held) {
     const Pool& pool = pools_[pools_[held.pool].ring.empty() ? 1 - held.pool : held.pool];
-    const std::size_t width = Width(pool, set_);
+    const std::size_t width = Width(pool);
     if (width == 0) return nullptr;
     Server* best = nullptr;
     int found = 0;
@@ -477,8 +475,7 @@
 
   // After a refusal another server is tried; after an attempt that may have run, only what drops the repeat.
   bool MayUse(const Held& held, const Server& server) const {
-    if (!held.attempts.empty() && held.attempts.back().server == &server &&
-        Width(pools_[server.pool], set_) > 1)
+    if (!held.attempts.empty() && held.attempts.back().server == &server && Width(pools_[server.pool]) > 1)
       return false;
     const Attempt* ran = held.MayHaveRun();
     const RequestClass& c = ClassOf(held);
@@ -504,8 +501,8 @@
   bool AcceptYoung(Server& server) {
     const double warmth = Warmth(server);
     if (warmth >= 1) return true;
-    const double served_each = static_cast<double>(served_ - server.served_then) /
-                               static_cast<double>(Width(pools_[server.pool], set_));
+    const double served_each =
+        static_cast<double>(served_ - server.served_then) / static_cast<double>(Width(pools_[server.pool]));
     server.young_credit = std::min(1.0, server.young_credit + warmth * served_each);
     server.served_then = served_;
     if (server.young_credit < 1) return false;
