Pass over a server that fails at once as often as it lately failed

Sent per server and second: the failing ones got 20 to 62, some twice the median of 28, with 1.4 out; in the 8th second two of them were the two most sent to (84 and 72).

Ruled out: overload (the failing ones are the fastest to answer and hold least) and a rate that all share (53 servers returned two errors together in three seconds).

At fault: Judge() in src/policy.cpp left kError aside with resets, and Busy() goes by what is out: who fails at once looks idle. A quiet sidecar meets such a server with every third request and never learned it. The share of failures is now kept for each server, as that of refusals is for each class, with the same memory, and never quite believed, so that the end of it is found.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -73,8 +73,8 @@
 constexpr Micros kServerBase = 500 * kMillisecond;
 // From this share on a class counts as turned away by a server.
 constexpr double kRefusesSome = 0.1;
-// Answers over which a server's turning away of a class is remembered: quick to believe, slow to forget.
-// It is never quite believed, so that an attempt now and then finds the end of it.
+// Answers over which a server's turning away of a class, or its failing, is remembered: quick to believe,
+// slow to forget. It is never quite believed, so that an attempt now and then finds the end of it.
 constexpr double kRefusalMemory = 3;
 constexpr double kServedMemory = 10;
 constexpr double kRefusalMost = 0.95;
@@ -374,8 +374,11 @@
       if (load.answer <= 0) load.answer = elapsed;
       load.answer += (elapsed - load.answer) / kMixMemory;
       slow = std::min(elapsed / std::max(load.answer, 1.0), kSlowMost);
-    } else if (outcome.result == Result::kError || outcome.result == Result::kReset ||
-               outcome.result == Result::kCancelled || outcome.result == Result::kNeverSent) {
+    } else if (outcome.result == Result::kError) {
+      server.fails += (kRefusalMost - server.fails) / kRefusalMemory;
+      return;
+    } else if (outcome.result == Result::kReset || outcome.result == Result::kCancelled ||
+               outcome.result == Result::kNeverSent) {
       // A reset tells of a connection. Were servers left alone for it, a path that breaks now and then would
       // keep half the window idle; one whose process has died cannot be reached next, and that counts.
       return;
@@ -383,7 +386,10 @@
     server.refuses.resize(load_.size());
     double& refuses = server.refuses[held.request_class];
     if (outcome.result == Result::kRefused) refuses += (kRefusalMost - refuses) / kRefusalMemory;
-    if (outcome.result == Result::kSuccess) refuses -= refuses / kServedMemory;
+    if (outcome.result == Result::kSuccess) {
+      refuses -= refuses / kServedMemory;
+      server.fails -= server.fails / kServedMemory;
+    }
     if (outcome.result != Result::kRefused) server.slow += (slow - server.slow) / kSlowMemory;
     if (outcome.result == Result::kSuccess) {
       if (outcome.elapsed < ClassOf(held).aim) server.strikes = 0;
@@ -417,11 +423,13 @@
            std::count_if(server.refuses.begin(), server.refuses.end(), some) == 1;
   }
 
-  // A server that lately turned away this class is passed over as often as it did. Guards against limits on
-  // one class, which say nothing of room for the others, and against full servers. It could harm where all
-  // refuse by chance; the search from end to end then takes any.
+  // A server that lately turned away this class, or failed, is passed over as often as it did. Guards against
+  // limits on one class, which say nothing of room for the others, against full servers, and against those
+  // that fail at once and so look idle. It could harm where all refuse by chance; the search from end to end
+  // then takes any.
   bool Refuses(const Held& held, const Server& server) {
-    const double share = server.refuses.empty() ? 0 : server.refuses[held.request_class];
+    const double refuses = server.refuses.empty() ? 0 : server.refuses[held.request_class];
+    const double share = std::max(refuses, server.fails);
     return share > 0 && random_.Unit() < share;
   }
 
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -18,6 +18,7 @@
   int out = 0;                   // own attempts in flight
   double slow = 1;               // its answer times as a multiple of what is usual for their class
   std::vector<double> refuses;   // by class: share of its requests that were turned away lately
+  double fails = 0;              // share of all requests that it answered with an error lately
   int strikes = 0;               // bad outcomes in a row
   Micros away_until = 0;         // left alone until then; after that one trial attempt at a time
   double young_credit = 0;       // sends that a young server may still be given
