--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,15 +1,16 @@
-// Every decision of merlinrun. Interface: include/merlinrun/balancer.hpp.
+// Every decision of merlinrun but admission's, which are in admission.cpp. Interface:
+// include/merlinrun/balancer.hpp.
 //
 // Order of this file: tunables, state, the list of servers and the window, a request's life (arrival, choice
 // of a server, outcome, wait, end), discovery.
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <deque>
 #include <map>
 #include <unordered_map>
 #include <utility>
 
+#include "admission.hpp"
 #include "merlinrun/balancer.hpp"
 #include "records.hpp"
 
@@ -35,35 +36,8 @@
 constexpr int kMostOut = 12;
 // Draws from the window before it is searched from end to end: bounds the work of an ordinary choice.
 constexpr int kDraws = 8;
-// Overload. Each outcome moves the share of the work that is let in by kAdmitStep for each whole aim that the
-// answer came before or after its target. kAdmitTarget, in aims, is the target for the dearest work: far
-// under one, as servers choke on their queues before answers come late.
-constexpr double kAdmitTarget = 0.27;
-// The same where servers report their load. By figures, not by reasoning: of all settings only this one told
-// the deployments apart that lose by shedding early from those whose servers choke. 0.27 to 0.7 were tried.
-constexpr double kAdmitTargetReported = 0.45;
-// There it also stays within this much of what idle servers take: on servers of many cores, idle ones take
-// little and a queue shows early. 0.2 and 0.25 were tried.
-constexpr double kRoom = 0.22;
-constexpr double kAdmitStep = 0.2;
-// An attempt that was turned away or timed out counts as this many aims.
-constexpr double kAdmitWorst = 1.5;
-// The n-th late outcome in a row counts n times, to this many: one is a dear request or one server's trouble,
-// several are an overload that all share, and servers are overdriven within seconds.
-constexpr double kLatesMost = 4;
-// The target stays this far above the least pressure that was usual, averaged over kUsualMemory answers:
-// guards against refusing cheap work all day where even idle servers take a good part of the aim.
-constexpr double kHeadroom = 1.6;
-constexpr double kUsualMemory = 30;
-// One good answer recovers no more than it would at this level: servers that choked recover only if they are
-// left alone for seconds, and a lucky answer must not end that. 0.15 and 0.3 were tried.
-constexpr double kRecoverAt = 0.15;
-// Never shut out everything: what is let in is the only way to see the end of an overload.
-constexpr double kAdmitLeast = 0.05;
-// Good answers save up to this level, so that one bad answer by chance refuses nobody.
-constexpr double kAdmitMost = 1.5;
-// Arrivals over which the mix of classes is remembered, and answers over which a class's usual time is.
-constexpr double kMixMemory = 100;
+// Answers over which a class's usual time is remembered, and sends over which the peak of what is out is.
+constexpr double kAnswerMemory = 100;
 // Answers over which a server's slowness is remembered, and the most that one answer may say of it.
 constexpr double kSlowMemory = 8;
 constexpr double kSlowMost = 4;
@@ -110,7 +84,12 @@
 class Balancer::State {
  public:
   State(const Settings& settings, std::uint64_t seed, Micros now, ActionSink& sink)
-      : set_(settings), sink_(sink), random_(seed), now_(now), load_(settings.classes.size()) {}
+      : set_(settings),
+        sink_(sink),
+        random_(seed),
+        now_(now),
+        admission_(set_, random_),
+        times_(settings.classes.size()) {}
 
   void Advance(Micros now) { now_ = std::max(now_, now); }
 
@@ -154,7 +133,7 @@
   // ---- A request's life ----
 
   void OnRequest(const Request& in) {
-    if (in.request_class < 0 || static_cast<std::size_t>(in.request_class) >= load_.size())
+    if (in.request_class < 0 || static_cast<std::size_t>(in.request_class) >= times_.size())
       return sink_.Fail(in.id);
     auto [it, fresh] = held_.try_emplace(std::string(in.id));
     if (!fresh) return;
@@ -162,11 +141,11 @@
     held.request_class = static_cast<std::size_t>(in.request_class);
     held.arrived = now_;
     held.deadline = now_ + in.budget;
-    ClassLoad& load = load_[held.request_class];
-    load.longest_budget = std::max(load.longest_budget, in.budget);
-    held.late = in.budget < load.longest_budget - set_.tick &&
+    ClassTimes& times = times_[held.request_class];
+    times.longest_budget = std::max(times.longest_budget, in.budget);
+    held.late = in.budget < times.longest_budget - set_.tick &&
                 ClassOf(held).deadline - in.budget >= ClassOf(held).aim;
-    CountArrival(held, in.cost);
+    admission_.CountArrival(held.request_class, in.cost);
     if (ClassOf(held).sequential && !in.key.empty()) lines_[held.key = in.key].push_back(it->first);
     if (!LetIn(held)) return End(it);
     SendOrWait(it);
@@ -250,7 +229,7 @@
     if (server == nullptr) return Wait(it);
     ++server->out;
     Pool& pool = pools_[server->pool];
-    pool.out_peak = std::max(static_cast<double>(++pool.out), pool.out_peak * (1 - 1 / kMixMemory));
+    pool.out_peak = std::max(static_cast<double>(++pool.out), pool.out_peak * (1 - 1 / kAnswerMemory));
     held.attempts.push_back({server, server->info.zone, server->info.cell, now_});
     sink_.Send(it->first, server->info.id, TimeOut(held));
     if (const Micros late = held.arrived + ClassOf(held).aim - now_; late > 0) Alarm(it, late);
@@ -264,72 +243,21 @@
     return std::max<Micros>(held.arrived + c.aim - now_, set_.tick);
   }
 
-  // ---- Overload: which work is let in ----
+  // ---- Overload: which work is let in, and what tells of it ----
 
   // Under pressure the work of least worth is refused first, before it fills a queue. Guards against servers
   // that choke and against answers that all come late, each retried by its client on top of the load.
   bool LetIn(Held& held) {
     const std::size_t own = held.request_class;
     for (held.pool = 0; held.pool < pools_.size(); ++held.pool) {
-      // A crossing has to be worth its price: requests of least worth stay at home or are refused.
-      if (held.pool > 0 && Worth(own) < set_.price_crossing * mean_worth_) break;
-      if (!pools_[held.pool].ring.empty() && Admits(pools_[held.pool], own, held.late)) return true;
+      if (held.pool > 0 && !admission_.WorthCrossing(own)) break;
+      if (!pools_[held.pool].ring.empty() && admission_.Admits(pools_[held.pool], own, held.late))
+        return true;
     }
     held.pool = 0;
     return pools_[0].ring.empty() && pools_[1].ring.empty();  // a server may yet be listed while it waits
   }
 
-  void CountArrival(const Held& held, std::optional<Micros> cost) {
-    const std::size_t own = held.request_class;
-    hinted_ = hinted_ || cost.has_value();
-    if (cost) load_[own].work += (static_cast<double>(*cost) - load_[own].work) / kMixMemory;
-    for (ClassLoad& load : load_) load.arriving *= 1 - 1 / kMixMemory;
-    load_[own].arriving += load_[own].work;
-    mean_worth_ += (Worth(own) - mean_worth_) / (mean_worth_ > 0 ? kMixMemory : 1);
-  }
-
-  bool Admits(const Pool& pool, std::size_t own, bool late) {
-    if (pool.admit >= 1) return true;
-    return random_.Unit() * load_[own].arriving <
-           pool.admit * Arriving(0) - Arriving(Density(own) * (late ? set_.classes[own].late_worth : 1));
-  }
-
-  // Work that arrived lately and is worth more than `density`.
-  double Arriving(double density) const {
-    double sum = 0;
-    for (std::size_t i = 0; i < load_.size(); ++i)
-      if (Density(i) > density) sum += load_[i].arriving;
-    return sum;
-  }
-
-  double AdmitTarget(const Pool& pool) const {
-    return set_.reports == Settings::Reports::kNone ? kAdmitTarget
-                                                    : std::min(kAdmitTargetReported, pool.unloaded + kRoom);
-  }
-
-  // The pressure, in aims, at which no more is to be let in. It follows the worth of the work at the margin,
-  // the least that is still let in: cheap work goes while servers are far from choking, dear work only when
-  // answers come late.
-  double Target(const Pool& pool) const {
-    const double total = Arriving(0);
-    if (total <= 0) return AdmitTarget(pool);
-    double margin = 0;
-    double mean = 0;
-    for (std::size_t i = 0; i < load_.size(); ++i) {
-      const double density = Density(i);
-      mean += density * load_[i].arriving / total;
-      if (load_[i].arriving > 0 && Arriving(density) < pool.admit * total &&
-          (margin <= 0 || density < margin))
-        margin = density;
-    }
-    return AdmitTarget(pool) * std::sqrt(std::min(margin / mean, 1.0));
-  }
-
-  double Worth(std::size_t i) const {
-    return set_.classes[i].worth * (set_.worth_by_work ? load_[i].work : 1);
-  }
-  double Density(std::size_t i) const { return Worth(i) / load_[i].work; }
-
   // An attempt that is still out when its request's aim has passed is pressure at once. Guards against
   // hearing of an overload only when the answers come, seconds after they were late.
   void FeelLate(Held& held) {
@@ -339,41 +267,19 @@
     Strike(*attempt.server);
   }
 
-  // What an outcome tells of the pressure on the servers.
   void Feel(const Held& held, const Server& server, const Outcome& outcome) {
-    Pool& pool = pools_[server.pool];
-    const double aim = static_cast<double>(std::max<Micros>(ClassOf(held).aim, 1));
-    double aims = std::min(static_cast<double>(outcome.elapsed) / aim, kAdmitWorst);
-    if (outcome.result == Result::kSuccess) {
-      ClassLoad& load = load_[held.request_class];
-      if (!hinted_) load.work += (static_cast<double>(outcome.elapsed) - load.work) / kMixMemory;
-    } else if (outcome.result == Result::kTimeout ||
-               (outcome.result == Result::kRefused && !RefusesOneClass(server))) {
-      aims = kAdmitWorst;
-    } else {
-      return;  // says nothing of load
-    }
-    pool.answers = std::min(pool.answers + 1, kUsualMemory);
-    pool.lates = aims < 1 ? 0 : std::min(pool.lates + 1, kLatesMost);
-    pool.usual += (aims - pool.usual) / pool.answers;
-    if (pool.answers >= kUsualMemory / 2) pool.unloaded = std::min(pool.unloaded, pool.usual);
-    const double least =
-        pool.unloaded < kAdmitWorst ? std::min(kHeadroom * pool.unloaded, AdmitTarget(pool)) : 0;
-    const double step = kAdmitStep * (std::max(Target(pool), least) - aims * std::max(pool.lates, 1.0));
-    // The less is let in, the fewer outcomes there are to recover by: each counts for more then.
-    pool.admit = std::clamp(pool.admit + (step > 0 ? step / std::max(pool.admit, kRecoverAt) : step),
-                            kAdmitLeast, kAdmitMost);
+    admission_.Feel(pools_[server.pool], held.request_class, outcome, RefusesOneClass(server));
   }
 
   // What an outcome tells of the server.
   void Judge(const Held& held, Server& server, const Outcome& outcome) {
-    ClassLoad& load = load_[held.request_class];
+    ClassTimes& times = times_[held.request_class];
     const double elapsed = static_cast<double>(outcome.elapsed);
     double slow = kSlowMost;  // timed out or unreachable
     if (outcome.result == Result::kSuccess) {
-      if (load.answer <= 0) load.answer = elapsed;
-      load.answer += (elapsed - load.answer) / kMixMemory;
-      slow = std::min(elapsed / std::max(load.answer, 1.0), kSlowMost);
+      if (times.answer <= 0) times.answer = elapsed;
+      times.answer += (elapsed - times.answer) / kAnswerMemory;
+      slow = std::min(elapsed / std::max(times.answer, 1.0), kSlowMost);
     } else if (outcome.result == Result::kError) {
       server.fails += (kRefusalMost - server.fails) / kRefusalMemory;
       return;
@@ -383,7 +289,7 @@
       // keep half the window idle; one whose process has died cannot be reached next, and that counts.
       return;
     }
-    server.refuses.resize(load_.size());
+    server.refuses.resize(times_.size());
     double& refuses = server.refuses[held.request_class];
     if (outcome.result == Result::kRefused) refuses += (kRefusalMost - refuses) / kRefusalMemory;
     if (outcome.result == Result::kSuccess) {
@@ -601,11 +507,10 @@
   std::unordered_map<std::uint64_t, std::string> timers_;
   std::uint64_t last_timer_ = kAskToken;
   std::unordered_map<std::string, std::deque<std::string>>
-      lines_;                    // request ids by key; looked up, never walked
-  std::vector<ClassLoad> load_;  // by class
-  double mean_worth_ = 0;        // of an arriving request
-  bool hinted_ = false;          // requests carry their expected work
-  std::int64_t served_ = 0;      // attempts that succeeded
+      lines_;  // request ids by key; looked up, never walked
+  Admission admission_;
+  std::vector<ClassTimes> times_;  // by class
+  std::int64_t served_ = 0;        // attempts that succeeded
   int asks_failed_ = 0;
   bool ask_pending_ = false;
 };
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -76,11 +76,14 @@
   }
 };
 
-struct ClassLoad {    // what this sidecar has seen of a class
-  double work = 1;    // usual work of one request: the hint where there is one, else the time of its answers
-  double answer = 0;  // usual time of an answer; 0 = none yet
+struct ClassLoad {  // what admission has seen of a class
+  double work = 1;  // usual work of one request: the hint where there is one, else the time of its answers
+  double arriving = 0;  // work that arrived lately, fading
+};
+
+struct ClassTimes {
+  double answer = 0;          // usual time of an answer; 0 = none yet
   Micros longest_budget = 0;  // of its tries: a shorter one is all that is left of the deadline
-  double arriving = 0;        // work that arrived lately, fading
 };
 
 class Random {  // SplitMix64: small, and the same everywhere
