Reckon a young server's share by what warm ones serve alone

Ruled out: cold servers that are slow (they answer faster than the warm ones); servers left alone (none of the young); windows without them (58 to 60 servers are sent to in each second).

At fault: AcceptYoung() in src/policy.cpp took the average over all servers of the window, the young ones included. With one warm server and two at a quarter the young got 0.1 of what it serves, and so kept the average where it was. The average is now over the warm ones. The bound that keeps a cold server from falling is the same: its certain share of what a warm one is seen to serve.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -114,7 +114,7 @@
       Server& server = servers_[info.id];
       if (info.started != server.info.started) {  // new here, or its process is: chance decides who starts it
         server.young_credit = random_.Unit();
-        server.served_then = served_;
+        server.served_then = served_warm_;
       }
       server.info = info;
       server.pool = set_.price_crossing >= kCrossingPriced && info.zone != set_.zone ? 1 : 0;
@@ -168,7 +168,7 @@
     attempt.may_have_run = !ProvesNeverRan(outcome.result, set_.refused_may_have_run);
     --attempt.server->out;
     --pools_[attempt.server->pool].out;
-    if (outcome.result == Result::kSuccess) ++served_;
+    if (outcome.result == Result::kSuccess && Warmth(*attempt.server) >= 1) ++served_warm_;
     Judge(held, *attempt.server, outcome);
     if (!attempt.felt) Feel(held, *attempt.server, outcome);
     if (outcome.result == Result::kTimeout || outcome.result == Result::kReset ||
@@ -417,16 +417,20 @@
     return set_.cold_share + (1 - set_.cold_share) * grown;
   }
 
-  // A young server is sent its share of what this sidecar is *served* by a server on average. Counting
+  // A young server is sent its share of what this sidecar is *served* by a warm one on average. Counting
   // answers and not sends guards against an overload, where sends and retries together exceed what a server
-  // can do many times, and against an idle newcomer that every sidecar prefers at once.
+  // can do many times, and against an idle newcomer that every sidecar prefers at once. Counting warm servers
+  // alone guards against a window of many young ones that would keep each other at what they serve already.
   bool AcceptYoung(Server& server) {
     const double warmth = Warmth(server);
     if (warmth >= 1) return true;
-    const double served_each =
-        static_cast<double>(served_ - server.served_then) / static_cast<double>(Width(pools_[server.pool]));
+    const Pool& pool = pools_[server.pool];
+    std::int64_t warm = 0;
+    for (std::size_t i = 0; i < Width(pool); ++i) warm += Warmth(pool.InWindow(i)) >= 1;
+    const double served_each = static_cast<double>(served_warm_ - server.served_then) /
+                               static_cast<double>(std::max<std::int64_t>(warm, 1));
     server.young_credit = std::min(1.0, server.young_credit + warmth * served_each);
-    server.served_then = served_;
+    server.served_then = served_warm_;
     if (server.young_credit < 1) return false;
     server.young_credit -= 1;
     return true;
@@ -518,7 +522,7 @@
       lines_;  // request ids by key; looked up, never walked
   Admission admission_;
   std::vector<ClassTimes> times_;  // by class
-  std::int64_t served_ = 0;        // attempts that succeeded
+  std::int64_t served_warm_ = 0;  // attempts that succeeded at warm servers
   int asks_failed_ = 0;
   bool ask_pending_ = false;
 };
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -22,7 +22,7 @@
   int strikes = 0;               // bad outcomes in a row
   Micros away_until = 0;         // left alone until then; after that one trial attempt at a time
   double young_credit = 0;       // sends that a young server may still be given
-  std::int64_t served_then = 0;  // what this sidecar had been served when the credit was last reckoned
+  std::int64_t served_then = 0;  // what warm ones had served when the credit was last reckoned
 };
 
 // Servers that share a ring, and what this sidecar knows of them together. Own zone and elsewhere where
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -269,6 +269,28 @@
   EXPECT_LE(young, 1 + served / 4.0 * MakeSettings().cold_share);  // 4: the window
 }
 
+// Met on days of 100 sidecars, six in ten servers replaced: each young one got its share of an average that
+// the young ones themselves kept low, and idled at 6 requests a second while the warm ones were overdriven.
+TEST_F(BalancerTest, YoungServersDoNotLowerEachOthersShare) {
+  Start(MakeSettings(), 3);
+  auto servers = MakeServers(3);
+  servers[0].started = servers[1].started = now_;
+  List(ListUpdate::Kind::kDelta, {servers[0], servers[1]});
+  std::map<std::string, int> sent;
+  for (int i = 0; i < 1000; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    const auto actions = Arrive(id);
+    if (actions[0].kind != Kind::kSend) continue;
+    ++sent[actions[0].server];
+    Resolve(id, 0, Result::kSuccess, true);
+  }
+  const double share = MakeSettings().cold_share * sent["s02"];
+  for (const char* const young : {"s00", "s01"}) {
+    EXPECT_GE(sent[young], 0.75 * share);
+    EXPECT_LE(sent[young], share + 1);
+  }
+}
+
 // A sidecar that restarts knows nothing but its last list; many servers may be young in it at once.
 TEST_F(BalancerTest, ARestartedSidecarDoesNotRushAtYoungServers) {
   auto servers = MakeServers(4);
