Spend a young server's credit on a send, not on a draw

A young server's credit was spent when it was drawn as one of two candidates, also when the other one was sent to, as it is half of the time.

Ruled out: the cap on credit (a draw comes within two requests, credit grows a quarter a request); full or left-alone servers (none in the test).

At fault: AcceptYoung() in src/policy.cpp, which took the credit while it answered a question. SendOrWait() takes it now.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -234,6 +234,7 @@
     Server* server = held.deadline > now_ ? Choose(held) : nullptr;
     if (server == nullptr) return Wait(it);
     ++server->out;
+    server->young_credit = std::max(server->young_credit - 1, 0.0);  // spent by a send, not by a draw
     Pool& pool = pools_[server->pool];
     pool.out_peak = std::max(static_cast<double>(++pool.out), pool.out_peak * (1 - 1 / kAnswerMemory));
     held.attempts.push_back({server, server->info.zone, server->info.cell, now_});
@@ -431,9 +432,7 @@
                                static_cast<double>(std::max<std::int64_t>(warm, 1));
     server.young_credit = std::min(1.0, server.young_credit + warmth * served_each);
     server.served_then = served_warm_;
-    if (server.young_credit < 1) return false;
-    server.young_credit -= 1;
-    return true;
+    return server.young_credit >= 1;
   }
 
   // The design's wait: full jitter, doubling. Ends the request when nothing more can come of it.
