Forget what a server's old process did when its start is a new one

Seen on zone+vast: servers of the zone that came back were left alone for up to 30 s by sidecars that had struck them while they were gone, at one tenth of their share beside full ones.

Ruled out: the young server's share (its credit grows while it is left alone, and is not asked for).

At fault: OnServers() in src/policy.cpp gave a server with a new start fresh credit and kept its strikes, its slowness and its refusals. A process that is gone says nothing of the one in its place.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -113,6 +113,7 @@
     for (const ServerInfo& info : update.servers) {
       Server& server = servers_[info.id];
       if (info.started != server.info.started) {  // new here, or its process is: chance decides who starts it
+        server.Forget();
         server.young_credit = random_.Unit();
         server.served_then = served_warm_;
       }
@@ -131,8 +132,8 @@
     for (Pool& pool : pools_) {
       pool.offset =
           static_cast<std::size_t>(static_cast<std::uint64_t>(set_.rank) * pool.ring.size() / set_.siblings);
-      pool.most_out =
-          std::clamp(kMostOut * pool.ring.size() / (kWindowWidth * set_.siblings), kLeastOut, kMostOut);
+      pool.sharers =
+          std::max<std::size_t>(kWindowWidth * set_.siblings / std::max<std::size_t>(pool.ring.size(), 1), 1);
     }
   }
 
@@ -353,7 +354,8 @@
   static double Busy(const Server& server) { return (server.out + 1) * server.slow; }
 
   bool Full(const Server& server) const {
-    return static_cast<std::size_t>(server.out) >= pools_[server.pool].most_out;
+    return static_cast<std::size_t>(server.out) >=
+           std::max(kMostOut / pools_[server.pool].sharers, kLeastOut);
   }
 
   // The less busy of two random window servers. Null if the window holds none that may be used.
@@ -521,7 +523,7 @@
       lines_;  // request ids by key; looked up, never walked
   Admission admission_;
   std::vector<ClassTimes> times_;  // by class
-  std::int64_t served_warm_ = 0;  // attempts that succeeded at warm servers
+  std::int64_t served_warm_ = 0;   // attempts that succeeded at warm servers
   int asks_failed_ = 0;
   bool ask_pending_ = false;
 };
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -23,6 +23,15 @@
   Micros away_until = 0;         // left alone until then; after that one trial attempt at a time
   double young_credit = 0;       // sends that a young server may still be given
   std::int64_t served_then = 0;  // what warm ones had served when the credit was last reckoned
+
+  // What a process did says nothing of the one that replaces it.
+  void Forget() {
+    slow = 1;
+    refuses.clear();
+    fails = 0;
+    strikes = 0;
+    away_until = 0;
+  }
 };
 
 // Servers that share a ring, and what this sidecar knows of them together. Own zone and elsewhere where
@@ -30,7 +39,7 @@
 struct Pool {
   std::vector<Server*> ring;  // healthy ones by id
   std::size_t offset = 0;     // where the window begins
-  std::size_t most_out = 1;   // own attempts with which a server counts as full
+  std::size_t sharers = 1;    // sidecars whose windows hold a server, on average and at the least width
   int out = 0;                // own attempts in flight
   double out_peak = 0;        // their fading peak
   double admit = 1;           // share of the arriving work that is let in
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -474,6 +474,26 @@
   EXPECT_GT(back, 100);
 }
 
+// Met on days when a zone came back: its servers were left alone for what their dead processes had done.
+TEST_F(BalancerTest, AServerThatHasRestartedIsNotLeftAloneForItsOldProcess) {
+  Start(MakeSettings(), 3);
+  for (int i = 0; i < 2000; ++i) {
+    now_ += 10 * kMs;
+    const std::string id = "r" + std::to_string(i);
+    Resolve(id, 0, Arrive(id, 2)[0].server == "s01" ? Result::kUnreachable : Result::kSuccess, true);
+  }
+  auto servers = MakeServers(3);
+  servers[1].started = now_ - MakeSettings().warm_after;
+  List(ListUpdate::Kind::kDelta, {servers[1]});
+  int sent = 0;
+  for (int i = 0; i < 30; ++i) {
+    const std::string id = "q" + std::to_string(i);
+    sent += Arrive(id, 2)[0].server == "s01";
+    Resolve(id, 0, Result::kSuccess, true);
+  }
+  EXPECT_GT(sent, 5);  // its share is 10
+}
+
 // Met where connections break now and then on all paths: with servers left alone for it, the rest choked.
 TEST_F(BalancerTest, AServerIsNotLeftAloneForAConnectionThatBreaks) {
   Start(MakeSettings(), 4);
