Leave a struck server alone the longer the more sidecars share it

Each of some 20 sidecars had its one trial out or had just ended its wait of random(0, 0.5 s * 2^n).

At fault: kServerBase in src/policy.cpp, the same for a sidecar alone and for one of a hundred. The base is now multiplied by the sidecars whose windows hold a server, so that all together try it as often as one would.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -322,7 +322,8 @@
     std::size_t away = 0;
     for (std::size_t i = 0; i < width; ++i) away += Away(pool.InWindow(i));
     if (static_cast<double>(away + 1) > kMostAway * static_cast<double>(width)) return;
-    server.away_until = now_ + random_.Upto(Doubled(kServerBase, server.strikes++, kRetryCap));
+    server.away_until = now_ + random_.Upto(Doubled(kServerBase * static_cast<Micros>(pool.sharers),
+                                                    server.strikes++, kRetryCap));
   }
 
   // A server in its wait, or with its one trial attempt out.
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -474,6 +474,31 @@
   EXPECT_GT(back, 100);
 }
 
+// Met on days of 100 sidecars: each tried a choked server now and then, and together they never let it rest.
+TEST_F(BalancerTest, TheMoreSidecarsShareAServerTheLongerEachLeavesItAlone) {
+  const auto tries = [&](std::uint32_t siblings, std::uint32_t rank) {  // of s30, which is dead, in 10 s
+    int count = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      Settings settings = MakeSettings();
+      settings.siblings = siblings;
+      settings.rank = rank;
+      Start(settings, 60, seed);
+      for (int i = 0; i < 1000; ++i) {
+        now_ += 10 * kMs;
+        const std::string id = "r" + std::to_string(i);
+        const bool dead = Arrive(id, 2)[0].server == "s30";
+        count += dead;
+        Resolve(id, 0, dead ? Result::kUnreachable : Result::kSuccess, true);
+      }
+    }
+    return count;
+  };
+  const int alone = tries(2, 1);
+  const int shared = tries(100, 50);
+  EXPECT_GT(shared, 20);  // each goes on trying
+  EXPECT_LT(shared, 0.8 * alone);
+}
+
 // Met on days when a zone came back: its servers were left alone for what their dead processes had done.
 TEST_F(BalancerTest, AServerThatHasRestartedIsNotLeftAloneForItsOldProcess) {
   Start(MakeSettings(), 3);
