Average over sound warm servers alone for a young one's share

Full queues refused nobody.

Ruled out: young servers at their limit (they answer in 60 ms to the end).

At fault: AcceptYoung() in src/policy.cpp. The average over warm servers took in those that are left alone and so serve nothing, and halved what the young were sent while the sound ones were overdriven. Servers that have strikes do not count.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -430,7 +430,10 @@
     if (warmth >= 1) return true;
     const Pool& pool = pools_[server.pool];
     std::int64_t warm = 0;
-    for (std::size_t i = 0; i < Width(pool); ++i) warm += Warmth(pool.InWindow(i)) >= 1;
+    for (std::size_t i = 0; i < Width(pool); ++i) {
+      const Server& other = pool.InWindow(i);
+      warm += Warmth(other) >= 1 && other.strikes == 0;
+    }
     const double served_each = static_cast<double>(served_warm_ - server.served_then) /
                                static_cast<double>(std::max<std::int64_t>(warm, 1));
     server.young_credit = std::min(1.0, server.young_credit + warmth * served_each);
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -291,6 +291,26 @@
   }
 }
 
+// Met on the same days: choked servers served next to nothing, and the average over them starved the young.
+TEST_F(BalancerTest, AServerLeftAloneDoesNotLowerAYoungOnesShare) {
+  Start(MakeSettings(), 3);
+  auto servers = MakeServers(3);
+  servers[0].started = now_;
+  List(ListUpdate::Kind::kDelta, {servers[0]});
+  std::map<std::string, int> sent;
+  for (int i = 0; i < 1000; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    const auto actions = Arrive(id);
+    if (actions[0].kind != Kind::kSend) continue;
+    ++sent[actions[0].server];
+    Resolve(id, 0, actions[0].server == "s01" ? Result::kUnreachable : Result::kSuccess, true);
+  }
+  const double share = MakeSettings().cold_share * sent["s02"];
+  EXPECT_LT(sent["s01"], 20);
+  EXPECT_GE(sent["s00"], 0.75 * share);
+  EXPECT_LE(sent["s00"], share + 1);
+}
+
 // A sidecar that restarts knows nothing but its last list; many servers may be young in it at once.
 TEST_F(BalancerTest, ARestartedSidecarDoesNotRushAtYoungServers) {
   auto servers = MakeServers(4);
