Three servers for four attempts out: wide windows outlast the traffic they were for

So some twenty sidecars share each server though three in a hundred need to, and each brings its two attempts to the choked ones.

It is 0.75, which leaves room for half as much again as was lately out.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -23,9 +23,10 @@
 // Servers in the window. Few enough that each server holds connections from few sidecars, enough to leave a
 // choice.
 constexpr std::size_t kWindowWidth = 3;
-// A busy sidecar's window is wider: this many servers for each attempt it lately had out at once, so that it
-// alone never takes more than one core of a server that other sidecars use too. 0.25 to 2 were tried.
-constexpr double kServersPerOut = 1;
+// A busy sidecar's window is wider: this many servers for each attempt it lately had out at once. With few
+// its neighbours' servers choke under it; with many it keeps sharing all of them when it has little to send,
+// as in an overload. 0.25 to 2 were tried.
+constexpr double kServersPerOut = 0.75;
 // The wait before attempt n+1 is random(0, min(cap, base * 2^n)).
 constexpr Micros kRetryBase = 100 * kMillisecond;
 constexpr Micros kRetryCap = 30 * kSecond;
