Keep the list in use when discovery tells of no servers or of an older list

Seen in a test: a whole list without entries removed every server, so that each request was refused until the next change, and a list older than the one in use brought back servers that had drained.

Ruled out: lines that make no sense or have no end, which were reported once and left the list as it was.

At fault: Discovery::OnLine() in src/net/discovery.cpp took every list that could be read. Both are now bad input like the others: one line in the log, the watch is ended, and the module asks again after its jittered, bounded wait. The test plays both and counts the lines; it fails without the change.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -203,7 +203,9 @@
   std::string error = "no JSON";
   const auto json = nlohmann::json::parse(line, nullptr, /*allow_exceptions=*/false);
   const auto list = json.is_discarded() ? std::nullopt : ParseList(json, names_, error);
-  if (!list) {
+  if (list && list->generation < generation_) error = "older than the list that is in use";
+  if (list && list->whole && list->endpoints.empty()) error = "a whole list of no servers";
+  if (!list || !error.empty()) {
     std::exchange(stream_, nullptr)->Stop();
     return OnEnd(error, /*bad_input=*/true);
   }
--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -1,6 +1,8 @@
 // The watch, its reopenings, and lists that make no sense.
 #include "net/discovery.hpp"
 
+#include <algorithm>
+
 #include "loopback.hpp"
 
 namespace merlinrun::net {
@@ -77,11 +79,17 @@
   const nlohmann::json number = {{"instanceId", 7}, {"lifecycle", "up"}};
   std::vector<std::string> bad = {"{nonsense\n", "[]\n", "{\"generation\":1}\n"};
   for (const auto& entry : {sideways, nowhere, number}) bad.push_back(List(50, false, {entry}).dump() + "\n");
+  bad.push_back(List(50, true, {}).dump() + "\n");  // no servers at all: it would leave nothing to send to
+  bad.push_back(Line(40, "s-old"));                 // older than the 41 that it watches from
   std::vector<std::string> scripts;
   for (const std::string& line : bad) scripts.push_back(Chunk(line));
   scripts.push_back(Chunk(Line(51, "s-a")));
+  ::testing::internal::CaptureStderr();
   Start(scripts);
-  ASSERT_TRUE(RunUntil(io, [&] { return !lists.empty(); }));
+  const bool served = RunUntil(io, [&] { return !lists.empty(); });
+  const std::string said = ::testing::internal::GetCapturedStderr();
+  ASSERT_TRUE(served);
+  EXPECT_EQ(std::count(said.begin(), said.end(), '\n'), 1) << said;  // once, however often it comes
   EXPECT_EQ(lists[0].generation, 51);
   EXPECT_EQ(failures, static_cast<int>(bad.size()));
 }
