Take clients from a passed socket, and answer operators on an address of their own

A process that succeeds another waits for a list before it takes clients; SIGTERM leaves the common queue.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -27,12 +27,12 @@
   }
 }
 
-const char* Environment(const char* name) { return std::getenv(name); }
+const char* Variable(const char* name) { return std::getenv(name); }
 
 // A configuration that makes no sense must not end a sidecar that runs: it goes on with the one it has.
 void Reload(Sidecar& sidecar) {
   try {
-    sidecar.Reload(merlinrun::net::ReloadConfig(Environment));
+    sidecar.Reload(merlinrun::net::ReloadConfig(Variable));
   } catch (const merlinrun::net::ConfigError& error) {
     std::fprintf(stderr, "fennelhollow: not reloaded: %s\n", error.what());
   }
@@ -48,7 +48,7 @@
 
 int Serve() {
   boost::asio::io_context io(1);
-  Sidecar sidecar(io, merlinrun::net::LoadConfig(Environment));
+  Sidecar sidecar(io, merlinrun::net::LoadConfig(Variable));
   boost::asio::signal_set hangups(io, SIGHUP);
   ReloadOnHangup(hangups, sidecar);
   boost::asio::signal_set signals(io, SIGTERM, SIGINT);
--- /dev/null
+++ b/src/net/admin.hpp
@@ -0,0 +1,49 @@
+// The second address, for operators alone: one call to a connection, answered on the sidecar's own loop.
+#ifndef MERLINRUN_NET_ADMIN_HPP_
+#define MERLINRUN_NET_ADMIN_HPP_
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <list>
+#include <memory>
+
+#include "protocol.hpp"
+
+namespace merlinrun::net {
+
+class Admin {
+ public:
+  // Callers at once, with a descriptor set aside for each. One more ends the oldest that is still there.
+  static constexpr std::size_t kMostCallers = 16;
+
+  struct Events {
+    std::function<bool()> ready;
+  };
+
+  // Throws boost::system::system_error if the address cannot be listened on.
+  Admin(asio::io_context& io, const Tcp::endpoint& address, Events events);
+  ~Admin();
+  Admin(const Admin&) = delete;
+  Admin& operator=(const Admin&) = delete;
+
+  Tcp::endpoint address() const { return address_; }
+  std::size_t callers() const { return callers_.size(); }
+
+ private:
+  class Caller;
+  using CallerPtr = std::shared_ptr<Caller>;
+
+  void Accept();
+  HttpResponse Answer(const HttpRequest& request) const;
+
+  asio::io_context& io_;
+  const Events events_;
+  Tcp::acceptor acceptor_;
+  Tcp::endpoint address_;
+  asio::steady_timer pause_;
+  std::list<CallerPtr> callers_;  // the oldest first
+};
+
+}  // namespace merlinrun::net
+
+#endif  // MERLINRUN_NET_ADMIN_HPP_
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -1,5 +1,7 @@
 #include "config.hpp"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <charconv>
 #include <cmath>
@@ -50,6 +52,11 @@
   }
 }
 
+std::string Variable(const Environment& environment, const char* name) {
+  const char* const text = environment(name);
+  return text == nullptr ? "" : text;
+}
+
 Tcp::endpoint Address(const Json& json, const char* key, const std::string& from_environment) {
   const std::string text = from_environment.empty() ? json.at(key).get<std::string>() : from_environment;
   const auto address = ParseAddress(text);
@@ -74,11 +81,33 @@
   return *list;
 }
 
-Config FromJson(const Json& json, const std::string& listen, const std::string& discovery) {
+int SocketOption(int socket, int option) {
+  int value = 0;
+  socklen_t size = sizeof value;
+  return ::getsockopt(socket, SOL_SOCKET, option, &value, &size) == 0 ? value : -1;
+}
+
+std::optional<int> PassedSocket(const std::string& text) {
+  if (text.empty()) return std::nullopt;
+  int socket = -1;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), socket);
+  const bool number = error == std::errc() && end == text.data() + text.size() && socket >= 0;
+  if (!number || SocketOption(socket, SO_ACCEPTCONN) != 1 || SocketOption(socket, SO_DOMAIN) != AF_INET ||
+      SocketOption(socket, SO_PROTOCOL) != IPPROTO_TCP)
+    throw ConfigError("EDGE_PASSED_SOCKET '" + text + "': no listening TCP socket");
+  return socket;
+}
+
+Config FromJson(const Json& json, const Environment& environment) {
   Config config;
   config.name = json.value("name", std::string());
-  config.listen = Address(json, "listen", listen);
-  config.discovery = Address(json, "discovery", discovery);
+  config.listen = Address(json, "listen", Variable(environment, "EDGE_LISTEN"));
+  config.discovery = Address(json, "discovery", Variable(environment, "EDGE_DISCOVERY"));
+  const std::string admin = Variable(environment, "EDGE_ADMIN");
+  if (!admin.empty() || (json.contains("admin") && !json.at("admin").is_null()))
+    config.admin = Address(json, "admin", admin);
+  config.passed_socket = PassedSocket(Variable(environment, "EDGE_PASSED_SOCKET"));
+  config.directory = Variable(environment, "TMPDIR");
   config.seed = Seed(json);
   if (json.contains("limits"))
     config.sockets = json.at("limits").value("sockets", static_cast<std::uint64_t>(config.sockets));
@@ -109,9 +138,9 @@
   return out;
 }
 
-Config ParseConfig(const std::string& text, const std::string& listen, const std::string& discovery) {
+Config ParseConfig(const std::string& text, const Environment& environment) {
   try {
-    return FromJson(Json::parse(text), listen, discovery);
+    return FromJson(Json::parse(text), environment);
   } catch (const Json::exception& error) {
     throw ConfigError(OneLine(error.what()));
   } catch (const drill::WireError& error) {
@@ -119,22 +148,20 @@
   }
 }
 
-Config LoadConfig(const std::function<const char*(const char*)>& environment) {
-  const auto value = [&](const char* name) {
-    const char* const text = environment(name);
-    return std::string(text == nullptr ? "" : text);
-  };
-  const std::string path = value("EDGE_CONFIG");
+Config LoadConfig(const Environment& environment) {
+  const std::string path = Variable(environment, "EDGE_CONFIG");
   if (path.empty()) throw ConfigError("EDGE_CONFIG: not set");
   std::ifstream file(path, std::ios::binary);
   std::ostringstream text;
   if (!(text << file.rdbuf())) throw ConfigError(path + ": cannot be read");
-  return ParseConfig(text.str(), value("EDGE_LISTEN"), value("EDGE_DISCOVERY"));
+  return ParseConfig(text.str(), environment);
 }
 
-Config ReloadConfig(const std::function<const char*(const char*)>& environment) {
+Config ReloadConfig(const Environment& environment) {
   return LoadConfig([&](const char* name) {
-    return std::string_view(name) == "EDGE_DISCOVERY" ? nullptr : environment(name);
+    // The passed socket may have been closed since, and its number used for another.
+    const std::string_view known(name);
+    return known == "EDGE_DISCOVERY" || known == "EDGE_PASSED_SOCKET" ? nullptr : environment(name);
   });
 }
 
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <stdexcept>
 #include <string>
 
@@ -23,6 +24,9 @@
   std::string name;
   Tcp::endpoint listen;
   Tcp::endpoint discovery;
+  std::optional<Tcp::endpoint> admin;  // the operators' address; none = no such listener
+  std::optional<int> passed_socket;    // listens already: clients come here and not to `listen`
+  std::string directory;               // what outlives the process in an upgrade; empty = nothing does
   std::uint64_t seed = 0;
   std::size_t sockets = 1024;  // descriptors that the process may hold
   drill::WireSettings wire;
@@ -35,12 +39,17 @@
 // As the wire writes names: no spaces and no commas.
 std::string WireName(std::string_view name);
 
-Config ParseConfig(const std::string& text, const std::string& listen, const std::string& discovery);
+// Looks up a variable; null if it is not set.
+using Environment = std::function<const char*(const char*)>;
+
+// Reads a configuration. What the environment says of addresses goes before what the text says.
+Config ParseConfig(
+    const std::string& text, const Environment& environment = [](const char*) { return nullptr; });
 
 // Reads EDGE_CONFIG and what it names. Throws ConfigError, with one plain line, if anything is amiss.
-Config LoadConfig(const std::function<const char*(const char*)>& environment);
+Config LoadConfig(const Environment& environment);
 // The same once it runs: the address of discovery is the file's, as the environment keeps that of the start.
-Config ReloadConfig(const std::function<const char*(const char*)>& environment);
+Config ReloadConfig(const Environment& environment);
 
 }  // namespace merlinrun::net
 
--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -24,13 +24,6 @@
 // How long a peer may take to read its answer; its client has given up by then.
 constexpr auto kMostWriting = std::chrono::seconds(6);
 
-HttpResponse Plain(http::status status, std::string text) {
-  HttpResponse response(status, 11);
-  response.set(http::field::content_type, "text/plain");
-  response.body() = std::move(text);
-  return response;
-}
-
 struct Incoming {
   Incoming() {
     parser.eager(true);
@@ -211,15 +204,13 @@
   bool heard_ = false;  // its first request has come whole
 };
 
-Inbound::Inbound(asio::io_context& io, const Tcp::endpoint& address, std::size_t most_sessions, Events events)
+Inbound::Inbound(asio::io_context& io, Tcp::acceptor listener, std::size_t most_sessions, Events events)
     : io_(io),
       most_sessions_(most_sessions),
       events_(std::move(events)),
-      acceptor_(io, address, /*reuse_addr=*/true),
+      acceptor_(std::move(listener)),
       address_(acceptor_.local_endpoint()),
-      pause_(io) {
-  Accept();
-}
+      pause_(io) {}
 
 Inbound::~Inbound() {
   for (const SessionPtr& session : sessions_) session->Abandon();
@@ -289,8 +280,14 @@
     acceptor_.accept(socket, error);
     if (!error) Add(std::move(socket));
   }
+  LeaveQueue();
+}
+
+// Never shut down: that would end the listener for all that hold it.
+void Inbound::LeaveQueue() {
   pause_.cancel();
-  acceptor_.close(error);
+  ErrorCode ignored;
+  acceptor_.close(ignored);
 }
 
 void Inbound::CloseIdle() {
--- a/src/net/inbound.hpp
+++ b/src/net/inbound.hpp
@@ -24,8 +24,8 @@
     std::function<bool()> ready;
   };
 
-  // Throws boost::system::system_error if the address cannot be listened on.
-  Inbound(asio::io_context& io, const Tcp::endpoint& address, std::size_t most_sessions, Events events);
+  // Takes over a listener, and accepts once it is told to.
+  Inbound(asio::io_context& io, Tcp::acceptor listener, std::size_t most_sessions, Events events);
   ~Inbound();
   Inbound(const Inbound&) = delete;
   Inbound& operator=(const Inbound&) = delete;
@@ -33,10 +33,13 @@
   // Answers the session's request. Does nothing if the client has gone.
   static void Respond(const SessionPtr& session, HttpResponse response);
 
+  void Accept();
   // From now on each answer closes its connection.
   void Drain();
   // Accepts what has connected already, then no more.
   void StopAccepting();
+  // Accepts no more: the queue is another process's, which has the same listener.
+  void LeaveQueue();
   // Closes the connections that are between requests.
   void CloseIdle();
 
@@ -44,7 +47,6 @@
   Tcp::endpoint address() const { return address_; }
 
  private:
-  void Accept();
   void OnAccepted(ErrorCode error, Tcp::socket socket);
   void Add(Tcp::socket socket);
   bool CloseOneIdle();
--- a/src/net/protocol.hpp
+++ b/src/net/protocol.hpp
@@ -6,6 +6,8 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <cstddef>
+#include <string>
+#include <utility>
 
 namespace merlinrun::net {
 
@@ -33,6 +35,14 @@
 inline constexpr const char* kKeyParameter = "obj";
 inline constexpr const char* kReadyPath = "/ready";
 
+// An answer of the sidecar's own.
+inline HttpResponse Plain(http::status status, std::string text) {
+  HttpResponse response(status, 11);
+  response.set(http::field::content_type, "text/plain");
+  response.body() = std::move(text);
+  return response;
+}
+
 }  // namespace merlinrun::net
 
 #endif  // MERLINRUN_NET_PROTOCOL_HPP_
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -8,6 +8,8 @@
 #include <chrono>
 #include <cmath>
 #include <cstdio>
+#include <filesystem>
+#include <fstream>
 #include <optional>
 #include <utility>
 
@@ -19,6 +21,7 @@
 
 // Descriptors for all but clients and servers: standard streams, epoll and its helpers, listener, watch.
 constexpr std::size_t kOtherSockets = 24;
+constexpr std::size_t kAdminSockets = Admin::kMostCallers + 2;  // besides, where there is a second address
 // Idle connections are closed this far into the time after which servers may close them. Guards against a
 // request that crosses the server's close: it would be reset and may have run.
 constexpr double kIdleShare = 0.7;
@@ -26,12 +29,20 @@
 // loop is late; a short budget gives up no more than this part of itself.
 constexpr Micros kAnswerMargin = 40 * kMs;
 constexpr double kMostMarginShare = 0.2;
-// After SIGTERM: connections still come for up to 0.4 s, and the kill comes no sooner than 3.7 s.
+// After SIGTERM: connections still come for up to 0.4 s, and the kill comes so long after the longest
+// deadline, or after 3 s where that is longer.
 constexpr Micros kAcceptAfterDrain = 550 * kMs;
 constexpr Micros kIdleAfterDrain = 150 * kMs;  // and then so long for what was accepted last to speak
-constexpr Micros kMostDrain = 3200 * kMs;
-constexpr Micros kLastWords = 100 * kMs;  // for the answers given at that moment to be read
+constexpr Micros kKillAfterDeadline = 700 * kMs;
+constexpr Micros kMostDeadline = 3 * kSecond;
+constexpr Micros kLastWords = 100 * kMs;  // for the answers given at the end to be read
+constexpr Micros kEndMargin = 400 * kMs;  // and for a busy loop, before the kill
 constexpr Micros kDrainPoll = 20 * kMs;
+// A process that succeeds another has 6 s to take clients; it waits so long for a fresh list. The other one
+// serves meanwhile.
+constexpr Micros kMostAwait = 4 * kSecond;
+// In $TMPDIR once a process takes clients: the next one there succeeds it.
+constexpr const char* kServedMark = "fennelhollow-served";
 
 std::optional<double> ParseNumber(std::string_view text) {
   double value = 0;
@@ -48,13 +59,6 @@
   return text;
 }
 
-HttpResponse Plain(http::status status, std::string text) {
-  HttpResponse response(status, 11);
-  response.set(http::field::content_type, "text/plain");
-  response.body() = std::move(text);
-  return response;
-}
-
 // The query parameter that says what a request is about; empty if it has none.
 std::string_view KeyOf(std::string_view target) {
   const std::string name = std::string(kKeyParameter) + "=";
@@ -68,12 +72,32 @@
   return {};
 }
 
+struct Shares {
+  std::size_t clients;
+  std::size_t servers;
+};
+
+// How the descriptors are divided. Where processes succeed each other two are there for a while: the clients,
+// whose connections are a third at most, are divided between them, but each may use its share of servers.
+Shares DescriptorShares(const Config& config) {
+  const std::size_t free = config.sockets - kOtherSockets - (config.admin ? kAdminSockets : 0);
+  if (!config.passed_socket) return {free / 2, free / 2};
+  return {free / 2, free / 5};
+}
+
+// From SIGTERM to the end.
+Micros MostDrain(const Settings& settings) {
+  Micros longest = 0;
+  for (const RequestClass& c : settings.classes) longest = std::max(longest, c.deadline);
+  return std::min(longest, kMostDeadline) + kKillAfterDeadline - kLastWords - kEndMargin;
+}
+
 Upstream::Limits UpstreamLimits(const Config& config) {
   Upstream::Limits limits;
   limits.keep_idle =
       static_cast<Micros>(kIdleShare * static_cast<double>(config.wire.settings.connection_idle));
   limits.dial_timeout = config.wire.settings.dial_timeout;
-  limits.connections = (config.sockets - kOtherSockets) / 2;
+  limits.connections = DescriptorShares(config).servers;
   return limits;
 }
 
@@ -108,6 +132,7 @@
                     OnList(list.whole ? ListUpdate::Kind::kFull : ListUpdate::Kind::kDelta, list);
                   },
                   [this] { OnDiscoveryFailed(); }}),
+      start_timer_(io),
       drain_timer_(io) {
   std::string error;
   balancer_ = Balancer::Create(config_.wire.settings, config_.seed, Now(), *this, error);
@@ -122,12 +147,41 @@
     OnRequest(session, std::move(request));
   };
   events.on_gone = [this](const Inbound::SessionPtr& session) { OnClientGone(session); };
-  events.ready = [this] { return upstream_.any_server(); };
-  inbound_ = std::make_unique<Inbound>(io_, config_.listen, (config_.sockets - kOtherSockets) / 2, events);
-  OnList(ListUpdate::Kind::kStale, config_.known);
+  events.ready = [this] { return Ready(); };
+  inbound_ = std::make_unique<Inbound>(io_, Listener(), DescriptorShares(config_).clients, events);
+  if (config_.admin) admin_ = std::make_unique<Admin>(io_, *config_.admin, Admin::Events{events.ready});
+  const bool awaits = Succeeds();
+  OnList(ListUpdate::Kind::kStale, config_.known, awaits);
   if (!config_.wire.settings.must_subscribe) discovery_.Watch(generation_);
+  if (!awaits) return TakeClients();
+  start_timer_.expires_after(std::chrono::microseconds(kMostAwait));
+  start_timer_.async_wait([this](ErrorCode error) {
+    if (!error) TakeClients();
+  });
 }
 
+Tcp::acceptor Sidecar::Listener() {
+  if (!config_.passed_socket) return Tcp::acceptor(io_, config_.listen, /*reuse_addr=*/true);
+  return Tcp::acceptor(io_, Tcp::v4(), *config_.passed_socket);
+}
+
+// Whether another process has served on the passed socket and may still do so.
+bool Sidecar::Succeeds() const {
+  std::error_code ignored;
+  return config_.passed_socket && !config_.directory.empty() &&
+         std::filesystem::exists(std::filesystem::path(config_.directory) / kServedMark, ignored);
+}
+
+void Sidecar::TakeClients() {
+  if (drain_end_ > 0 || std::exchange(taking_, true)) return;
+  start_timer_.cancel();
+  inbound_->Accept();
+  if (config_.passed_socket && !config_.directory.empty())
+    std::ofstream(std::filesystem::path(config_.directory) / kServedMark);
+}
+
+bool Sidecar::Ready() const { return taking_ && drain_end_ == 0 && upstream_.any_server(); }
+
 // ---- The clock and the list ----
 
 Micros Sidecar::Now() const {
@@ -135,7 +189,7 @@
   return clock_offset_ + std::chrono::duration_cast<std::chrono::microseconds>(steady).count();
 }
 
-void Sidecar::OnList(ListUpdate::Kind kind, const EndpointList& list) {
+void Sidecar::OnList(ListUpdate::Kind kind, const EndpointList& list, bool awaits) {
   generation_ = list.generation;
   EndpointList applied = list;
   applied.whole = kind != ListUpdate::Kind::kDelta;
@@ -143,12 +197,13 @@
   std::vector<ServerInfo> servers;
   servers.reserve(list.endpoints.size());
   for (const Endpoint& endpoint : list.endpoints) servers.push_back(endpoint.info);
-  balancer_->OnServers(Now(), {kind, list.generation, servers});
+  balancer_->OnServers(Now(), {kind, list.generation, servers, awaits});
+  if (kind != ListUpdate::Kind::kStale) TakeClients();
 }
 
 void Sidecar::OnDiscoveryFailed() {
   if (config_.wire.settings.must_subscribe)
-    balancer_->OnServers(Now(), {ListUpdate::Kind::kFailed, generation_, {}});
+    balancer_->OnServers(Now(), {ListUpdate::Kind::kFailed, generation_, {}, !taking_});
 }
 
 // ---- A request's life ----
@@ -376,8 +431,17 @@
 void Sidecar::Drain(std::function<void()> finished) {
   if (drain_end_ > 0) return;
   finished_ = std::move(finished);
-  drain_end_ = Now() + kMostDrain;
+  drain_end_ = Now() + MostDrain(config_.wire.settings);
   inbound_->Drain();
+  if (config_.passed_socket) {
+    // The clients that wait are the next process's. Those that are here go there with the answer that closes
+    // their connection; one that is closed between requests may cross one, so few are, and late.
+    inbound_->LeaveQueue();
+    drain_timer_.expires_after(std::chrono::microseconds((drain_end_ - Now()) / 2));
+    return drain_timer_.async_wait([this](ErrorCode error) {
+      if (!error) FinishDrain();
+    });
+  }
   drain_timer_.expires_after(std::chrono::microseconds(kAcceptAfterDrain));
   drain_timer_.async_wait([this](ErrorCode error) {
     if (error) return;
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "admin.hpp"
 #include "config.hpp"
 #include "discovery.hpp"
 #include "inbound.hpp"
@@ -27,7 +28,7 @@
   Sidecar(const Sidecar&) = delete;
   Sidecar& operator=(const Sidecar&) = delete;
 
-  // Listens and follows discovery. Throws boost::system::system_error if the address cannot be had.
+  // Listens and follows discovery. Throws boost::system::system_error if an address cannot be had.
   void Start();
   // Goes over to the discovery of a new configuration; the rest of it holds from the next start on.
   void Reload(const Config& config);
@@ -35,6 +36,7 @@
   void Drain(std::function<void()> finished);
 
   Tcp::endpoint address() const { return inbound_->address(); }
+  Tcp::endpoint admin_address() const { return admin_->address(); }
   std::size_t requests_held() const { return calls_.size(); }
   std::size_t upstream_connections() const { return upstream_.open_connections(); }
 
@@ -67,7 +69,11 @@
   void Log(std::string_view text) override;
 
   Micros Now() const;
-  void OnList(ListUpdate::Kind kind, const EndpointList& list);
+  Tcp::acceptor Listener();
+  bool Succeeds() const;
+  void TakeClients();
+  bool Ready() const;
+  void OnList(ListUpdate::Kind kind, const EndpointList& list, bool awaits = false);
   void OnDiscoveryFailed();
   void OnRequest(const Inbound::SessionPtr& session, HttpRequest request);
   void OnClientGone(const Inbound::SessionPtr& session);
@@ -91,8 +97,11 @@
   Upstream upstream_;
   Discovery discovery_;
   std::unique_ptr<Inbound> inbound_;
+  std::unique_ptr<Admin> admin_;  // null without a second address
   Calls calls_;
   std::int64_t generation_ = 0;
+  bool taking_ = false;             // clients
+  asio::steady_timer start_timer_;  // while it waits for a list before it takes them
   asio::steady_timer drain_timer_;
   std::function<void()> finished_;
   Micros drain_end_ = 0;  // 0 while it does not drain
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -63,6 +63,8 @@
 constexpr double kCrossingPriced = 0.05;
 // Asking discovery again after a failure waits random(0, min(ask_within, base * 2^n)).
 constexpr Micros kAskBase = kSecond;
+// A sidecar that waits for a list before it serves asks within this time: soon, and still not all at once.
+constexpr Micros kAskAwaited = kSecond;
 
 // The one place that says which outcomes prove that the attempt never ran. Some servers also turn away what
 // they had begun: their refusal proves nothing.
@@ -101,11 +103,13 @@
 
   void OnServers(const ListUpdate& update) {
     if (update.kind == ListUpdate::Kind::kFailed) {
-      AskLater(Doubled(kAskBase, asks_failed_++, set_.ask_within));
+      AskLater(update.awaited ? kAskAwaited : Doubled(kAskBase, asks_failed_++, set_.ask_within));
       return;
     }
     if (update.kind == ListUpdate::Kind::kStale) {
-      AskLater(set_.ask_within / 2);  // a fresh start: spread, as all sidecars may have started together
+      AskLater(update.awaited ? kAskAwaited
+                              : set_.ask_within /
+                                    2);  // a fresh start: spread, as all sidecars may have started together
     } else {
       asks_failed_ = 0;
     }
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -875,6 +875,25 @@
   }
 }
 
+TEST_F(BalancerTest, AsksSoonForAListThatIsAwaited) {
+  Settings settings = MakeSettings();
+  settings.must_subscribe = true;
+  std::string error;
+  for (std::uint64_t seed = 0; seed < 20; ++seed) {
+    balancer_ = Balancer::Create(settings, seed, now_, sink_, error);
+    const auto servers = MakeServers(4);
+    balancer_->OnServers(now_, {ListUpdate::Kind::kStale, 1, servers, /*awaited=*/true});
+    auto actions = sink_.Take();
+    ASSERT_EQ(actions.size(), 1u);
+    EXPECT_LE(actions[0].time, 1 * kSec);  // of 10 s allowed
+    Fire(actions[0]);
+    balancer_->OnServers(now_, {ListUpdate::Kind::kFailed, 1, {}, /*awaited=*/true});
+    actions = sink_.Take();
+    ASSERT_EQ(actions.size(), 1u);
+    EXPECT_LE(actions[0].time, 1 * kSec);
+  }
+}
+
 TEST_F(BalancerTest, IgnoresWhatItDoesNotKnow) {
   Start(MakeSettings(), 4);
   EXPECT_TRUE(Resolve("nobody", 0, Result::kRefused).empty());
--- /dev/null
+++ b/tests/net/admin_test.cpp
@@ -0,0 +1,65 @@
+// The operators' address: its calls, and callers that do not end theirs.
+#include "net/admin.hpp"
+
+#include "loopback.hpp"
+
+namespace merlinrun::net {
+namespace {
+
+using namespace testing;  // NOLINT(google-build-using-namespace)
+
+class AdminTest : public ::testing::Test {
+ protected:
+  AdminTest() : admin(io, Loopback(), {[this] { return ready; }}) {}
+
+  // The status of the answer to one call, sent in pieces of `piece` bytes.
+  std::string Call(const std::string& text, std::size_t piece = 65536) {
+    auto caller = Connect(io, admin.address());
+    for (std::size_t at = 0; at < text.size(); at += piece) {
+      caller->Write(text.substr(at, piece));
+      io.poll();
+    }
+    EXPECT_TRUE(RunUntil(io, [&] { return caller->ended; })) << text.substr(0, 40);
+    return caller->received.size() < 12 ? "" : caller->received.substr(9, 3);
+  }
+
+  bool ready = true;
+  asio::io_context io;
+  Admin admin;
+};
+
+TEST_F(AdminTest, AnswersOneCallToAConnection) {
+  EXPECT_EQ(Call("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n"), "200");
+  EXPECT_EQ(Call("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n", 1), "200");
+  EXPECT_EQ(Call("GET /ready?now HTTP/1.0\r\n\r\n"), "200");
+  ready = false;
+  EXPECT_EQ(Call("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n"), "503");
+}
+
+TEST_F(AdminTest, SaysNoToWhatIsNoCall) {
+  EXPECT_EQ(Call("GET /other HTTP/1.1\r\n\r\n"), "404");
+  EXPECT_EQ(Call("POST /ready HTTP/1.1\r\nContent-Length: 0\r\n\r\n"), "405");
+  EXPECT_EQ(Call("nonsense\r\n\r\n"), "400");
+  EXPECT_EQ(Call("GET /ready HTTP/1.1\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n"), "400");
+  EXPECT_EQ(Call("GET /ready HTTP/1.1\r\nX: " + std::string(9000, 'x') + "\r\n\r\n"), "431");
+  EXPECT_EQ(Call("POST /ready HTTP/1.1\r\nContent-Length: 5000\r\n\r\n" + std::string(5000, 'x')), "413");
+  EXPECT_EQ(Call("GET /ready HTTP/1.1\r\n\r\n"), "200");
+}
+
+TEST_F(AdminTest, CallersThatEndNoCallKeepNobodyOutAndAreEnded) {
+  std::vector<std::shared_ptr<Peer>> callers;
+  for (std::size_t i = 0; i < 2 * Admin::kMostCallers; ++i) {
+    callers.push_back(Connect(io, admin.address()));
+    if (i % 2 == 0) callers.back()->Write("GET /rea");
+    io.poll();
+  }
+  EXPECT_EQ(Call("GET /ready HTTP/1.1\r\n\r\n"), "200");
+  EXPECT_LE(admin.callers(), Admin::kMostCallers);
+  EXPECT_TRUE(RunUntil(io, [&] {
+    return std::all_of(callers.begin(), callers.end(), [](const auto& caller) { return caller->ended; });
+  }));
+  EXPECT_EQ(admin.callers(), 0U);
+}
+
+}  // namespace
+}  // namespace merlinrun::net
--- a/tests/net/config_test.cpp
+++ b/tests/net/config_test.cpp
@@ -23,9 +23,14 @@
 
 TEST(Config, ReadsAllThatASidecarIsTold) {
   const Tcp::endpoint at(asio::ip::make_address("127.0.0.1"), 81);
-  const Config config = ParseConfig(ConfigJson(at, {Entry("s1", at)}).dump(), "127.0.0.2:80", "");
+  const Config config = ParseConfig(ConfigJson(at, {Entry("s1", at)}).dump(), [](const char* name) {
+    if (std::string_view(name) == "EDGE_LISTEN") return "127.0.0.2:80";
+    return std::string_view(name) == "EDGE_ADMIN" ? "127.0.0.2:81" : nullptr;
+  });
   EXPECT_EQ(Text(config.listen), "127.0.0.2:80");  // the environment's
   EXPECT_EQ(Text(config.discovery), "127.0.0.1:81");
+  ASSERT_TRUE(config.admin);
+  EXPECT_EQ(Text(*config.admin), "127.0.0.2:81");
   EXPECT_EQ(config.seed, 0x8c1f30d27a5be964U);
   EXPECT_EQ(config.sockets, 1024U);
   ASSERT_EQ(config.wire.settings.classes.size(), 3U);
@@ -46,6 +51,7 @@
   };
   spoil("/listen", "nowhere");
   spoil("/discovery", 7);
+  spoil("/admin", "anywhere");
   spoil("/seed", "xyz");
   spoil("/limits/sockets", 3);
   spoil("/settings/grades/0/repeat", "sometimes");
@@ -53,7 +59,7 @@
   spoil("/known/instances/0/lifecycle", "unsure");
   for (const std::string& text : texts) {
     try {
-      ParseConfig(text, "", "");
+      ParseConfig(text);
       ADD_FAILURE() << "taken: " << text;
     } catch (const ConfigError& error) {
       EXPECT_EQ(std::string(error.what()).find('\n'), std::string::npos);
--- a/tests/net/process_test.cpp
+++ b/tests/net/process_test.cpp
@@ -29,21 +29,58 @@
       ::waitpid(child, nullptr, 0);
     }
     std::filesystem::remove(config);
+    if (!directory.empty()) std::filesystem::remove_all(directory);
   }
 
   void WriteConfig(const nlohmann::json& json) const { std::ofstream(config) << json.dump(); }
   void Start(const Tcp::endpoint& discovery) {
     child = ::fork();
     if (child != 0) return;
+    Become(discovery);
+  }
+  // Starts one of two processes that succeed each other on the same listener.
+  pid_t StartOnPassed(const Tcp::endpoint& discovery, int listener, const Tcp::endpoint& admin) {
+    const pid_t started = ::fork();
+    if (started != 0) return started;
+    ::dup2(listener, 5);
+    ::setenv("EDGE_PASSED_SOCKET", "5", 1);
+    ::setenv("EDGE_ADMIN", Text(admin).c_str(), 1);
+    ::setenv("TMPDIR", directory.c_str(), 1);
+    Become(discovery);
+    return 0;
+  }
+  [[noreturn]] void Become(const Tcp::endpoint& discovery) const {
     ::setenv("EDGE_CONFIG", config.c_str(), 1);
     ::setenv("EDGE_DISCOVERY", Text(discovery).c_str(), 1);
     ::execl(FENNELHOLLOW, FENNELHOLLOW, nullptr);
     ::_exit(127);
   }
+  void MakeDirectory() {
+    std::string name = (std::filesystem::temp_directory_path() / "sidecar-XXXXXX").string();
+    ASSERT_NE(::mkdtemp(name.data()), nullptr);
+    directory = name;
+  }
+  // An address that is free again when it is used.
+  Tcp::endpoint FreeAddress() { return Tcp::acceptor(io, Loopback()).local_endpoint(); }
+  // The status of the answer to what is sent on a new connection; empty if none comes.
+  std::string Ask(const Tcp::endpoint& address, const std::string& text) {
+    auto peer = std::make_shared<Peer>(Tcp::socket(io));
+    ErrorCode error;
+    peer->socket.connect(address, error);
+    if (error) return "";
+    peer->Read();
+    peer->Write(text);
+    EXPECT_TRUE(RunUntil(io, [&] { return peer->ended || peer->requests() > 0; })) << text;
+    return peer->received.size() < 12 ? "" : peer->received.substr(9, 3);
+  }
+  static std::string Get(const std::string& id) {
+    return "GET /api HTTP/1.1\r\nReq-Id: " + id + "\r\nReq-Kind: look\r\nReq-Deadline: 2.0\r\n\r\n";
+  }
   bool Running() { return child > 0 && ::waitpid(child, &status, WNOHANG) == 0; }
 
   asio::io_context io;
   std::filesystem::path config;
+  std::filesystem::path directory;
   pid_t child = 0;
   int status = 0;
 };
@@ -57,7 +94,7 @@
   ScriptedServer after(io, Watched());
   ScriptedServer server(io, Serves("ok"));
   nlohmann::json json = ConfigJson(before.address, {Entry("s1", server.address)});
-  json["listen"] = Text(Tcp::acceptor(io, Loopback()).local_endpoint());  // free again when it is used
+  json["listen"] = Text(FreeAddress());
   WriteConfig(json);
   Start(before.address);
   ASSERT_TRUE(RunUntil(io, [&] { return before.requests() == 1; }));
@@ -79,5 +116,71 @@
   child = 0;
 }
 
+constexpr const char* kReady = "GET /ready HTTP/1.1\r\n\r\n";
+
+// The platform holds the clients' socket; two processes take from its queue in turn.
+TEST_F(ProcessTest, AnUpgradeOnThePassedSocketMeetsNoClient) {
+  MakeDirectory();
+  ScriptedServer discovery(io, Watched());
+  bool answers = true;
+  std::vector<Peer*> asked;
+  ScriptedServer server(io, [&](Peer& peer) {
+    if (answers) return peer.Write(Reply("200 OK", "ok"));
+    asked.push_back(&peer);
+  });
+  nlohmann::json json = ConfigJson(discovery.address, {Entry("s1", server.address)});
+  WriteConfig(json);
+  Tcp::acceptor clients(io, Loopback());
+  const Tcp::endpoint address = clients.local_endpoint();
+  const Tcp::endpoint first = FreeAddress();
+  child = StartOnPassed(discovery.address, clients.native_handle(), first);
+  ASSERT_TRUE(RunUntil(io, [&] { return Ask(first, kReady) == "200"; }));
+  auto kept = Connect(io, address);
+  kept->Write(Get("r1"));
+  ASSERT_TRUE(RunUntil(io, [&] { return kept->requests() == 1; }));
+
+  const Tcp::endpoint second = FreeAddress();
+  const pid_t next = StartOnPassed(discovery.address, clients.native_handle(), second);
+  ASSERT_TRUE(RunUntil(io, [&] { return discovery.requests() == 2; }));
+  EXPECT_EQ(Ask(second, kReady), "503");  // it has the list of long ago alone
+  const std::string list = List(2, true, {Entry("s1", server.address)}).dump() + "\n";
+  char size[16];
+  std::snprintf(size, sizeof size, "%zx\r\n", list.size());
+  discovery.peers[1]->Write(size + list + "\r\n");
+  ASSERT_TRUE(RunUntil(io, [&] { return Ask(second, kReady) == "200"; }));
+
+  answers = false;
+  kept->Write(Get("r2"));  // under way in the first process when it is told to go
+  ASSERT_TRUE(RunUntil(io, [&] { return asked.size() == 1; }));
+  ::kill(child, SIGTERM);
+  ASSERT_TRUE(RunUntil(io, [&] { return Ask(first, kReady) != "200"; }));
+  answers = true;
+  for (int i = 0; i < 20; ++i) EXPECT_EQ(Ask(address, Get("n" + std::to_string(i))), "200");
+  EXPECT_TRUE(Running());
+  asked[0]->Write(Reply("200 OK", "late"));
+  ASSERT_TRUE(RunUntil(io, [&] { return kept->ended; }));
+  EXPECT_EQ(kept->requests(), 2);
+  EXPECT_NE(kept->received.find("Connection: close"), std::string::npos);
+  kept->Close();
+  ASSERT_TRUE(RunUntil(io, [&] { return !Running(); }));
+  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0) << "status " << status;
+  EXPECT_EQ(Ask(address, Get("last")), "200");
+  child = next;
+  ::kill(child, SIGTERM);
+  ASSERT_TRUE(RunUntil(io, [&] { return !Running(); }));
+  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0) << "status " << status;
+  child = 0;
+}
+
+TEST_F(ProcessTest, APassedSocketThatDoesNotListenIsABadConfiguration) {
+  WriteConfig(ConfigJson(Loopback(), {}));
+  Tcp::socket connected(io, Tcp::v4());
+  const Tcp::endpoint discovery{asio::ip::make_address("127.0.0.1"), 9};
+  child = StartOnPassed(discovery, connected.native_handle(), discovery);
+  ASSERT_TRUE(RunUntil(io, [&] { return !Running(); }));
+  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 2) << "status " << status;
+  child = 0;
+}
+
 }  // namespace
 }  // namespace merlinrun::net
--- a/tests/net/sidecar_test.cpp
+++ b/tests/net/sidecar_test.cpp
@@ -25,7 +25,7 @@
              const std::function<void(nlohmann::json&)>& change) {
     nlohmann::json json = ConfigJson(discovery.address, instances);
     change(json);
-    Config config = ParseConfig(json.dump(), "", "");
+    Config config = ParseConfig(json.dump());
     config.listen = Loopback();
     sidecar = std::make_unique<Sidecar>(io, std::move(config));
     sidecar->Start();
