Refuse before the clients' connections are all in use; a successor takes its share by and by

Ruled out by strace of all processes: connections accepted and not read (each request read was answered, then closed with the answer), a gap between the old one's last accept and the new one's first (5 ms apart), idle connections closed under a request (those were closed by the client). Left: at the limit of one third of the descriptors, 128 connections, every accept waited for a close, and 'not taken' counted the same requests: clients had no connection left. The wait for another try held a connection for up to seconds, and nothing bounded what was open (policy.cpp, LetIn and Wait). During an upgrade the two processes each allowed that bound.

--- a/include/merlinrun/balancer.hpp
+++ b/include/merlinrun/balancer.hpp
@@ -130,7 +130,7 @@
   } kind = Kind::kFull;
   std::int64_t version = 0;
   std::span<const ServerInfo> servers;
-  bool awaited = false;  // no request comes before a fresh list, or not for long
+  bool awaited = false;  // another process serves until a fresh list has come here, or for a few seconds
 };
 
 struct Request {
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -113,6 +113,10 @@
     config.sockets = json.at("limits").value("sockets", static_cast<std::uint64_t>(config.sockets));
   if (config.sockets < 64) throw ConfigError("limits.sockets: under 64, too few to work with");
   config.wire = drill::ParseSettings(Flatten(json.at("settings")));
+  // Clients use a third of the descriptors at most, with one request on a connection.
+  const auto connections = static_cast<std::int64_t>(config.sockets / 3);
+  std::int64_t& most_open = config.wire.settings.most_open;
+  most_open = most_open > 0 ? std::min(most_open, connections) : connections;
   config.known = Known(json, config.wire);
   return config;
 }
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -58,6 +58,12 @@
 constexpr double kRefusalMost = 0.95;
 // At most this part of the window is left alone at once: a slowdown that all share must not empty it.
 constexpr double kMostAway = 0.5;
+// From this share of the requests that a sidecar can have open on, none is let in and none waits for another
+// try. Guards against clients that have no connection left: a refusal tells them at once, and when to return.
+constexpr double kCrowded = 0.85;
+// What is left of that at first to one that succeeds another process, whose requests are still open: they end
+// within about the longest aim, and the share grows evenly as long.
+constexpr double kCrowdedFirst = 0.15;
 // From this price of a crossing on (share of the result) servers of other zones serve only what their own
 // zone's cannot; below it a choice from all servers gains more than the crossings cost.
 constexpr double kCrossingPriced = 0.05;
@@ -102,6 +108,7 @@
   // ---- The list of servers and the window on its ring ----
 
   void OnServers(const ListUpdate& update) {
+    succeeds_ = succeeds_ || update.awaited;
     if (update.kind == ListUpdate::Kind::kFailed) {
       AskLater(update.awaited ? kAskAwaited : Doubled(kAskBase, asks_failed_++, set_.ask_within));
       return;
@@ -150,6 +157,8 @@
     auto [it, fresh] = held_.try_emplace(std::string(in.id));
     if (!fresh) return;
     Held& held = it->second;
+    ++open_;
+    if (first_arrival_ == 0) first_arrival_ = now_;
     held.request_class = static_cast<std::size_t>(in.request_class);
     held.arrived = now_;
     held.deadline = now_ + in.budget;
@@ -180,7 +189,7 @@
     if (outcome.result == Result::kTimeout || outcome.result == Result::kReset ||
         outcome.result == Result::kCancelled)
       held.settled_at = now_ + set_.settle_after_doubt;
-    if (outcome.settled) held.ended = true;
+    if (outcome.settled) SetEnded(held);
     if (held.ended || held.AnyOut()) return Release(it);
     switch (outcome.result) {
       case Result::kRefused:
@@ -199,7 +208,7 @@
   void OnClientGone(std::string_view request) {
     auto it = held_.find(std::string(request));
     if (it == held_.end()) return;
-    it->second.ended = true;
+    SetEnded(it->second);
     Release(it);
   }
 
@@ -228,6 +237,22 @@
 
   const RequestClass& ClassOf(const Held& held) const { return set_.classes[held.request_class]; }
 
+  void SetEnded(Held& held) {
+    if (!std::exchange(held.ended, true)) --open_;
+  }
+
+  bool Crowded() const {
+    if (set_.most_open <= 0) return false;
+    double share = kCrowded;
+    if (succeeds_) {
+      Micros longest = 1;
+      for (const RequestClass& c : set_.classes) longest = std::max(longest, c.aim);
+      const double grown = static_cast<double>(now_ - first_arrival_) / static_cast<double>(longest);
+      share = kCrowdedFirst + (kCrowded - kCrowdedFirst) * std::min(grown, 1.0);
+    }
+    return static_cast<double>(open_) > share * static_cast<double>(set_.most_open);
+  }
+
   // Requests with one key go in order of arrival: only the first in line may be sent.
   bool HasTurn(HeldIt it) const {
     return it->second.key.empty() || lines_.at(it->second.key).front() == it->first;
@@ -261,6 +286,7 @@
   // Under pressure the work of least worth is refused first, before it fills a queue. Guards against servers
   // that choke and against answers that all come late, each retried by its client on top of the load.
   bool LetIn(Held& held) {
+    if (Crowded()) return false;
     const std::size_t own = held.request_class;
     for (held.pool = 0; held.pool < pools_.size(); ++held.pool) {
       if (held.pool > 0 && !admission_.WorthCrossing(own)) break;
@@ -452,7 +478,7 @@
     const int n = held.refusals++;
     const Micros wait = random_.Upto(Doubled(kRetryBase, n, kRetryCap));
     const int limit = std::min(kMaxAttempts, set_.max_attempts);
-    if (held.refusals >= limit || now_ + wait + set_.tick >= held.deadline || !MayRepeat(held))
+    if (held.refusals >= limit || now_ + wait + set_.tick >= held.deadline || !MayRepeat(held) || Crowded())
       return End(it);
     Alarm(it, wait);
   }
@@ -475,7 +501,7 @@
     const RequestClass& c = ClassOf(it->second);
     const bool harmless = it->second.MayHaveRun() == nullptr || c.repeat == Repeat::kSafe ||
                           (c.group == DedupGroup::kAll && MayRepeat(it->second));
-    it->second.ended = true;
+    SetEnded(it->second);
     if (harmless) {
       // Advice beyond half the aim would bring the client back too late to be served in time.
       const Micros most = std::min(set_.max_retry_after, c.aim / 2);
@@ -526,6 +552,7 @@
   std::map<std::string, Server> servers_;  // sorted: the ring's order; nodes stay put
   std::array<Pool, 2> pools_;
   std::unordered_map<std::string, Held> held_;  // looked up, never walked
+  std::size_t open_ = 0;                        // of them, those without their final answer
   std::unordered_map<std::uint64_t, std::string> timers_;
   std::uint64_t last_timer_ = kAskToken;
   std::unordered_map<std::string, std::deque<std::string>>
@@ -533,6 +560,8 @@
   Admission admission_;
   std::vector<ClassTimes> times_;  // by class
   std::int64_t served_warm_ = 0;   // attempts that succeeded at warm servers
+  Micros first_arrival_ = 0;       // of a request; 0 = none yet
+  bool succeeds_ = false;          // another process, which may still serve when this one begins to
   int asks_failed_ = 0;
   bool ask_pending_ = false;
 };
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -83,6 +83,46 @@
   EXPECT_NE(again[0].server, first);
 }
 
+// Else clients find no connection left, and are told nothing.
+TEST_F(BalancerTest, RefusesBeforeAllThatCanBeOpenIsOpen) {
+  Settings settings = MakeSettings();
+  settings.most_open = 20;
+  Start(settings, 20);
+  std::vector<std::string> sent;
+  for (int i = 0; i < 20; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    const auto actions = Arrive(id);
+    ASSERT_EQ(actions.size(), 1u);
+    if (actions[0].kind == Kind::kSend) sent.push_back(id);
+    if (actions[0].kind == Kind::kRefuse) {
+      EXPECT_GT(actions[0].time, 0);
+    }
+  }
+  EXPECT_EQ(sent.size(), 17u);
+  ASSERT_EQ(Arrive("more")[0].kind, Kind::kRefuse);
+  Resolve(sent[0], 0, Result::kSuccess, true);
+  EXPECT_EQ(Arrive("again")[0].kind, Kind::kSend);
+}
+
+// The process before it has most of what can be open, until it has answered that.
+TEST_F(BalancerTest, ASuccessorTakesItsShareOfWhatCanBeOpenByAndBy) {
+  Settings settings = MakeSettings();
+  settings.most_open = 20;
+  Start(settings, 20);
+  const auto servers = MakeServers(20);
+  balancer_->OnServers(now_, {ListUpdate::Kind::kStale, 1, servers, /*awaited=*/true});
+  const auto sent = [&](const std::string& name) {
+    int count = 0;
+    for (int i = 0; i < 20; ++i) count += Arrive(name + std::to_string(i))[0].kind == Kind::kSend;
+    return count;
+  };
+  EXPECT_EQ(sent("a"), 3);
+  now_ += settings.classes[0].aim / 2;
+  EXPECT_EQ(sent("b"), 7);
+  now_ += settings.classes[0].aim;
+  EXPECT_EQ(sent("c"), 7);
+}
+
 TEST_F(BalancerTest, StopsAtTheAttemptLimitWithARetryAfter) {
   Settings settings = MakeSettings();
   settings.max_attempts = 3;
