Take servers out by hand and report figures

The module builds its rings without servers that are out and forgets their strikes at the call back; bans are files in $TMPDIR that every process there follows. Requests are counted where their answer has gone out or their client has left, attempts where their last byte is written.

--- a/include/merlinrun/balancer.hpp
+++ b/include/merlinrun/balancer.hpp
@@ -19,6 +19,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -181,6 +182,13 @@
   LoadReport load = {};
 };
 
+// The servers of the list, and those of them that are not sent to at present: by hand, as the list says so,
+// or as they are left alone for a while.
+struct Membership {
+  std::size_t members = 0;
+  std::size_t unavailable = 0;
+};
+
 // Receives what the balancer decides. Calls come from inside the event calls; do not call back into the
 // Balancer.
 class ActionSink {
@@ -214,6 +222,13 @@
   void OnProbed(Micros now, const ProbeResult& probe);
   void OnPeerMessage(Micros now, std::uint32_t sender, std::string_view bytes);
 
+  // Takes a server out by hand until it is called back, whatever the list says; both may be repeated.
+  void Disable(Micros now, const std::string& server);
+  void Enable(Micros now, const std::string& server);
+  const std::set<std::string>& disabled() const;
+  bool EverListed(const std::string& server) const;
+  Membership membership(Micros now);
+
   std::size_t requests_held() const;  // records kept, ended ones with an attempt still out included
 
  private:
--- a/src/net/admin.cpp
+++ b/src/net/admin.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <utility>
@@ -28,6 +29,22 @@
   return response;
 }
 
+HttpResponse AnswerBan(const std::string& body,
+                       const std::function<Admin::Verdict(const std::string&)>& carry_out) {
+  const auto json = nlohmann::json::parse(body, nullptr, /*allow_exceptions=*/false);
+  if (!json.is_object() || !json.contains("who") || !json.at("who").is_string())
+    return Plain(http::status::bad_request, "want {\"who\":\"ID\"}\n");
+  switch (carry_out(json.at("who").get<std::string>())) {
+    case Admin::Verdict::kDone:
+      return Plain(http::status::ok, "done\n");
+    case Admin::Verdict::kNeverListed:
+      return Plain(http::status::not_found, "never listed\n");
+    case Admin::Verdict::kNotKept:
+      break;
+  }
+  return Plain(http::status::internal_server_error, "cannot be kept in $TMPDIR\n");
+}
+
 }  // namespace
 
 class Admin::Caller : public std::enable_shared_from_this<Caller> {
@@ -163,6 +180,14 @@
     return events_.ready() ? Plain(http::status::ok, "ready\n")
                            : Plain(http::status::service_unavailable, "not yet\n");
   }
+  if (path == "/metrics") {
+    if (request.method() != http::verb::get) return NotAllowed("GET");
+    return Plain(http::status::ok, events_.metrics());
+  }
+  if (path == "/servers/disable" || path == "/servers/enable") {
+    if (request.method() != http::verb::post) return NotAllowed("POST");
+    return AnswerBan(request.body(), path == "/servers/disable" ? events_.disable : events_.enable);
+  }
   return Plain(http::status::not_found, "no such call\n");
 }
 
--- a/src/net/admin.hpp
+++ b/src/net/admin.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <string>
 
 #include "protocol.hpp"
 
@@ -16,8 +17,12 @@
   // Callers at once, with a descriptor set aside for each. One more ends the oldest that is still there.
   static constexpr std::size_t kMostCallers = 16;
 
+  enum class Verdict { kDone, kNeverListed, kNotKept };
   struct Events {
     std::function<bool()> ready;
+    std::function<std::string()> metrics;
+    std::function<Verdict(const std::string& server)> disable;
+    std::function<Verdict(const std::string& server)> enable;
   };
 
   // Throws boost::system::system_error if the address cannot be listened on.
--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -55,9 +55,10 @@
            socket_.available(error) == 0;
   }
 
-  void Respond(HttpResponse response) {
+  void Respond(HttpResponse response, std::function<void(bool)> done = {}) {
     if (state_ != State::kBusy) return;
     state_ = State::kWriting;
+    done_ = std::move(done);
     response.keep_alive(keep_alive_ && !owner_.draining_);
     response.prepare_payload();
     response_ = std::move(response);
@@ -71,6 +72,7 @@
     Abandon();
     deadline_.cancel();
     owner_.Remove(*this);
+    Tell(/*whole=*/false);
   }
 
   // Closes without a word to the owner, which is going: what is still to be called back finds it closed.
@@ -171,9 +173,14 @@
     owner_.events_.on_request(shared_from_this(), std::move(request));
   }
 
+  void Tell(bool whole) {
+    if (done_) std::exchange(done_, nullptr)(whole);
+  }
+
   void OnWritten(ErrorCode error) {
     if (state_ == State::kClosed) return;
     if (error) return Close();
+    Tell(/*whole=*/true);
     if (!response_.keep_alive()) return LingerAndClose();
     owner_.sessions_.splice(owner_.sessions_.end(), owner_.sessions_, place);
     NextRequest();
@@ -198,6 +205,7 @@
   beast::flat_buffer buffer_{2 * kMostUnparsed};
   std::optional<Incoming> parser_;
   HttpResponse response_;
+  std::function<void(bool)> done_;  // told when the answer has gone out, or cannot
   State state_ = State::kReading;
   bool reading_ = false;
   bool keep_alive_ = true;
@@ -216,8 +224,8 @@
   for (const SessionPtr& session : sessions_) session->Abandon();
 }
 
-void Inbound::Respond(const SessionPtr& session, HttpResponse response) {
-  session->Respond(std::move(response));
+void Inbound::Respond(const SessionPtr& session, HttpResponse response, std::function<void(bool)> done) {
+  session->Respond(std::move(response), std::move(done));
 }
 
 void Inbound::Accept() {
--- a/src/net/inbound.hpp
+++ b/src/net/inbound.hpp
@@ -30,8 +30,10 @@
   Inbound(const Inbound&) = delete;
   Inbound& operator=(const Inbound&) = delete;
 
-  // Answers the session's request. Does nothing if the client has gone.
-  static void Respond(const SessionPtr& session, HttpResponse response);
+  // Answers the session's request, and tells whether the answer went out whole. Does nothing if the client
+  // has gone.
+  static void Respond(const SessionPtr& session, HttpResponse response,
+                      std::function<void(bool whole)> done = {});
 
   void Accept();
   // From now on each answer closes its connection.
--- /dev/null
+++ b/src/net/metrics.cpp
@@ -0,0 +1,46 @@
+#include "metrics.hpp"
+
+namespace merlinrun::net {
+
+Metrics::Metrics(const std::vector<RequestClass>& classes) {
+  for (const RequestClass& c : classes) {
+    classes_.emplace_back();
+    classes_.back().name = c.name;
+  }
+}
+
+void Metrics::Ended(int request_class, End end) {
+  --pending_;
+  PerClass& counts = classes_[static_cast<std::size_t>(request_class)];
+  switch (end) {
+    case End::kCompleted:
+      ++counts.completed;
+      return;
+    case End::kRejected:
+      ++counts.rejected;
+      return;
+    case End::kFailed:
+      ++counts.failed;
+      return;
+  }
+}
+
+std::string Metrics::Text(const Membership& membership) const {
+  std::string text;
+  const auto line = [&](const std::string& name, auto value) {
+    text += "sidecar." + name + "=" + std::to_string(value) + "\n";
+  };
+  for (const PerClass& c : classes_) {
+    const std::string at = "downstream_requests." + c.name + ".";
+    line(at + "completed", c.completed);
+    line(at + "rejected", c.rejected);
+    line(at + "failed", c.failed);
+  }
+  line("upstream_requests", upstream_requests_);
+  line("pending", pending_);
+  line("members", membership.members);
+  line("members_unavailable", membership.unavailable);
+  return text;
+}
+
+}  // namespace merlinrun::net
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -41,6 +41,9 @@
 // A process that succeeds another has 6 s to take clients; it waits so long for a fresh list. The other one
 // serves meanwhile.
 constexpr Micros kMostAwait = 4 * kSecond;
+// How often a process looks for bans that another one has made: what that one has said yes to binds after the
+// grace, half a second where it is shortest.
+constexpr Micros kBansPeriod = 200 * kMs;
 // In $TMPDIR once a process takes clients: the next one there succeeds it.
 constexpr const char* kServedMark = "fennelhollow-served";
 
@@ -126,7 +129,10 @@
     : io_(io),
       config_(std::move(config)),
       clock_offset_(ClockOffset()),
-      upstream_(io, UpstreamLimits(config_)),
+      metrics_(config_.wire.settings.classes),
+      bans_(config_.directory),
+      bans_timer_(io),
+      upstream_(io, UpstreamLimits(config_), [this] { metrics_.AttemptWritten(); }),
       discovery_(io, config_.discovery, config_.wire, DiscoveryTiming(config_), config_.seed,
                  {[this](const EndpointList& list) {
                     OnList(list.whole ? ListUpdate::Kind::kFull : ListUpdate::Kind::kDelta, list);
@@ -149,7 +155,15 @@
   events.on_gone = [this](const Inbound::SessionPtr& session) { OnClientGone(session); };
   events.ready = [this] { return Ready(); };
   inbound_ = std::make_unique<Inbound>(io_, Listener(), DescriptorShares(config_).clients, events);
-  if (config_.admin) admin_ = std::make_unique<Admin>(io_, *config_.admin, Admin::Events{events.ready});
+  if (config_.admin) {
+    Admin::Events calls;
+    calls.ready = events.ready;
+    calls.metrics = [this] { return metrics_.Text(balancer_->membership(Now())); };
+    calls.disable = [this](const std::string& server) { return TakeOut(server); };
+    calls.enable = [this](const std::string& server) { return CallBack(server); };
+    admin_ = std::make_unique<Admin>(io_, *config_.admin, std::move(calls));
+    FollowBans();
+  }
   const bool awaits = Succeeds();
   OnList(ListUpdate::Kind::kStale, config_.known, awaits);
   if (!config_.wire.settings.must_subscribe) discovery_.Watch(generation_);
@@ -182,6 +196,44 @@
 
 bool Sidecar::Ready() const { return taking_ && drain_end_ == 0 && upstream_.any_server(); }
 
+// ---- Servers taken out by hand ----
+
+Admin::Verdict Sidecar::TakeOut(const std::string& server) {
+  if (!balancer_->EverListed(server) && balancer_->disabled().count(server) == 0)
+    return Admin::Verdict::kNeverListed;
+  return bans_.Add(server) && ApplyBans() ? Admin::Verdict::kDone : Admin::Verdict::kNotKept;
+}
+
+Admin::Verdict Sidecar::CallBack(const std::string& server) {
+  if (!balancer_->EverListed(server) && balancer_->disabled().count(server) == 0)
+    return Admin::Verdict::kNeverListed;
+  return bans_.Remove(server) && ApplyBans() ? Admin::Verdict::kDone : Admin::Verdict::kNotKept;
+}
+
+// The call may have come to the other process of an upgrade.
+void Sidecar::FollowBans() {
+  ApplyBans();
+  bans_timer_.expires_after(std::chrono::microseconds(kBansPeriod));
+  bans_timer_.async_wait([this](ErrorCode error) {
+    if (!error) FollowBans();
+  });
+}
+
+// False if they cannot be read.
+bool Sidecar::ApplyBans() {
+  std::set<std::string> kept;
+  if (!bans_.Read(kept)) return false;
+  const std::set<std::string> before = balancer_->disabled();
+  for (const std::string& server : kept) {
+    if (before.count(server) > 0) continue;
+    balancer_->Disable(Now(), server);
+    upstream_.Retire(server);
+  }
+  for (const std::string& server : before)
+    if (kept.count(server) == 0) balancer_->Enable(Now(), server);
+  return true;
+}
+
 // ---- The clock and the list ----
 
 Micros Sidecar::Now() const {
@@ -229,7 +281,9 @@
   if (drain_end_ > 0) budget = std::clamp<Micros>(drain_end_ - now, 0, budget);
 
   Call& call = calls_[id];
+  metrics_.Taken();
   call.request = std::move(request);
+  call.request_class = request_class;
   call.session = session;
   call.deadline = now + budget;
   call.timer = std::make_unique<asio::steady_timer>(io_);
@@ -256,6 +310,7 @@
   if (it == calls_.end()) return;
   const std::string id = it->first;
   it->second.session = nullptr;
+  metrics_.ClientLeft();
   balancer_->OnClientGone(Now(), id);
   EraseIfOver(id);
 }
@@ -291,7 +346,13 @@
 }
 
 void Sidecar::Answer(Call& call, HttpResponse response) {
-  Inbound::Respond(std::exchange(call.session, nullptr), std::move(response));
+  auto end = Metrics::End::kFailed;
+  if (response.result() == http::status::ok) end = Metrics::End::kCompleted;
+  if (response.result() == http::status::service_unavailable) end = Metrics::End::kRejected;
+  Inbound::Respond(std::exchange(call.session, nullptr), std::move(response),
+                   [this, end, request_class = call.request_class](bool whole) {
+                     metrics_.Ended(request_class, whole ? end : Metrics::End::kFailed);
+                   });
 }
 
 // Sets the call's timer to what is due next: the end of an attempt, or the answer itself.
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -12,10 +12,12 @@
 #include <vector>
 
 #include "admin.hpp"
+#include "bans.hpp"
 #include "config.hpp"
 #include "discovery.hpp"
 #include "inbound.hpp"
 #include "merlinrun/balancer.hpp"
+#include "metrics.hpp"
 #include "upstream.hpp"
 
 namespace merlinrun::net {
@@ -50,6 +52,7 @@
   // A request, from its arrival until it has its answer and its last attempt is resolved.
   struct Call {
     HttpRequest request;
+    int request_class = -1;
     Inbound::SessionPtr session;  // null once it has been answered or its client has gone
     Micros deadline = 0;          // the final answer is owed before
     std::vector<Attempt> attempts;
@@ -72,6 +75,10 @@
   Tcp::acceptor Listener();
   bool Succeeds() const;
   void TakeClients();
+  Admin::Verdict TakeOut(const std::string& server);
+  Admin::Verdict CallBack(const std::string& server);
+  void FollowBans();
+  bool ApplyBans();
   bool Ready() const;
   void OnList(ListUpdate::Kind kind, const EndpointList& list, bool awaits = false);
   void OnDiscoveryFailed();
@@ -94,6 +101,9 @@
   const Config config_;
   const Micros clock_offset_;
   std::unique_ptr<Balancer> balancer_;
+  Metrics metrics_;
+  Bans bans_;
+  asio::steady_timer bans_timer_;
   Upstream upstream_;
   Discovery discovery_;
   std::unique_ptr<Inbound> inbound_;
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -143,6 +143,7 @@
     whole_ = !error;
     // An unfinished request is one that no server begins.
     if (error) return Finish(Result::kUnreachable, {}, /*reuse=*/false);
+    if (pool_.written_) pool_.written_();
     if (broken_) Finish(Result::kReset, {}, /*reuse=*/false);
   }
 
@@ -239,7 +240,8 @@
   bool closed_ = false;
 };
 
-Upstream::Upstream(asio::io_context& io, Limits limits) : io_(io), limits_(limits), sweep_(io) {}
+Upstream::Upstream(asio::io_context& io, Limits limits, std::function<void()> written)
+    : io_(io), limits_(limits), written_(std::move(written)), sweep_(io) {}
 
 Upstream::~Upstream() {
   for (const auto& [id, connection] : attempts_)
@@ -256,9 +258,20 @@
   if (endpoint.info.state != ServerInfo::State::kGone) server.address = endpoint.address;
   if (same && server.Up()) return;
   if (!same) ++server.life;
+  CloseIdle(server);
+}
+
+void Upstream::CloseIdle(Server& server) {
   for (const ConnectionPtr& connection : std::exchange(server.idle, {})) connection->Close();
 }
 
+void Upstream::Retire(const std::string& id) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) return;
+  ++found->second->life;
+  CloseIdle(*found->second);
+}
+
 void Upstream::Apply(const EndpointList& list) {
   std::unordered_map<std::string, std::shared_ptr<Server>> before;
   if (list.whole) before.swap(servers_);
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -31,7 +31,8 @@
     std::size_t connections = 512;
   };
 
-  Upstream(asio::io_context& io, Limits limits);
+  // `written` is called when an attempt has been written whole.
+  Upstream(asio::io_context& io, Limits limits, std::function<void()> written = {});
   ~Upstream();
   Upstream(const Upstream&) = delete;
   Upstream& operator=(const Upstream&) = delete;
@@ -40,6 +41,10 @@
   // is under way on the others finishes.
   void Apply(const EndpointList& list);
 
+  // Takes a server out of use: idle connections to it close, and dials not yet written fail. What is under
+  // way finishes.
+  void Retire(const std::string& server);
+
   // Starts an attempt. `done` is called once, from the loop and never from in here, unless it is given up.
   AttemptId Send(const std::string& server, HttpRequest request, Done done);
   // Ends an attempt by closing its connection; its `done` is not called any more.
@@ -54,6 +59,7 @@
   using ConnectionPtr = std::shared_ptr<Connection>;
 
   static void Update(Server& server, const Endpoint& endpoint);
+  static void CloseIdle(Server& server);
   ConnectionPtr TakeIdle(Server& server);
   bool MakeRoom();
   AttemptId FailLater(Done done);
@@ -64,6 +70,7 @@
 
   asio::io_context& io_;
   const Limits limits_;
+  const std::function<void()> written_;
   asio::steady_timer sweep_;
   bool sweeping_ = false;
   std::size_t open_ = 0;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -7,7 +7,9 @@
 #include <array>
 #include <deque>
 #include <map>
+#include <set>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 #include "admission.hpp"
@@ -132,21 +134,37 @@
       server.info = info;
       server.pool = set_.price_crossing >= kCrossingPriced && info.zone != set_.zone ? 1 : 0;
       server.listed = info.state != ServerInfo::State::kGone;
+      ever_listed_.insert(info.id);
     }
-    for (Pool& pool : pools_) pool.ring.clear();
-    for (auto it = servers_.begin(); it != servers_.end();) {
-      Server& server = it->second;
-      if (server.listed && server.info.state == ServerInfo::State::kHealthy)
-        pools_[server.pool].ring.push_back(&server);
-      it = server.listed || server.out > 0 ? std::next(it) : servers_.erase(it);
-    }
-    // Ranks are spread evenly over the ring; a server that comes or goes shifts each window by one at most.
-    for (Pool& pool : pools_) {
-      pool.offset =
-          static_cast<std::size_t>(static_cast<std::uint64_t>(set_.rank) * pool.ring.size() / set_.siblings);
-      pool.sharers =
-          std::max<std::size_t>(kWindowWidth * set_.siblings / std::max<std::size_t>(pool.ring.size(), 1), 1);
+    for (auto it = servers_.begin(); it != servers_.end();)
+      it = it->second.listed || it->second.out > 0 ? std::next(it) : servers_.erase(it);
+    BuildRings();
+  }
+
+  // ---- Servers taken out by hand ----
+
+  void Disable(const std::string& id) {
+    if (disabled_.insert(id).second) BuildRings();
+  }
+
+  // It comes back as if it were new: what it was struck for before it was taken out is over.
+  void Enable(const std::string& id) {
+    if (disabled_.erase(id) == 0) return;
+    if (const auto it = servers_.find(id); it != servers_.end()) it->second.Forget();
+    BuildRings();
+  }
+
+  const std::set<std::string>& disabled() const { return disabled_; }
+  bool EverListed(const std::string& id) const { return ever_listed_.count(id) > 0; }
+
+  Membership GetMembership() const {
+    Membership out;
+    for (const auto& [id, server] : servers_) {
+      if (!server.listed) continue;
+      ++out.members;
+      out.unavailable += !Usable(id, server) || Away(server);
     }
+    return out;
   }
 
   // ---- A request's life ----
@@ -237,6 +255,23 @@
 
   const RequestClass& ClassOf(const Held& held) const { return set_.classes[held.request_class]; }
 
+  bool Usable(const std::string& id, const Server& server) const {
+    return server.listed && server.info.state == ServerInfo::State::kHealthy && disabled_.count(id) == 0;
+  }
+
+  void BuildRings() {
+    for (Pool& pool : pools_) pool.ring.clear();
+    for (auto& [id, server] : servers_)
+      if (Usable(id, server)) pools_[server.pool].ring.push_back(&server);
+    // Ranks are spread evenly over the ring; a server that comes or goes shifts each window by one at most.
+    for (Pool& pool : pools_) {
+      pool.offset =
+          static_cast<std::size_t>(static_cast<std::uint64_t>(set_.rank) * pool.ring.size() / set_.siblings);
+      pool.sharers =
+          std::max<std::size_t>(kWindowWidth * set_.siblings / std::max<std::size_t>(pool.ring.size(), 1), 1);
+    }
+  }
+
   void SetEnded(Held& held) {
     if (!std::exchange(held.ended, true)) --open_;
   }
@@ -294,7 +329,16 @@
         return true;
     }
     held.pool = 0;
-    return pools_[0].ring.empty() && pools_[1].ring.empty();  // a server may yet be listed while it waits
+    return NoServers() && !OutByHand();  // a server may yet be listed while it waits
+  }
+
+  bool NoServers() const { return pools_[0].ring.empty() && pools_[1].ring.empty(); }
+
+  // Of the servers in the list that could serve, all are out by hand: no wait helps.
+  bool OutByHand() const {
+    return NoServers() && std::any_of(servers_.begin(), servers_.end(), [](const auto& entry) {
+             return entry.second.listed && entry.second.info.state == ServerInfo::State::kHealthy;
+           });
   }
 
   // An attempt that is still out when its request's aim has passed is pressure at once. Guards against
@@ -478,7 +522,8 @@
     const int n = held.refusals++;
     const Micros wait = random_.Upto(Doubled(kRetryBase, n, kRetryCap));
     const int limit = std::min(kMaxAttempts, set_.max_attempts);
-    if (held.refusals >= limit || now_ + wait + set_.tick >= held.deadline || !MayRepeat(held) || Crowded())
+    if (held.refusals >= limit || now_ + wait + set_.tick >= held.deadline || !MayRepeat(held) || Crowded() ||
+        OutByHand())
       return End(it);
     Alarm(it, wait);
   }
@@ -550,6 +595,8 @@
   Random random_;
   Micros now_;
   std::map<std::string, Server> servers_;  // sorted: the ring's order; nodes stay put
+  std::set<std::string> disabled_;         // taken out by hand, listed or not
+  std::unordered_set<std::string> ever_listed_;
   std::array<Pool, 2> pools_;
   std::unordered_map<std::string, Held> held_;  // looked up, never walked
   std::size_t open_ = 0;                        // of them, those without their final answer
@@ -618,6 +665,20 @@
 }
 void Balancer::OnProbed(Micros now, const ProbeResult&) { state_->Advance(now); }
 void Balancer::OnPeerMessage(Micros now, std::uint32_t, std::string_view) { state_->Advance(now); }
+void Balancer::Disable(Micros now, const std::string& server) {
+  state_->Advance(now);
+  state_->Disable(server);
+}
+void Balancer::Enable(Micros now, const std::string& server) {
+  state_->Advance(now);
+  state_->Enable(server);
+}
+const std::set<std::string>& Balancer::disabled() const { return state_->disabled(); }
+bool Balancer::EverListed(const std::string& server) const { return state_->EverListed(server); }
+Membership Balancer::membership(Micros now) {
+  state_->Advance(now);
+  return state_->GetMembership();
+}
 std::size_t Balancer::requests_held() const { return state_->size(); }
 
 }  // namespace merlinrun
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -915,6 +915,70 @@
   }
 }
 
+TEST_F(BalancerTest, AServerTakenOutByHandGetsNothingUntilItIsCalledBack) {
+  Start(MakeSettings(), 3);
+  const auto used = [&](const std::string& name) {
+    std::set<std::string> servers;
+    for (int i = 0; i < 60; ++i) {
+      const std::string id = name + std::to_string(i);
+      servers.insert(Arrive(id)[0].server);
+      Resolve(id, 0, Result::kSuccess, true);
+    }
+    return servers;
+  };
+  EXPECT_EQ(used("a").size(), 3u);
+  balancer_->Disable(now_, "s01");
+  balancer_->Disable(now_, "s01");
+  EXPECT_EQ(used("b"), (std::set<std::string>{"s00", "s02"}));
+  EXPECT_EQ(balancer_->membership(now_).members, 3u);
+  EXPECT_EQ(balancer_->membership(now_).unavailable, 1u);
+  auto servers = MakeServers(3);
+  List(ListUpdate::Kind::kFull, {servers[0], servers[2]});
+  EXPECT_EQ(balancer_->membership(now_).unavailable, 0u);
+  servers[1].started = now_ - 60 * kSec;  // restarted, long enough ago to be warm
+  List(ListUpdate::Kind::kFull, servers);
+  EXPECT_EQ(used("c"), (std::set<std::string>{"s00", "s02"}));
+  balancer_->Enable(now_, "s01");
+  EXPECT_EQ(used("d").size(), 3u);
+  EXPECT_TRUE(balancer_->EverListed("s01"));
+  EXPECT_FALSE(balancer_->EverListed("s09"));
+}
+
+TEST_F(BalancerTest, ARetryKeepsClearOfAServerTakenOutMeanwhile) {
+  Start(MakeSettings(), 2);
+  const std::string first = Arrive("r1")[0].server;
+  const std::string other = first == "s00" ? "s01" : "s00";
+  const auto wait = Resolve("r1", 0, Result::kRefused);
+  balancer_->Disable(now_, other);
+  const auto again = Fire(wait[0]);
+  ASSERT_EQ(again.size(), 1u);
+  EXPECT_EQ(again[0].server, first);
+}
+
+TEST_F(BalancerTest, RefusesAtOnceWithAdviceWhenAllServersAreOutByHand) {
+  Start(MakeSettings(), 2);
+  Arrive("r1");
+  balancer_->Disable(now_, "s00");
+  balancer_->Disable(now_, "s01");
+  auto actions = Arrive("r2");
+  ASSERT_EQ(actions.size(), 1u);
+  EXPECT_EQ(actions[0].kind, Kind::kRefuse);
+  EXPECT_GT(actions[0].time, 0);
+  actions = Resolve("r1", 0, Result::kRefused);  // it is not left to wait
+  ASSERT_EQ(actions.size(), 1u);
+  EXPECT_EQ(actions[0].kind, Kind::kRefuse);
+}
+
+TEST_F(BalancerTest, AServerCalledBackBearsNoOldStrikes) {
+  Start(MakeSettings(), 3);
+  const std::string struck = Arrive("r1", 2)[0].server;
+  Resolve("r1", 0, Result::kTimeout);
+  EXPECT_EQ(balancer_->membership(now_).unavailable, 1u);
+  balancer_->Disable(now_, struck);
+  balancer_->Enable(now_, struck);
+  EXPECT_EQ(balancer_->membership(now_).unavailable, 0u);
+}
+
 TEST_F(BalancerTest, AsksSoonForAListThatIsAwaited) {
   Settings settings = MakeSettings();
   settings.must_subscribe = true;
--- a/tests/net/admin_test.cpp
+++ b/tests/net/admin_test.cpp
@@ -10,7 +10,21 @@
 
 class AdminTest : public ::testing::Test {
  protected:
-  AdminTest() : admin(io, Loopback(), {[this] { return ready; }}) {}
+  AdminTest()
+      : admin(io, Loopback(),
+              {[this] { return ready; }, [] { return "figures\n"; },
+               [this](const std::string& server) {
+                 out = server;
+                 return verdict;
+               },
+               [this](const std::string& server) {
+                 back = server;
+                 return verdict;
+               }}) {}
+
+  static std::string Post(const std::string& path, const std::string& body) {
+    return "POST " + path + " HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
 
   // The status of the answer to one call, sent in pieces of `piece` bytes.
   std::string Call(const std::string& text, std::size_t piece = 65536) {
@@ -24,6 +38,9 @@
   }
 
   bool ready = true;
+  Admin::Verdict verdict = Admin::Verdict::kDone;
+  std::string out;
+  std::string back;
   asio::io_context io;
   Admin admin;
 };
@@ -46,6 +63,24 @@
   EXPECT_EQ(Call("GET /ready HTTP/1.1\r\n\r\n"), "200");
 }
 
+TEST_F(AdminTest, TakesServersOutAndCallsThemBack) {
+  EXPECT_EQ(Call("GET /metrics HTTP/1.1\r\n\r\n"), "200");
+  EXPECT_EQ(Call(Post("/servers/disable", R"({"who":"s-1 \u00e5"})"), 1), "200");
+  EXPECT_EQ(out, "s-1 \u00e5");
+  EXPECT_EQ(Call(Post("/servers/enable", R"({"who":"s2","more":1})")), "200");
+  EXPECT_EQ(back, "s2");
+  verdict = Admin::Verdict::kNeverListed;
+  EXPECT_EQ(Call(Post("/servers/disable", R"({"who":"s3"})")), "404");
+  verdict = Admin::Verdict::kNotKept;
+  EXPECT_EQ(Call(Post("/servers/disable", R"({"who":"s3"})")), "500");
+  out.clear();
+  for (const char* body : {"", "{", "[]", "{}", R"({"who":7})", R"({"who":null})", R"(["who"])", "\"who\""})
+    EXPECT_EQ(Call(Post("/servers/disable", body)), "400") << body;
+  EXPECT_EQ(Call(Post("/servers/disable", std::string(4000, '['))), "400");
+  EXPECT_EQ(Call("GET /servers/disable HTTP/1.1\r\n\r\n"), "405");
+  EXPECT_EQ(out, "");
+}
+
 TEST_F(AdminTest, CallersThatEndNoCallKeepNobodyOutAndAreEnded) {
   std::vector<std::shared_ptr<Peer>> callers;
   for (std::size_t i = 0; i < 2 * Admin::kMostCallers; ++i) {
--- a/tests/net/sidecar_test.cpp
+++ b/tests/net/sidecar_test.cpp
@@ -1,6 +1,10 @@
 // The whole sidecar between scripted clients, servers and discovery.
 #include "net/sidecar.hpp"
 
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
 #include "loopback.hpp"
 
 namespace merlinrun::net {
@@ -16,7 +20,12 @@
             watching = &peer;
             peer.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
           }
-        }) {}
+        }) {
+    std::string name = (std::filesystem::temp_directory_path() / "sidecar-XXXXXX").string();
+    EXPECT_NE(::mkdtemp(name.data()), nullptr);
+    directory = name;
+  }
+  ~SidecarTest() override { std::filesystem::remove_all(directory); }
 
   void Start(const std::vector<nlohmann::json>& instances) {
     Start(instances, [](nlohmann::json&) {});
@@ -27,6 +36,8 @@
     change(json);
     Config config = ParseConfig(json.dump());
     config.listen = Loopback();
+    config.admin = Loopback();
+    config.directory = directory;
     sidecar = std::make_unique<Sidecar>(io, std::move(config));
     sidecar->Start();
     ASSERT_TRUE(RunUntil(io, [&] { return watching != nullptr; }));
@@ -46,6 +57,27 @@
     return "POST /api HTTP/1.1\r\nHost: origin.svc\r\nReq-Id: " + id + "\r\nReq-Kind: " + kind +
            "\r\nReq-Deadline: " + deadline + "\r\nContent-Length: 4\r\n\r\nbody";
   }
+  // What operators are answered.
+  std::string Call(const std::string& text) {
+    auto caller = Connect(io, sidecar->admin_address());
+    caller->Write(text);
+    EXPECT_TRUE(RunUntil(io, [&] { return caller->ended; }));
+    return caller->received;
+  }
+  std::string CallStatus(const std::string& path, const std::string& server) {
+    const std::string body = "{\"who\":\"" + server + "\"}";
+    return Call("POST /servers/" + path + " HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) +
+                "\r\n\r\n" + body)
+        .substr(9, 3);
+  }
+  // One of the figures; empty if it is not told.
+  std::string Figure(const std::string& name) {
+    const std::string text = Call("GET /metrics HTTP/1.1\r\n\r\n");
+    const std::size_t at = text.find("\nsidecar." + name + "=");
+    if (at == std::string::npos) return "";
+    const std::size_t begin = text.find('=', at) + 1;
+    return text.substr(begin, text.find('\n', begin) - begin);
+  }
   std::shared_ptr<Peer> Client(const std::string& text) {
     auto client = Connect(io, sidecar->address());
     client->Write(text);
@@ -61,6 +93,7 @@
   std::string Ask(const std::string& text) { return Status(*Client(text)); }
 
   asio::io_context io;
+  std::string directory;
   Peer* watching = nullptr;
   ScriptedServer discovery;
   std::unique_ptr<Sidecar> sidecar;
@@ -201,6 +234,88 @@
   EXPECT_EQ(two.requests(), 5);
 }
 
+TEST_F(SidecarTest, ABanHoldsThroughListsAndAStartAndEndsWithOneCall) {
+  ScriptedServer one(io, Serves("one"));
+  ScriptedServer two(io, Serves("two"));
+  const std::vector<nlohmann::json> both = {Entry("s1", one.address), Entry("s2", two.address)};
+  std::ofstream(directory + "/fennelhollow-ban-xx") << "foreign";
+  Start(both);
+  int n = 0;
+  const auto ask = [&] { EXPECT_EQ(Ask(Get("q" + std::to_string(n++))), "200"); };
+  for (int i = 0; i < 20; ++i) ask();
+  const int before = one.requests();
+  EXPECT_GT(before, 0);
+  EXPECT_EQ(CallStatus("disable", "s1"), "200");
+  EXPECT_EQ(CallStatus("disable", "s1"), "200");
+  EXPECT_EQ(CallStatus("disable", "s7"), "404");
+  EXPECT_TRUE(RunUntil(io, [&] { return one.peers[0]->ended; }));  // nothing is kept open to it
+  EXPECT_EQ(Figure("members"), "2");
+  EXPECT_EQ(Figure("members_unavailable"), "1");
+  for (int i = 0; i < 20; ++i) ask();
+  Tell(List(2, true, {both[1]}));
+  ASSERT_TRUE(RunUntil(io, [&] { return Figure("members") == "1"; }));
+  Tell(List(3, true, {Entry("s1", one.address, "up", 1000), both[1]}));
+  ASSERT_TRUE(RunUntil(io, [&] { return Figure("members") == "2"; }));
+  for (int i = 0; i < 20; ++i) ask();
+  sidecar.reset();
+  watching = nullptr;
+  discovery.peers.clear();
+  Start(both);  // the next process, as after an upgrade
+  for (int i = 0; i < 20; ++i) ask();
+  EXPECT_EQ(one.requests(), before);
+  EXPECT_EQ(CallStatus("enable", "s1"), "200");
+  for (int i = 0; i < 20; ++i) ask();
+  EXPECT_GT(one.requests(), before);
+  EXPECT_EQ(CallStatus("enable", "s1"), "200");
+}
+
+TEST_F(SidecarTest, ABanThatAnotherProcessKeepsIsFollowed) {
+  ScriptedServer server(io, Serves("ok"));
+  Start({Entry("s1", server.address)});
+  Bans other(directory);
+  EXPECT_TRUE(other.Add("s1"));
+  ASSERT_TRUE(RunUntil(io, [&] { return Figure("members_unavailable") == "1"; }));
+  auto client = Client(Get("r1"));
+  EXPECT_EQ(Status(*client), "503");
+  EXPECT_NE(client->received.find("Retry-After: "), std::string::npos);
+  EXPECT_TRUE(other.Remove("s1"));
+  ASSERT_TRUE(RunUntil(io, [&] { return Figure("members_unavailable") == "0"; }));
+  EXPECT_EQ(Ask(Get("r2")), "200");
+}
+
+TEST_F(SidecarTest, ABanThatCannotBeKeptIsNotPromised) {
+  ScriptedServer server(io, Serves("ok"));
+  Start({Entry("s1", server.address)});
+  std::filesystem::remove_all(directory);
+  EXPECT_EQ(CallStatus("disable", "s1"), "500");
+  EXPECT_EQ(Ask(Get("r1")), "200");
+}
+
+TEST_F(SidecarTest, TheFiguresAddUp) {
+  ScriptedServer server(io, Serves("ok"));
+  Start({Entry("s1", server.address)});
+  EXPECT_EQ(Figure("downstream_requests.port.failed"), "0");
+  EXPECT_EQ(Ask(Get("r1")), "200");
+  EXPECT_EQ(Ask(Get("r2")), "200");
+  server.on_data = [](Peer& peer) { peer.Write(Reply("500 Internal Server Error", "")); };
+  EXPECT_EQ(Ask(Post("port", "r3")), "502");
+  server.on_data = {};
+  auto held = Client(Post("pay", "r4"));
+  auto leaves = Client(Get("r5"));
+  ASSERT_TRUE(RunUntil(io, [&] { return Figure("upstream_requests") == "5"; }));
+  EXPECT_EQ(Figure("pending"), "2");
+  leaves->Close();
+  ASSERT_TRUE(RunUntil(io, [&] { return Figure("pending") == "1"; }));
+  EXPECT_EQ(CallStatus("disable", "s1"), "200");
+  EXPECT_EQ(Ask(Get("r6")), "503");
+  EXPECT_EQ(Figure("downstream_requests.look.completed"), "2");
+  EXPECT_EQ(Figure("downstream_requests.look.rejected"), "1");
+  EXPECT_EQ(Figure("downstream_requests.look.failed"), "0");
+  EXPECT_EQ(Figure("downstream_requests.port.failed"), "1");
+  EXPECT_EQ(Figure("downstream_requests.pay.completed"), "0");
+  EXPECT_EQ(Figure("pending"), "1");
+}
+
 TEST_F(SidecarTest, AnIdInUseIsNotTakenTwice) {
   ScriptedServer server(io);
   Start({Entry("s1", server.address)});
--- a/tests/net/upstream_test.cpp
+++ b/tests/net/upstream_test.cpp
@@ -193,6 +193,24 @@
   EXPECT_TRUE(answers.empty());
 }
 
+TEST_F(UpstreamTest, ARetiredServerLosesIdleConnectionsAndDials) {
+  ScriptedServer server(io, Serves("ok"));
+  Tell(server.address);
+  EXPECT_EQ(Try(), Result::kSuccess);
+  server.on_data = {};
+  Send();  // written on the kept connection
+  ASSERT_TRUE(RunUntil(io, [&] { return server.requests() == 2; }));
+  Send();  // still dials
+  upstream().Retire("s1");
+  ASSERT_TRUE(RunUntil(io, [&] { return answers.size() == 2; }));
+  EXPECT_EQ(answers.back().result, Result::kUnreachable);
+  server.peers[0]->Write(Reply("200 OK", "late"));
+  ASSERT_TRUE(RunUntil(io, [&] { return answers.size() == 3; }));
+  EXPECT_EQ(answers.back().result, Result::kSuccess);
+  EXPECT_EQ(upstream().open_connections(), 0U);
+  EXPECT_EQ(server.requests(), 2);
+}
+
 TEST_F(UpstreamTest, ADrainClosesIdleConnectionsAndLetsTheRestFinish) {
   ScriptedServer server(io, Serves("ok"));
   Tell(server.address);
