Let young servers serve by what is out at them where no warm one is sound

Trace of the module's servers twice a second: seven young servers idle with a credit of 0.2 to 0.98 while the two warm ones, choked (slow 4, up to 7 strikes), held 12 each and admission stood at 5%.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -47,6 +47,8 @@
 // Answers over which a server's slowness is remembered, and the most that one answer may say of it.
 constexpr double kSlowMemory = 8;
 constexpr double kSlowMost = 4;
+// A warm server under this slowness, and without strikes, tells what a warm one can serve.
+constexpr double kSound = 2;
 // A server that fails to connect, times out or lets a request outlive its aim is left alone for
 // random(0, min(kRetryCap, base * 2^n)), n being such events in a row: the request's own wait, applied to a
 // server.
@@ -500,20 +502,25 @@
   // answers and not sends guards against an overload, where sends and retries together exceed what a server
   // can do many times, and against an idle newcomer that every sidecar prefers at once. Counting warm servers
   // alone guards against a window of many young ones that would keep each other at what they serve already.
+  // Where no warm one is sound, credit would never come, and all that is let in would go to choked servers
+  // while the young idle: then by what is out at it, as a server that is sent one for each that it answers
+  // cannot be overrun.
   bool AcceptYoung(Server& server) {
     const double warmth = Warmth(server);
     if (warmth >= 1) return true;
     const Pool& pool = pools_[server.pool];
-    std::int64_t warm = 0;
+    std::int64_t sound = 0;
     for (std::size_t i = 0; i < Width(pool); ++i) {
       const Server& other = pool.InWindow(i);
-      warm += Warmth(other) >= 1 && other.strikes == 0;
+      sound += Warmth(other) >= 1 && other.strikes == 0 && other.slow < kSound;
     }
     const double served_each = static_cast<double>(served_warm_ - server.served_then) /
-                               static_cast<double>(std::max<std::int64_t>(warm, 1));
+                               static_cast<double>(std::max<std::int64_t>(sound, 1));
     server.young_credit = std::min(1.0, server.young_credit + warmth * served_each);
     server.served_then = served_warm_;
-    return server.young_credit >= 1;
+    if (server.young_credit >= 1) return true;
+    const double most = warmth * static_cast<double>(kMostOut) / static_cast<double>(pool.sharers);
+    return sound == 0 && server.out < std::max(most, 1.0);
   }
 
   // The design's wait: full jitter, doubling. Ends the request when nothing more can come of it.
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -351,6 +351,30 @@
   EXPECT_LE(sent["s00"], share + 1);
 }
 
+// Else the credit that warm servers earn never comes, and the young idle beside choked ones.
+TEST_F(BalancerTest, YoungServersServeByWhatIsOutWhereNoWarmOneIsSound) {
+  Start(MakeSettings(), 3);
+  auto servers = MakeServers(3);
+  servers[0].started = now_;
+  List(ListUpdate::Kind::kDelta, {servers[0]});
+  int served = 0;
+  std::vector<std::string> out;
+  for (int i = 0; i < 600; ++i) {
+    now_ += 1 * kMs;
+    const std::string id = "r" + std::to_string(i);
+    const auto actions = Arrive(id);
+    if (actions[0].kind == Kind::kSend && actions[0].server != "s00") Resolve(id, 0, Result::kTimeout);
+    if (actions[0].kind == Kind::kSend && actions[0].server == "s00") out.push_back(id);
+    EXPECT_LE(out.size(), 4u);  // a quarter of 12, and what its first credit was good for
+    if (i % 10 > 0) continue;
+    for (const std::string& done : std::exchange(out, {})) {
+      Resolve(done, 0, Result::kSuccess, true);
+      ++served;
+    }
+  }
+  EXPECT_GT(served, 20);
+}
+
 // A sidecar that restarts knows nothing but its last list; many servers may be young in it at once.
 TEST_F(BalancerTest, ARestartedSidecarDoesNotRushAtYoungServers) {
   auto servers = MakeServers(4);
