--- a/include/merlinrun/balancer.hpp
+++ b/include/merlinrun/balancer.hpp
@@ -142,6 +142,7 @@
   Micros budget = 0;           // the client gives up after this time
   bool repeated = false;       // the client says that it is a repeat
   bool write = false;
+  bool open = false;     // its last byte is still to come; its time counts from then on
   std::string_view key;  // what it concerns; empty = none
 };
 
@@ -215,6 +216,11 @@
 
   void OnServers(Micros now, const ListUpdate& update);
   void OnRequest(Micros now, const Request& request);
+  // The last byte of an open request has come, and its client gives up after `budget`.
+  void OnRequestEnded(Micros now, std::string_view request, Micros budget);
+  // What has been sent of an open request is gone: it cannot be sent once more.
+  void OnBodyDropped(Micros now, std::string_view request);
+  // The answer goes to the client as it comes: no other can take its place, and the outcome's time ends here.
   void OnResponseStarted(Micros now, std::string_view request, int attempt);
   void OnOutcome(Micros now, const Outcome& outcome);
   void OnClientGone(Micros now, std::string_view request);
--- a/src/net/admin.cpp
+++ b/src/net/admin.cpp
@@ -172,7 +172,7 @@
   });
 }
 
-HttpResponse Admin::Answer(const HttpRequest& request) const {
+HttpResponse Admin::Answer(const http::request<http::string_body>& request) const {
   const std::string_view target(request.target().data(), request.target().size());
   const std::string_view path = target.substr(0, target.find('?'));
   if (path == kReadyPath) {
--- a/src/net/admin.hpp
+++ b/src/net/admin.hpp
@@ -39,7 +39,7 @@
   using CallerPtr = std::shared_ptr<Caller>;
 
   void Accept();
-  HttpResponse Answer(const HttpRequest& request) const;
+  HttpResponse Answer(const http::request<http::string_body>& request) const;
 
   asio::io_context& io_;
   const Events events_;
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -109,9 +109,13 @@
   config.passed_socket = PassedSocket(Variable(environment, "EDGE_PASSED_SOCKET"));
   config.directory = Variable(environment, "TMPDIR");
   config.seed = Seed(json);
-  if (json.contains("limits"))
-    config.sockets = json.at("limits").value("sockets", static_cast<std::uint64_t>(config.sockets));
+  if (json.contains("limits")) {
+    const Json& limits = json.at("limits");
+    config.sockets = limits.value("sockets", static_cast<std::uint64_t>(config.sockets));
+    config.memory_mb = limits.value("memory_mb", static_cast<std::uint64_t>(config.memory_mb));
+  }
   if (config.sockets < 64) throw ConfigError("limits.sockets: under 64, too few to work with");
+  if (config.memory_mb < 16) throw ConfigError("limits.memory_mb: under 16, too little to work with");
   config.wire = drill::ParseSettings(Flatten(json.at("settings")));
   // Clients use a third of the descriptors at most, with one request on a connection.
   const auto connections = static_cast<std::int64_t>(config.sockets / 3);
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -29,6 +29,7 @@
   std::string directory;               // what outlives the process in an upgrade; empty = nothing does
   std::uint64_t seed = 0;
   std::size_t sockets = 1024;  // descriptors that the process may hold
+  std::size_t memory_mb = 192;
   drill::WireSettings wire;
   EndpointList known;  // the list as this sidecar last had it
 };
--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -1,12 +1,15 @@
 #include "inbound.hpp"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
 #include <optional>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -18,31 +21,43 @@
 // How long a connection that is closed with an answer still reads: closing it with input unread would reset
 // it, and the answer might be lost with that.
 constexpr auto kLinger = std::chrono::seconds(1);
-// How long a peer may take from its connection to its first whole request, and from the first byte of a later
-// one: anyone may connect, and those who say nothing, or only half, must not keep a client's place.
-constexpr auto kMostReading = std::chrono::milliseconds(2200);
-// How long a peer may take to read its answer; its client has given up by then.
-constexpr auto kMostWriting = std::chrono::seconds(6);
+// How long a peer may take to send a request, from its connection or from the first byte of a later one:
+// anyone may connect, and those who say nothing, or only half, must not keep a client's place. Clients take
+// up to 2 s beside what a body needs at 64 kB/s, and the others are owed an end within 3 s.
+constexpr auto kMostReading = std::chrono::milliseconds(2500);
+constexpr std::size_t kLeastRate = 32;  // bytes of a body in a millisecond: half of what clients keep to
+
+using Clock = std::chrono::steady_clock;
 
 struct Incoming {
+  // Not eager: an eager parser forgets that the head announced too long a body when bytes of it came along.
   Incoming() {
-    parser.eager(true);
     parser.header_limit(kMostHeader);
     parser.body_limit(kMostBody);
   }
 
-  http::request_parser<http::string_body> parser;
+  http::request_parser<PieceBody> parser;
   bool begun = false;
+  Clock::time_point since = Clock::now();  // its time counts from then
 };
 
+RequestHead HeadOf(http::request<PieceBody>& request) {
+  RequestHead head;
+  head.base() = std::move(request.base());
+  return head;
+}
+
 }  // namespace
 
 class Inbound::Session : public std::enable_shared_from_this<Session> {
  public:
   Session(Inbound& owner, Tcp::socket socket)
-      : owner_(owner), socket_(std::move(socket)), deadline_(owner.io_) {}
+      : owner_(owner), socket_(std::move(socket)), deadline_(owner.io_), writer_(socket_) {}
 
   void Start() {
+    ErrorCode ignored;
+    socket_.set_option(Tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
     NextRequest();
     ExpireAfter(kMostReading);
     Read();
@@ -55,16 +70,30 @@
            socket_.available(error) == 0;
   }
 
-  void Respond(HttpResponse response, std::function<void(bool)> done = {}) {
+  void Respond(ResponseHead head, BodyPtr body, std::function<void(bool)> done) {
     if (state_ != State::kBusy) return;
     state_ = State::kWriting;
+    deadline_.cancel();
     done_ = std::move(done);
-    response.keep_alive(keep_alive_ && !owner_.draining_);
-    response.prepare_payload();
-    response_ = std::move(response);
-    ExpireAfter(kMostWriting);
-    http::async_write(socket_, response_,
-                      [self = shared_from_this()](ErrorCode error, std::size_t) { self->OnWritten(error); });
+    answer_ = std::move(body);
+    answer_->Release();
+    if (answer_->ended()) answer_->length = answer_->length.value_or(answer_->size());
+    keep_alive_ = keep_alive_ && !owner_.draining_ && (body_ == nullptr || body_->ended());
+    // Without a length only chunks show an HTTP/1.1 client where the body ends, and the close an older one.
+    const bool chunked = !answer_->length && version_ >= 11;
+    if (!answer_->length && !chunked) keep_alive_ = false;
+    head.version(version_);
+    head.keep_alive(keep_alive_);
+    if (answer_->length) head.content_length(*answer_->length);
+    if (chunked) head.chunked(true);
+    std::string text = Text(head);
+    BodyPtr written = answer_;
+    if (head_only_) {
+      answer_->Abandon();
+      written = Body::Whole("");
+    }
+    writer_.Start(shared_from_this(), std::move(text), std::move(written), chunked && !head_only_,
+                  [self = shared_from_this()](ErrorCode error) { self->OnWritten(error); });
   }
 
   void Close() {
@@ -73,11 +102,13 @@
     deadline_.cancel();
     owner_.Remove(*this);
     Tell(/*whole=*/false);
+    if (answer_ != nullptr) std::exchange(answer_, nullptr)->Abandon();
   }
 
   // Closes without a word to the owner, which is going: what is still to be called back finds it closed.
   void Abandon() {
     state_ = State::kClosed;
+    writer_.Stop();
     ErrorCode ignored;
     socket_.close(ignored);
   }
@@ -90,28 +121,45 @@
   void NextRequest() {
     state_ = State::kReading;
     parser_.emplace();
+    body_ = nullptr;
+    paused_ = std::nullopt;
     deadline_.cancel();  // between requests a client may rest
   }
 
-  void ExpireAfter(std::chrono::milliseconds time) {
-    deadline_.expires_after(time);
+  void ExpireAfter(Clock::duration time) { ExpireAt(Clock::now() + time); }
+
+  void ExpireAt(Clock::time_point time) {
+    deadline_.expires_at(time);
     deadline_.async_wait([self = shared_from_this()](ErrorCode stopped) {
       // A wait may have ended in the very turn of the loop in which the deadline was moved.
-      if (!stopped && self->deadline_.expiry() <= std::chrono::steady_clock::now()) self->OnExpired();
+      if (!stopped && self->deadline_.expiry() <= Clock::now()) self->OnExpired();
     });
   }
 
   void OnExpired() {
-    if (state_ == State::kBusy || state_ == State::kClosed) return;
+    if (state_ == State::kClosed) return;
     if (state_ == State::kReading && parser_->begun)
       return Reject(http::status::request_timeout, "request not whole in time\n");
+    Leave();
+  }
+
+  // The client has left, or is as good as gone.
+  void Leave() {
+    const auto self = shared_from_this();
+    const bool busy = state_ == State::kBusy;
     Close();
+    if (busy) owner_.events_.on_gone(self);
+    if (body_ != nullptr) body_->Break();
   }
 
+  // Whether more of the request's body is to come.
+  bool BodyComes() const { return body_ != nullptr && !body_->ended() && !body_->broken(); }
+
   // Stays posted while a request is held, so that a client that leaves is noticed. Stops only when a client
-  // that does not wait for its answers has filled the buffer.
+  // that does not wait for its answers has filled the buffer, or when a long body waits for room.
   void Read() {
-    if (reading_ || buffer_.size() + kReadSize > buffer_.max_size()) return;
+    if (reading_ || state_ == State::kClosed || buffer_.size() + kReadSize > buffer_.max_size()) return;
+    if (state_ != State::kLingering && BodyComes() && !body_->HasRoom()) return Pause();
     reading_ = true;
     socket_.async_read_some(asio::buffer(input_),
                             [self = shared_from_this()](ErrorCode error, std::size_t n) {
@@ -120,31 +168,110 @@
                             });
   }
 
+  // The peer is not to blame while its body waits for room.
+  void Pause() {
+    if (paused_ || (state_ != State::kReading && state_ != State::kBusy)) return;
+    paused_ = Clock::now();
+    deadline_.cancel();
+  }
+
   void OnRead(ErrorCode error, std::size_t n) {
     if (state_ == State::kClosed) return;
-    if (error) {
-      const auto self = shared_from_this();
-      const bool busy = state_ == State::kBusy;
-      Close();
-      if (busy) owner_.events_.on_gone(self);
-      return;
-    }
+    if (error) return Leave();
     if (state_ != State::kLingering)
       buffer_.commit(asio::buffer_copy(buffer_.prepare(n), asio::buffer(input_, n)));
-    if (state_ == State::kReading) Parse();
-    if (state_ != State::kClosed) Read();
+    if (state_ == State::kReading || state_ == State::kBusy) Parse();
+    Read();
+  }
+
+  // Reads on in a request whose body has room again.
+  void OnRoom() {
+    if ((state_ != State::kReading && state_ != State::kBusy) || !BodyComes()) return;
+    if (paused_) parser_->since += Clock::now() - *std::exchange(paused_, std::nullopt);
+    ExpectMore();
+    Parse();
+    Read();
   }
 
   void Parse() {
+    const auto kept = shared_from_this();
     while (buffer_.size() > 0 && !parser_->parser.is_done()) {
+      if (BodyComes() && !body_->HasRoom()) return;
       ErrorCode error;
-      if (!std::exchange(parser_->begun, true) && heard_) ExpireAfter(kMostReading);
+      if (!std::exchange(parser_->begun, true) && heard_) {
+        parser_->since = Clock::now();
+        ExpireAfter(kMostReading);
+      }
       const std::size_t used = parser_->parser.put(buffer_.data(), error);
       buffer_.consume(used);
-      if (error == http::error::need_more) return;
+      if (error == http::error::need_more) {
+        // A line that fills the buffer has no end.
+        if (buffer_.size() + kReadSize > buffer_.max_size())
+          error = parser_->parser.is_header_done() ? http::error::bad_chunk : http::error::header_limit;
+        else
+          return;
+      }
       if (error) return Reject(error);
+      if (parser_->parser.is_header_done() && body_ == nullptr && !TakeHead()) return;
+      if (body_ != nullptr) TakePiece();
+      if (state_ != State::kReading && state_ != State::kBusy) return;
     }
-    if (parser_->parser.is_done()) Dispatch(parser_->parser.release());
+  }
+
+  // False if the request ends here.
+  bool TakeHead() {
+    auto& request = parser_->parser.get();
+    heard_ = true;
+    version_ = request.version() >= 11 ? 11 : 10;
+    head_only_ = request.method() == http::verb::head;
+    keep_alive_ = request.keep_alive();
+    // Another coding than chunks, whose end this library does not look for.
+    if (request.count(http::field::transfer_encoding) > 0 && !parser_->parser.chunked()) {
+      Reject(http::status::bad_request, "malformed request\n");
+      return false;
+    }
+    body_ = std::make_shared<Body>(owner_.budget_);
+    if (!parser_->parser.chunked()) {
+      const auto length = parser_->parser.content_length();
+      body_->length = length ? *length : 0;
+    }
+    const std::weak_ptr<Session> weak = shared_from_this();
+    body_->on_room = [weak] {
+      if (const auto self = weak.lock()) self->OnRoom();
+    };
+    if (parser_->parser.is_done()) return true;
+    const auto expect = request[http::field::expect];
+    if (expect.empty() || version_ < 11) return true;
+    if (!beast::iequals(expect, "100-continue")) {
+      Reject(http::status::expectation_failed, "unknown expectation\n");
+      return false;
+    }
+    if (buffer_.size() > 0) return true;  // it does not wait
+    // All before it has been written and read, so it goes out at once.
+    static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+    ErrorCode error;
+    if (socket_.write_some(asio::buffer(kContinue), error) == kContinue.size()) return true;
+    Close();
+    return false;
+  }
+
+  // What has come of the body moves the deadline, though not far past the last of it.
+  void ExpectMore() {
+    const std::chrono::milliseconds earned(body_->size() / kLeastRate);
+    ExpireAt(std::min(parser_->since + kMostReading + earned, Clock::now() + kMostReading));
+  }
+
+  void TakePiece() {
+    std::string& piece = parser_->parser.get().body();
+    const bool done = parser_->parser.is_done();
+    body_->Append(std::exchange(piece, {}));
+    if (done) {
+      deadline_.cancel();
+      body_->End();
+    } else {
+      ExpectMore();
+    }
+    if (state_ == State::kReading && (done || !body_->HasRoom())) Dispatch();
   }
 
   void Reject(ErrorCode error) {
@@ -155,22 +282,22 @@
   }
 
   void Reject(http::status status, const char* text) {
+    if (state_ == State::kBusy) return Leave();  // its request is under way
     state_ = State::kBusy;
     keep_alive_ = false;
-    Respond(Plain(status, text));
+    Inbound::Respond(shared_from_this(), Plain(status, text));
   }
 
-  void Dispatch(HttpRequest request) {
+  void Dispatch() {
     state_ = State::kBusy;
-    deadline_.cancel();
-    heard_ = true;
-    keep_alive_ = request.keep_alive();
-    if (request.target() == kReadyPath) {
+    RequestHead head = HeadOf(parser_->parser.get());
+    if (head.target() == kReadyPath) {
       const bool ready = !owner_.draining_ && owner_.events_.ready();
-      return Respond(Plain(ready ? http::status::ok : http::status::service_unavailable,
-                           ready ? "ready\n" : "not yet\n"));
+      return Inbound::Respond(shared_from_this(),
+                              Plain(ready ? http::status::ok : http::status::service_unavailable,
+                                    ready ? "ready\n" : "not yet\n"));
     }
-    owner_.events_.on_request(shared_from_this(), std::move(request));
+    owner_.events_.on_request(shared_from_this(), std::move(head), body_);
   }
 
   void Tell(bool whole) {
@@ -179,17 +306,24 @@
 
   void OnWritten(ErrorCode error) {
     if (state_ == State::kClosed) return;
-    if (error) return Close();
+    if (error) {
+      // A close would say that a body of unknown length is whole.
+      ErrorCode ignored;
+      if (version_ < 11) socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+      return Close();
+    }
+    answer_ = nullptr;
     Tell(/*whole=*/true);
-    if (!response_.keep_alive()) return LingerAndClose();
+    if (!keep_alive_) return LingerAndClose();
     owner_.sessions_.splice(owner_.sessions_.end(), owner_.sessions_, place);
     NextRequest();
     Parse();
-    if (state_ != State::kClosed) Read();
+    Read();
   }
 
   void LingerAndClose() {
     state_ = State::kLingering;
+    if (body_ != nullptr) body_->Break();  // the rest of it is not passed on
     ErrorCode error;
     socket_.shutdown(Tcp::socket::shutdown_send, error);
     if (error) return Close();
@@ -204,17 +338,24 @@
   std::array<char, kReadSize> input_{};  // of its own: the buffer may move what it holds while a read is out
   beast::flat_buffer buffer_{2 * kMostUnparsed};
   std::optional<Incoming> parser_;
-  HttpResponse response_;
+  BodyPtr body_;                // of the request, once its head has come
+  std::optional<Clock::time_point> paused_;  // since when it waits for room
+  BodyPtr answer_;              // while it is written
+  MessageWriter writer_;
   std::function<void(bool)> done_;  // told when the answer has gone out, or cannot
   State state_ = State::kReading;
+  unsigned version_ = 11;
+  bool head_only_ = false;  // the request was HEAD
   bool reading_ = false;
   bool keep_alive_ = true;
-  bool heard_ = false;  // its first request has come whole
+  bool heard_ = false;  // its first head has come whole
 };
 
-Inbound::Inbound(asio::io_context& io, Tcp::acceptor listener, std::size_t most_sessions, Events events)
+Inbound::Inbound(asio::io_context& io, Tcp::acceptor listener, std::size_t most_sessions,
+                 std::shared_ptr<Budget> budget, Events events)
     : io_(io),
       most_sessions_(most_sessions),
+      budget_(std::move(budget)),
       events_(std::move(events)),
       acceptor_(std::move(listener)),
       address_(acceptor_.local_endpoint()),
@@ -224,8 +365,15 @@
   for (const SessionPtr& session : sessions_) session->Abandon();
 }
 
-void Inbound::Respond(const SessionPtr& session, HttpResponse response, std::function<void(bool)> done) {
-  session->Respond(std::move(response), std::move(done));
+void Inbound::Respond(const SessionPtr& session, ResponseHead head, BodyPtr body,
+                      std::function<void(bool)> done) {
+  session->Respond(std::move(head), std::move(body), std::move(done));
+}
+
+void Inbound::Respond(const SessionPtr& session, HttpResponse response) {
+  ResponseHead head;
+  head.base() = std::move(response.base());
+  Respond(session, std::move(head), Body::Whole(std::move(response.body())), {});
 }
 
 void Inbound::Accept() {
@@ -254,8 +402,6 @@
 }
 
 void Inbound::Add(Tcp::socket socket) {
-  ErrorCode ignored;
-  socket.set_option(Tcp::no_delay(true), ignored);
   const auto session = std::make_shared<Session>(*this, std::move(socket));
   session->place = sessions_.insert(sessions_.end(), session);
   session->Start();
--- a/src/net/inbound.hpp
+++ b/src/net/inbound.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "body.hpp"
 #include "protocol.hpp"
 
 namespace merlinrun::net {
@@ -18,22 +19,24 @@
   using SessionPtr = std::shared_ptr<Session>;
 
   struct Events {
-    // The request is answered by one call of Respond, from in here or later.
-    std::function<void(const SessionPtr&, HttpRequest)> on_request;
+    // The request is answered by one call of Respond, from in here or later. A long body is still coming.
+    std::function<void(const SessionPtr&, RequestHead, BodyPtr)> on_request;
     std::function<void(const SessionPtr&)> on_gone;  // the client left during its request
     std::function<bool()> ready;
   };
 
   // Takes over a listener, and accepts once it is told to.
-  Inbound(asio::io_context& io, Tcp::acceptor listener, std::size_t most_sessions, Events events);
+  Inbound(asio::io_context& io, Tcp::acceptor listener, std::size_t most_sessions,
+          std::shared_ptr<Budget> budget, Events events);
   ~Inbound();
   Inbound(const Inbound&) = delete;
   Inbound& operator=(const Inbound&) = delete;
 
   // Answers the session's request, and tells whether the answer went out whole. Does nothing if the client
-  // has gone.
-  static void Respond(const SessionPtr& session, HttpResponse response,
-                      std::function<void(bool whole)> done = {});
+  // has gone. A body that breaks ends the connection so that the client can tell.
+  static void Respond(const SessionPtr& session, ResponseHead head, BodyPtr body,
+                      std::function<void(bool whole)> done);
+  static void Respond(const SessionPtr& session, HttpResponse response);
 
   void Accept();
   // From now on each answer closes its connection.
@@ -56,6 +59,7 @@
 
   asio::io_context& io_;
   const std::size_t most_sessions_;
+  const std::shared_ptr<Budget> budget_;
   const Events events_;
   Tcp::acceptor acceptor_;
   Tcp::endpoint address_;
--- a/src/net/protocol.hpp
+++ b/src/net/protocol.hpp
@@ -3,7 +3,10 @@
 #define MERLINRUN_NET_PROTOCOL_HPP_
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/buffers_to_string.hpp>
+#include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/message.hpp>
+#include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <cstddef>
 #include <string>
@@ -16,12 +19,16 @@
 namespace http = boost::beast::http;
 using Tcp = asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
-using HttpRequest = http::request<http::string_body>;
+// Heads, whose bodies go their own way, and answers of the sidecar's own.
+using RequestHead = http::request<http::empty_body>;
+using ResponseHead = http::response<http::empty_body>;
 using HttpResponse = http::response<http::string_body>;
 
-inline constexpr std::size_t kMostBody = std::size_t{64} * 1024;
+inline constexpr std::size_t kMostBody = std::size_t{32} * 1024 * 1024;
+inline constexpr std::size_t kMostHeld = std::size_t{64} * 1024;  // a longer body is passed on as it comes
+inline constexpr std::size_t kPiece = std::size_t{16} * 1024;
 inline constexpr std::size_t kMostHeader = std::size_t{16} * 1024;
-inline constexpr std::size_t kReadSize = std::size_t{4} * 1024;
+inline constexpr std::size_t kReadSize = kPiece;
 // What a connection holds unparsed: one header and one read.
 inline constexpr std::size_t kMostUnparsed = kMostHeader + kReadSize;
 
@@ -43,6 +50,18 @@
   return response;
 }
 
+// A head as it is written.
+template <bool kIsRequest>
+std::string Text(http::message<kIsRequest, http::empty_body>& head) {
+  http::serializer<kIsRequest, http::empty_body> serializer(head);
+  serializer.split(true);
+  std::string text;
+  ErrorCode ignored;
+  serializer.next(ignored,
+                  [&](ErrorCode&, const auto& buffers) { text = beast::buffers_to_string(buffers); });
+  return text;
+}
+
 }  // namespace merlinrun::net
 
 #endif  // MERLINRUN_NET_PROTOCOL_HPP_
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -44,6 +44,10 @@
 // How often a process looks for bans that another one has made: what that one has said yes to binds after the
 // grace, half a second where it is shortest.
 constexpr Micros kBansPeriod = 200 * kMs;
+// The part of the memory that bodies may hold; half of it where two processes share it for a while.
+constexpr std::size_t kBudgetShare = 4;
+// A long body counts no time before its last byte, nor an answer after its first: both go by progress.
+constexpr Micros kNoDeadline = 3600 * kSecond;
 // In $TMPDIR once a process takes clients: the next one there succeeds it.
 constexpr const char* kServedMark = "fennelhollow-served";
 
@@ -95,6 +99,11 @@
   return std::min(longest, kMostDeadline) + kKillAfterDeadline - kLastWords - kEndMargin;
 }
 
+std::shared_ptr<Budget> BodyBudget(const Config& config) {
+  const std::size_t share = config.passed_socket ? 2 * kBudgetShare : kBudgetShare;
+  return std::make_shared<Budget>(config.memory_mb * 1024 * 1024 / share);
+}
+
 Upstream::Limits UpstreamLimits(const Config& config) {
   Upstream::Limits limits;
   limits.keep_idle =
@@ -129,10 +138,11 @@
     : io_(io),
       config_(std::move(config)),
       clock_offset_(ClockOffset()),
+      budget_(BodyBudget(config_)),
       metrics_(config_.wire.settings.classes),
       bans_(config_.directory),
       bans_timer_(io),
-      upstream_(io, UpstreamLimits(config_), [this] { metrics_.AttemptWritten(); }),
+      upstream_(io, UpstreamLimits(config_), budget_, [this] { metrics_.AttemptWritten(); }),
       discovery_(io, config_.discovery, config_.wire, DiscoveryTiming(config_), config_.seed,
                  {[this](const EndpointList& list) {
                     OnList(list.whole ? ListUpdate::Kind::kFull : ListUpdate::Kind::kDelta, list);
@@ -149,12 +159,12 @@
 
 void Sidecar::Start() {
   Inbound::Events events;
-  events.on_request = [this](const Inbound::SessionPtr& session, HttpRequest request) {
-    OnRequest(session, std::move(request));
+  events.on_request = [this](const Inbound::SessionPtr& session, RequestHead head, const BodyPtr& body) {
+    OnRequest(session, std::move(head), body);
   };
   events.on_gone = [this](const Inbound::SessionPtr& session) { OnClientGone(session); };
   events.ready = [this] { return Ready(); };
-  inbound_ = std::make_unique<Inbound>(io_, Listener(), DescriptorShares(config_).clients, events);
+  inbound_ = std::make_unique<Inbound>(io_, Listener(), DescriptorShares(config_).clients, budget_, events);
   if (config_.admin) {
     Admin::Events calls;
     calls.ready = events.ready;
@@ -260,18 +270,18 @@
 
 // ---- A request's life ----
 
-void Sidecar::OnRequest(const Inbound::SessionPtr& session, HttpRequest request) {
+void Sidecar::OnRequest(const Inbound::SessionPtr& session, RequestHead head, const BodyPtr& body) {
   const Settings& settings = config_.wire.settings;
-  const std::string id(View(request[kIdHeader]));
-  const int request_class = ClassIndex(View(request[kClassHeader]));
+  const std::string id(View(head[kIdHeader]));
+  const int request_class = ClassIndex(View(head[kClassHeader]));
   if (id.empty()) return Inbound::Respond(session, Plain(http::status::bad_request, "no Req-Id\n"));
   if (request_class < 0)
     return Inbound::Respond(session, Plain(http::status::not_found, "unknown Req-Kind\n"));
   if (calls_.count(id) > 0)
     return Inbound::Respond(session, Plain(http::status::conflict, "Req-Id is in use\n"));
   Micros budget = settings.classes[static_cast<std::size_t>(request_class)].deadline;
-  if (request.count(kDeadlineHeader) > 0) {
-    const auto seconds = ParseNumber(View(request[kDeadlineHeader]));
+  if (head.count(kDeadlineHeader) > 0) {
+    const auto seconds = ParseNumber(View(head[kDeadlineHeader]));
     if (!seconds || *seconds < 0)
       return Inbound::Respond(session, Plain(http::status::bad_request, "Req-Deadline\n"));
     budget = static_cast<Micros>(std::min(*seconds, 86'400.0) * static_cast<double>(kSecond));
@@ -282,28 +292,54 @@
 
   Call& call = calls_[id];
   metrics_.Taken();
-  call.request = std::move(request);
+  call.head = std::move(head);
+  call.body = body;
   call.request_class = request_class;
   call.session = session;
-  call.deadline = now + budget;
+  call.budget = budget;
+  call.deadline = now + (body->ended() ? budget : kNoDeadline);
   call.timer = std::make_unique<asio::steady_timer>(io_);
   Watch(id, call);
+  if (!body->ended()) FollowBody(id, *body);
 
   merlinrun::Request in;
   in.id = id;
   in.request_class = request_class;
-  in.tenant = TenantIndex(View(call.request[kTenantHeader]));
+  in.tenant = TenantIndex(View(call.head[kTenantHeader]));
   in.budget = budget;
-  in.repeated = call.request[kRepeatHeader] == "1";
-  in.write = call.request.method() != http::verb::get;
-  if (const auto cost = ParseNumber(View(call.request[kCostHeader])); cost && *cost >= 0 && *cost < 1e12)
+  in.open = !body->ended();
+  in.repeated = call.head[kRepeatHeader] == "1";
+  in.write = call.head.method() != http::verb::get;
+  if (const auto cost = ParseNumber(View(call.head[kCostHeader])); cost && *cost >= 0 && *cost < 1e12)
     in.cost = static_cast<Micros>(*cost);
-  const std::string key(KeyOf(View(call.request.target())));
+  const std::string key(KeyOf(View(call.head.target())));
   in.key = key;
   balancer_->OnRequest(now, in);
   EraseIfOver(id);
 }
 
+// What a body tells may come in the middle of an action of the module's, which must not be called then.
+void Sidecar::FollowBody(const std::string& id, Body& body) {
+  body.on_dropped = [this, id] { asio::post(io_, [this, id] { balancer_->OnBodyDropped(Now(), id); }); };
+  body.on_end = [this, id] { asio::post(io_, [this, id] { OnRequestEnded(id); }); };
+}
+
+// The last byte of a long request has come: its time begins.
+void Sidecar::OnRequestEnded(const std::string& id) {
+  const auto it = calls_.find(id);
+  if (it == calls_.end() || it->second.session == nullptr) return;
+  Call& call = it->second;
+  const Micros now = Now();
+  call.deadline = now + call.budget;
+  if (drain_end_ > 0) call.deadline = std::min(call.deadline, drain_end_);
+  for (Attempt& attempt : call.attempts) {
+    attempt.sent = now;
+    attempt.expires = call.deadline;
+  }
+  Watch(id, call);
+  balancer_->OnRequestEnded(now, id, call.deadline - now);
+}
+
 void Sidecar::OnClientGone(const Inbound::SessionPtr& session) {
   const auto it = std::find_if(calls_.begin(), calls_.end(),
                                [&](const auto& entry) { return entry.second.session == session; });
@@ -315,16 +351,23 @@
   EraseIfOver(id);
 }
 
+void Sidecar::OnAnswerBegun(const std::string& id, int attempt, const ResponseHead& head,
+                            const BodyPtr& body) {
+  const auto it = calls_.find(id);
+  if (it == calls_.end() || it->second.session == nullptr) return body->Abandon();
+  const Micros now = Now();
+  Attempt& begun = it->second.attempts[static_cast<std::size_t>(attempt)];
+  begun.begun = now;
+  begun.expires = now + kNoDeadline;
+  Answer(it->second, head, body);
+  balancer_->OnResponseStarted(now, id, attempt);
+}
+
 void Sidecar::OnAnswer(const std::string& id, int attempt, UpstreamAnswer answer) {
   const auto it = calls_.find(id);
   if (it == calls_.end()) return;
-  if (answer.result == Result::kSuccess && it->second.session != nullptr) {
-    HttpResponse response(http::status::ok, 11);
-    if (const auto type = answer.response[http::field::content_type]; !type.empty())
-      response.set(http::field::content_type, type);
-    response.body() = std::move(answer.response.body());
-    Answer(it->second, std::move(response));
-  }
+  if (answer.body != nullptr && it->second.session != nullptr)
+    Answer(it->second, std::move(answer.head), std::move(answer.body));
   Conclude(id, attempt, answer.result);
 }
 
@@ -339,17 +382,23 @@
   outcome.request = id;
   outcome.attempt = attempt;
   outcome.result = result;
-  outcome.elapsed = std::max<Micros>(now - ended.sent, 0);
+  outcome.elapsed = std::max<Micros>((ended.begun > 0 ? ended.begun : now) - ended.sent, 0);
   outcome.settled = it->second.session == nullptr;
   balancer_->OnOutcome(now, outcome);
   EraseIfOver(id);
 }
 
 void Sidecar::Answer(Call& call, HttpResponse response) {
+  ResponseHead head;
+  head.base() = std::move(response.base());
+  Answer(call, std::move(head), Body::Whole(std::move(response.body())));
+}
+
+void Sidecar::Answer(Call& call, ResponseHead head, BodyPtr body) {
   auto end = Metrics::End::kFailed;
-  if (response.result() == http::status::ok) end = Metrics::End::kCompleted;
-  if (response.result() == http::status::service_unavailable) end = Metrics::End::kRejected;
-  Inbound::Respond(std::exchange(call.session, nullptr), std::move(response),
+  if (head.result() == http::status::ok) end = Metrics::End::kCompleted;
+  if (head.result() == http::status::service_unavailable) end = Metrics::End::kRejected;
+  Inbound::Respond(std::exchange(call.session, nullptr), std::move(head), std::move(body),
                    [this, end, request_class = call.request_class](bool whole) {
                      metrics_.Ended(request_class, whole ? end : Metrics::End::kFailed);
                    });
@@ -394,14 +443,13 @@
   CheckFinished();
 }
 
-HttpRequest Sidecar::Forwarded(const Call& call, Micros left) const {
-  HttpRequest out = call.request;
+RequestHead Sidecar::Forwarded(const Call& call, Micros left) {
+  RequestHead out = call.head;
   for (const char* hop : {"Connection", "Keep-Alive", "Proxy-Connection", "TE", "Trailer",
-                          "Transfer-Encoding", "Upgrade", "Expect"})
+                          "Transfer-Encoding", "Upgrade", "Expect", "Content-Length"})
     out.erase(hop);
   out.version(11);
   out.set(kDeadlineHeader, Seconds(left));
-  out.prepare_payload();
   return out;
 }
 
@@ -433,14 +481,19 @@
   Attempt attempt;
   attempt.sent = now;
   attempt.expires = timeout > 0 ? std::min(call.deadline, now + timeout) : call.deadline;
-  if (call.session == nullptr || now >= attempt.expires) {
+  // A body that is gone in part cannot be sent once more; the module has been told so.
+  if (call.session == nullptr || now >= attempt.expires || !call.body->complete()) {
     call.attempts.push_back(attempt);
     asio::post(io_, [this, id, number] { Conclude(id, number, Result::kNeverSent); });
     return;
   }
-  attempt.upstream =
-      upstream_.Send(server, Forwarded(call, attempt.expires - now),
-                     [this, id, number](UpstreamAnswer answer) { OnAnswer(id, number, std::move(answer)); });
+  Upstream::Events events;
+  events.done = [this, id, number](UpstreamAnswer answer) { OnAnswer(id, number, std::move(answer)); };
+  events.begun = [this, id, number](const ResponseHead& head, const BodyPtr& body) {
+    OnAnswerBegun(id, number, head, body);
+  };
+  const Micros left = call.body->ended() ? attempt.expires - now : call.budget;
+  attempt.upstream = upstream_.Send(server, Forwarded(call, left), call.body, std::move(events));
   call.attempts.push_back(attempt);
   if (attempt.expires < call.deadline) Watch(id, call);
 }
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -47,13 +47,16 @@
     Upstream::AttemptId upstream = 0;
     Micros sent = 0;
     Micros expires = 0;
+    Micros begun = 0;  // when its answer began to be passed on; 0 = not
     bool out = true;
   };
   // A request, from its arrival until it has its answer and its last attempt is resolved.
   struct Call {
-    HttpRequest request;
+    RequestHead head;
+    BodyPtr body;
     int request_class = -1;
     Inbound::SessionPtr session;  // null once it has been answered or its client has gone
+    Micros budget = 0;            // from its last byte on
     Micros deadline = 0;          // the final answer is owed before
     std::vector<Attempt> attempts;
     std::unique_ptr<asio::steady_timer> timer;
@@ -82,15 +85,19 @@
   bool Ready() const;
   void OnList(ListUpdate::Kind kind, const EndpointList& list, bool awaits = false);
   void OnDiscoveryFailed();
-  void OnRequest(const Inbound::SessionPtr& session, HttpRequest request);
+  void OnRequest(const Inbound::SessionPtr& session, RequestHead head, const BodyPtr& body);
+  void FollowBody(const std::string& id, Body& body);
+  void OnRequestEnded(const std::string& id);
   void OnClientGone(const Inbound::SessionPtr& session);
+  void OnAnswerBegun(const std::string& id, int attempt, const ResponseHead& head, const BodyPtr& body);
   void OnAnswer(const std::string& id, int attempt, UpstreamAnswer answer);
   void Conclude(const std::string& id, int attempt, Result result);
+  void Answer(Call& call, ResponseHead head, BodyPtr body);
   void Answer(Call& call, HttpResponse response);
   void Watch(const std::string& id, Call& call);
   void OnDue(const std::string& id);
   void EraseIfOver(const std::string& id);
-  HttpRequest Forwarded(const Call& call, Micros left) const;
+  static RequestHead Forwarded(const Call& call, Micros left);
   int ClassIndex(std::string_view name) const;
   int TenantIndex(std::string_view name) const;
   void FinishDrain();
@@ -100,6 +107,7 @@
   asio::io_context& io_;
   const Config config_;
   const Micros clock_offset_;
+  const std::shared_ptr<Budget> budget_;  // of all bodies
   std::unique_ptr<Balancer> balancer_;
   Metrics metrics_;
   Bans bans_;
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -20,14 +20,21 @@
 // Sweeps in the time that an idle connection is kept: few, as each wakes the process.
 constexpr int kSweeps = 4;
 
-bool Declined(const HttpResponse& response) {
+// How long an answer whose length is not told is held back before it is passed on as it comes.
+constexpr auto kMostHolding = std::chrono::milliseconds(150);
+// How long a server may pause in an answer that has begun.
+constexpr auto kMostSilence = std::chrono::seconds(6);
+
+using Response = http::response<PieceBody>;
+
+bool Declined(const Response& response) {
   const bool status = response.result() == http::status::service_unavailable ||
                       response.result() == http::status::gateway_timeout;
   return status && response[kDeclinedHeader] == "1";
 }
 
 // A server's 503 without the header proves nothing: it may have run.
-Result ResultOf(const HttpResponse& response) {
+Result ResultOf(const Response& response) {
   if (response.result() == http::status::ok) return Result::kSuccess;
   return Declined(response) ? Result::kRefused : Result::kError;
 }
@@ -47,8 +54,9 @@
  public:
   struct Job {
     AttemptId id;
-    HttpRequest request;
-    Done done;
+    RequestHead head;
+    BodyPtr body;
+    Events events;
   };
 
   Connection(Upstream& pool, std::shared_ptr<Server> server)
@@ -56,7 +64,8 @@
         server_(std::move(server)),
         life_(server_->life),
         socket_(pool.io_),
-        dial_timer_(pool.io_) {}
+        timer_(pool.io_),
+        writer_(socket_) {}
 
   void Dial(Job job) {
     job_.emplace(std::move(job));
@@ -65,11 +74,9 @@
     if (error) return FailLater();
     socket_.set_option(Tcp::no_delay(true), error);
     if (pool_.limits_.dial_timeout > 0) {
-      dial_timer_.expires_after(std::chrono::microseconds(pool_.limits_.dial_timeout));
-      dial_timer_.async_wait([self = shared_from_this()](ErrorCode stopped) {
-        // The time may run out in the very turn of the loop in which the attempt is given up.
-        if (!stopped && self->dialing_ && !self->closed_)
-          self->Finish(Result::kUnreachable, {}, /*reuse=*/false);
+      // The time may run out in the very turn of the loop in which the attempt is given up.
+      ExpireAfter(std::chrono::microseconds(pool_.limits_.dial_timeout), [this] {
+        if (dialing_) Finish(Result::kUnreachable, /*reuse=*/false);
       });
     }
     dialing_ = true;
@@ -86,7 +93,7 @@
   void Close() {
     if (closed_) return;
     Abandon();
-    dial_timer_.cancel();
+    timer_.cancel();
     pool_.Forget(*this);
   }
 
@@ -94,6 +101,8 @@
   void Abandon() {
     closed_ = true;
     job_.reset();
+    writer_.Stop();
+    DropAnswer();
     ErrorCode ignored;
     socket_.close(ignored);
   }
@@ -114,44 +123,78 @@
  private:
   void FailLater() {
     asio::post(pool_.io_, [self = shared_from_this()] {
-      if (!self->closed_) self->Finish(Result::kUnreachable, {}, /*reuse=*/false);
+      if (!self->closed_) self->Finish(Result::kUnreachable, /*reuse=*/false);
+    });
+  }
+
+  template <typename Duration, typename Then>
+  void ExpireAfter(Duration time, Then then) {
+    timer_.expires_after(time);
+    timer_.async_wait([self = shared_from_this(), then](ErrorCode stopped) {
+      if (!stopped && !self->closed_ && self->job_ && self->timer_.expiry() <= Clock::now()) then();
     });
   }
 
   void OnDialed(ErrorCode error) {
     if (closed_) return;
     dialing_ = false;
-    dial_timer_.cancel();
+    timer_.cancel();
     // A look at the list after the wait: guards against sending to a server that has meanwhile been told to
     // drain, is gone, or has restarted and is cold. Nothing is written, so it never ran.
-    if (error || !Current()) return Finish(Result::kUnreachable, {}, /*reuse=*/false);
+    if (error || !Current()) return Finish(Result::kUnreachable, /*reuse=*/false);
     Read();
     Write();
   }
 
   void Write() {
     RenewParser();
+    head_only_ = job_->head.method() == http::verb::head;
+    parser_->skip(head_only_);
     writing_ = true;
     whole_ = false;
-    http::async_write(socket_, job_->request,
-                      [self = shared_from_this()](ErrorCode error, std::size_t) { self->OnWritten(error); });
+    RequestHead& head = job_->head;
+    Body& body = *job_->body;
+    if (body.ended()) body.length = body.size();
+    const bool chunked = !body.length;
+    if (chunked) head.chunked(true);
+    // As is usual, a method without a body does not announce that it has none.
+    const bool carries = head.method() != http::verb::get && head.method() != http::verb::head;
+    if (body.length && (*body.length > 0 || carries)) head.content_length(*body.length);
+    writer_.Start(shared_from_this(), Text(head), job_->body, chunked,
+                  [self = shared_from_this()](ErrorCode error) { self->OnWritten(error); });
   }
 
   void OnWritten(ErrorCode error) {
     writing_ = false;
-    if (closed_) return;
+    if (closed_ || !job_) return;
     whole_ = !error;
-    // An unfinished request is one that no server begins.
-    if (error) return Finish(Result::kUnreachable, {}, /*reuse=*/false);
+    // An unfinished request is one that no server begins. That its client stopped sending is no fault of the
+    // server's.
+    if (error)
+      return Finish(job_->body->broken() ? Result::kCancelled : Result::kUnreachable, /*reuse=*/false);
     if (pool_.written_) pool_.written_();
-    if (broken_) Finish(Result::kReset, {}, /*reuse=*/false);
+    if (broken_) Finish(Result::kReset, /*reuse=*/false);
   }
 
-  // Stays posted while the connection lives, so that a peer's close is seen when it comes.
+  // Stays posted while the connection lives, so that a peer's close is seen when it comes. Stops only when an
+  // answer waits for room.
   void Read() {
-    socket_.async_read_some(
-        buffer_.prepare(kReadSize),
-        [self = shared_from_this()](ErrorCode error, std::size_t n) { self->OnRead(error, n); });
+    if (reading_ || closed_) return;
+    if (answer_ != nullptr && !answer_->HasRoom()) {
+      if (begun_) timer_.cancel();  // the server is not to blame
+      return;
+    }
+    if (begun_) ExpectMore();
+    reading_ = true;
+    socket_.async_read_some(buffer_.prepare(kReadSize),
+                            [self = shared_from_this()](ErrorCode error, std::size_t n) {
+                              self->reading_ = false;
+                              self->OnRead(error, n);
+                            });
+  }
+
+  void ExpectMore() {
+    ExpireAfter(kMostSilence, [this] { Finish(Result::kTimeout, /*reuse=*/false); });
   }
 
   void OnRead(ErrorCode error, std::size_t n) {
@@ -159,26 +202,45 @@
     if (error) return OnEnd();
     buffer_.commit(n);
     if (!job_) return Close();  // nobody asked
-    if (!Parse()) return Finish(Result::kError, {}, /*reuse=*/false);
+    Advance();
+  }
+
+  // Takes in what has been read, as far as there is room.
+  void Advance() {
+    const auto kept = shared_from_this();
+    if (!Parse()) return Finish(Result::kError, /*reuse=*/false);
+    if (closed_ || !job_) return;
     if (parser_->is_done()) return Complete(/*peer_open=*/true);
     Read();
   }
 
-  // False if it is no HTTP.
+  // False if it is no HTTP, or what is no success is too long.
   bool Parse() {
     while (buffer_.size() > 0 && !parser_->is_done()) {
+      if (answer_ != nullptr && !answer_->HasRoom()) return true;
       ErrorCode error;
+      const bool had_head = parser_->is_header_done();
       const std::size_t used = parser_->put(buffer_.data(), error);
       buffer_.consume(used);
-      if (error == http::error::need_more) return true;
+      // A line that fills the buffer has no end.
+      if (error == http::error::need_more) return buffer_.size() + kReadSize <= buffer_.max_size();
       if (error) return false;
-      if (parser_->is_header_done() && parser_->get().result_int() < 200) Restart();  // 1xx: more comes
+      if (!parser_->is_header_done()) continue;
+      if (parser_->get().result_int() < 200) {  // 1xx: more comes
+        Restart();
+        continue;
+      }
+      if (!had_head) TakeHead();
+      if (!TakePiece()) return false;
+      if (closed_ || !job_) return true;
     }
     return true;
   }
 
   void Restart() {
-    if (parser_->is_done()) RenewParser();
+    if (!parser_->is_done()) return;
+    RenewParser();
+    parser_->skip(head_only_);
   }
 
   // Not eager: an eager parser forgets that the header announced too long a body when bytes of the body came
@@ -187,6 +249,68 @@
     parser_.emplace();
     parser_->header_limit(kMostHeader);
     parser_->body_limit(kMostBody);
+    begun_ = false;
+    answer_ = nullptr;
+    passed_over_ = 0;
+  }
+
+  void TakeHead() {
+    if (ResultOf(parser_->get()) != Result::kSuccess) return;
+    answer_ = std::make_shared<Body>(pool_.budget_);
+    const auto length = parser_->content_length();
+    if (length) answer_->length = *length;
+    const std::weak_ptr<Connection> weak = shared_from_this();
+    answer_->on_room = [weak] {
+      if (const auto self = weak.lock()) self->OnRoom();
+    };
+    answer_->on_abandoned = [weak] {
+      // Later: who abandons it may be in the middle of what it does with this connection.
+      if (const auto self = weak.lock()) asio::post(self->pool_.io_, [self] { self->OnAbandoned(); });
+    };
+    if (parser_->is_done()) return;
+    if (answer_->length && *answer_->length > kMostHeld) return Begin();
+    if (!answer_->length) ExpireAfter(kMostHolding, [this] { Begin(); });
+  }
+
+  // False if what nobody wants is longer than it is worth to read.
+  bool TakePiece() {
+    std::string& piece = parser_->get().body();
+    if (answer_ == nullptr) {
+      passed_over_ += piece.size();
+      piece.clear();
+      return passed_over_ <= kMostHeld;
+    }
+    answer_->Append(std::exchange(piece, {}));
+    if (!begun_ && !parser_->is_done() && !answer_->HasRoom()) Begin();
+    return true;
+  }
+
+  void Begin() {
+    if (std::exchange(begun_, true)) return;
+    ExpectMore();
+    job_->events.begun(HeadOf(), answer_);
+  }
+
+  ResponseHead HeadOf() const {
+    ResponseHead head;
+    head.result(parser_->get().result());
+    if (const auto type = parser_->get()[http::field::content_type]; !type.empty())
+      head.set(http::field::content_type, type);
+    return head;
+  }
+
+  void OnRoom() {
+    if (closed_ || !job_ || !begun_ || parser_->is_done()) return;
+    ExpectMore();
+    Advance();
+  }
+
+  void OnAbandoned() {
+    if (!closed_ && job_ && begun_) Finish(Result::kCancelled, /*reuse=*/false);
+  }
+
+  void DropAnswer() {
+    if (answer_ != nullptr) std::exchange(answer_, nullptr)->Break();
   }
 
   // The peer closed or reset the connection.
@@ -197,7 +321,7 @@
       parser_->put_eof(error);  // the end of a body that has no other; an error if it is cut off
       if (!error && parser_->is_done()) return Complete(/*peer_open=*/false);
     }
-    if (!writing_) return Finish(Result::kReset, {}, /*reuse=*/false);
+    if (!writing_) return Finish(Result::kReset, /*reuse=*/false);
     // Whether the last byte went out shows when the write ends; closing the socket ends it.
     broken_ = true;
     ErrorCode ignored;
@@ -205,34 +329,46 @@
   }
 
   void Complete(bool peer_open) {
-    HttpResponse response = parser_->release();
-    const bool reuse = peer_open && whole_ && response.keep_alive() && buffer_.size() == 0;
-    const Result result = ResultOf(response);
-    Finish(result, std::move(response), reuse);
+    const bool reuse = peer_open && whole_ && parser_->get().keep_alive() && buffer_.size() == 0;
+    if (answer_ != nullptr) answer_->End();
+    Finish(ResultOf(parser_->get()), reuse);
   }
 
-  void Finish(Result result, HttpResponse response, bool reuse) {
+  void Finish(Result result, bool reuse) {
     const auto self = shared_from_this();
-    Job job = std::move(*job_);
+    const Job job = std::move(*job_);
     job_.reset();
+    timer_.cancel();
     pool_.attempts_.erase(job.id);
+    UpstreamAnswer answer{result, {}, nullptr};
+    if (result == Result::kSuccess) {
+      answer.head = HeadOf();
+      if (!begun_) answer.body = answer_;
+      answer_ = nullptr;  // whole: its writer goes on without this connection
+    }
     if (reuse) {
       Read();
       pool_.Release(self);
     } else {
       Close();
     }
-    job.done({result, std::move(response)});
+    job.events.done(std::move(answer));
   }
 
   Upstream& pool_;
   const std::shared_ptr<Server> server_;
   const std::uint64_t life_;
   Tcp::socket socket_;
-  asio::steady_timer dial_timer_;
+  asio::steady_timer timer_;  // of the dial, and then of the answer
   beast::flat_buffer buffer_{kMostUnparsed};
-  std::optional<http::response_parser<http::string_body>> parser_;
+  std::optional<http::response_parser<PieceBody>> parser_;
   std::optional<Job> job_;
+  MessageWriter writer_;
+  BodyPtr answer_;               // of a success, from its head to its end
+  std::size_t passed_over_ = 0;  // of the body of what is none
+  bool begun_ = false;           // the answer is passed on as it comes
+  bool head_only_ = false;       // the request is HEAD
+  bool reading_ = false;
   bool dialing_ = false;
   bool writing_ = false;
   bool whole_ = false;   // the request's last byte has been written
@@ -240,8 +376,9 @@
   bool closed_ = false;
 };
 
-Upstream::Upstream(asio::io_context& io, Limits limits, std::function<void()> written)
-    : io_(io), limits_(limits), written_(std::move(written)), sweep_(io) {}
+Upstream::Upstream(asio::io_context& io, Limits limits, std::shared_ptr<Budget> budget,
+                   std::function<void()> written)
+    : io_(io), limits_(limits), budget_(std::move(budget)), written_(std::move(written)), sweep_(io) {}
 
 Upstream::~Upstream() {
   for (const auto& [id, connection] : attempts_)
@@ -291,31 +428,31 @@
   }
 }
 
-Upstream::AttemptId Upstream::Send(const std::string& id, HttpRequest request, Done done) {
+Upstream::AttemptId Upstream::Send(const std::string& id, RequestHead head, BodyPtr body, Events events) {
   const auto found = servers_.find(id);
-  if (found == servers_.end() || !found->second->Up()) return FailLater(std::move(done));
+  if (found == servers_.end() || !found->second->Up()) return FailLater(std::move(events));
   const std::shared_ptr<Server> server = found->second;
   ConnectionPtr connection = TakeIdle(*server);
   const AttemptId attempt = ++last_attempt_;
   if (connection != nullptr) {
     attempts_[attempt] = connection;
-    connection->Start({attempt, std::move(request), std::move(done)});
+    connection->Start({attempt, std::move(head), std::move(body), std::move(events)});
     return attempt;
   }
-  if (open_ >= limits_.connections && !MakeRoom()) return FailLater(std::move(done));
+  if (open_ >= limits_.connections && !MakeRoom()) return FailLater(std::move(events));
   connection = std::make_shared<Connection>(*this, server);
   ++open_;
   attempts_[attempt] = connection;
-  connection->Dial({attempt, std::move(request), std::move(done)});
+  connection->Dial({attempt, std::move(head), std::move(body), std::move(events)});
   return attempt;
 }
 
 // The module must not hear of an outcome while it is still saying what to send.
-Upstream::AttemptId Upstream::FailLater(Done done) {
+Upstream::AttemptId Upstream::FailLater(Events events) {
   const AttemptId attempt = ++last_attempt_;
   attempts_[attempt] = nullptr;
-  asio::post(io_, [this, attempt, done = std::move(done)] {
-    if (attempts_.erase(attempt) > 0) done({Result::kUnreachable, {}});
+  asio::post(io_, [this, attempt, done = std::move(events.done)] {
+    if (attempts_.erase(attempt) > 0) done({Result::kUnreachable, {}, nullptr});
   });
   return attempt;
 }
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "body.hpp"
 #include "discovery.hpp"
 #include "merlinrun/balancer.hpp"
 #include "protocol.hpp"
@@ -18,13 +19,20 @@
 
 struct UpstreamAnswer {
   Result result = Result::kUnreachable;
-  HttpResponse response;  // whole; of interest after a success
+  ResponseHead head;       // of interest after a success ...
+  BodyPtr body = nullptr;  // ... as is the body, which is whole; null if the answer has begun before
 };
 
 class Upstream {
  public:
   using AttemptId = std::uint64_t;
-  using Done = std::function<void(UpstreamAnswer)>;
+  struct Events {
+    // Called once, from the loop and never from in here, unless the attempt is given up.
+    std::function<void(UpstreamAnswer)> done;
+    // Called before that if the answer is to be passed on as it comes: it is too long to be held, or its end
+    // is not in sight. What is wrong with it later breaks the body.
+    std::function<void(const ResponseHead&, const BodyPtr&)> begun;
+  };
   struct Limits {
     Micros keep_idle = 0;     // an idle connection is closed after so long; 0 = only when its peer does
     Micros dial_timeout = 0;  // 0 = as long as the attempt lasts
@@ -32,7 +40,8 @@
   };
 
   // `written` is called when an attempt has been written whole.
-  Upstream(asio::io_context& io, Limits limits, std::function<void()> written = {});
+  Upstream(asio::io_context& io, Limits limits, std::shared_ptr<Budget> budget,
+           std::function<void()> written = {});
   ~Upstream();
   Upstream(const Upstream&) = delete;
   Upstream& operator=(const Upstream&) = delete;
@@ -45,8 +54,8 @@
   // way finishes.
   void Retire(const std::string& server);
 
-  // Starts an attempt. `done` is called once, from the loop and never from in here, unless it is given up.
-  AttemptId Send(const std::string& server, HttpRequest request, Done done);
+  // Starts an attempt. A body that is still coming is passed on as it comes.
+  AttemptId Send(const std::string& server, RequestHead head, BodyPtr body, Events events);
   // Ends an attempt by closing its connection; its `done` is not called any more.
   void GiveUp(AttemptId attempt);
 
@@ -62,7 +71,7 @@
   static void CloseIdle(Server& server);
   ConnectionPtr TakeIdle(Server& server);
   bool MakeRoom();
-  AttemptId FailLater(Done done);
+  AttemptId FailLater(Events events);
   void Release(const ConnectionPtr& connection);
   void Forget(const Connection& connection);
   void SweepLater();
@@ -70,6 +79,7 @@
 
   asio::io_context& io_;
   const Limits limits_;
+  const std::shared_ptr<Budget> budget_;
   const std::function<void()> written_;
   asio::steady_timer sweep_;
   bool sweeping_ = false;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -60,6 +60,8 @@
 constexpr double kRefusalMemory = 3;
 constexpr double kServedMemory = 10;
 constexpr double kRefusalMost = 0.95;
+// An open request has no deadline until its last byte has come; what sends it sees to its progress.
+constexpr Micros kNoDeadline = 3600 * kSecond;
 // At most this part of the window is left alone at once: a slowdown that all share must not empty it.
 constexpr double kMostAway = 0.5;
 // From this share of the requests that a sidecar can have open on, none is let in and none waits for another
@@ -181,7 +183,8 @@
     if (first_arrival_ == 0) first_arrival_ = now_;
     held.request_class = static_cast<std::size_t>(in.request_class);
     held.arrived = now_;
-    held.deadline = now_ + in.budget;
+    held.open = in.open;
+    held.deadline = now_ + (in.open ? kNoDeadline : in.budget);
     ClassTimes& times = times_[held.request_class];
     times.longest_budget = std::max(times.longest_budget, in.budget);
     held.late = in.budget < times.longest_budget - set_.tick &&
@@ -202,7 +205,8 @@
     attempt.out = false;
     attempt.may_have_run = !ProvesNeverRan(outcome.result, set_.refused_may_have_run);
     --attempt.server->out;
-    --pools_[attempt.server->pool].out;
+    attempt.server->answering -= attempt.begun;
+    pools_[attempt.server->pool].out -= !attempt.begun;
     if (outcome.result == Result::kSuccess && Warmth(*attempt.server) >= 1) ++served_warm_;
     Judge(held, *attempt.server, outcome);
     if (!attempt.felt) Feel(held, *attempt.server, outcome);
@@ -225,6 +229,30 @@
     }
   }
 
+  // From here on it is a request like the others.
+  void OnRequestEnded(std::string_view request, Micros budget) {
+    auto it = held_.find(std::string(request));
+    if (it == held_.end() || !std::exchange(it->second.open, false)) return;
+    it->second.arrived = now_;
+    it->second.deadline = now_ + budget;
+    if (it->second.AnyOut() && !it->second.ended) Alarm(it, ClassOf(it->second).aim);
+  }
+
+  void OnBodyDropped(std::string_view request) {
+    auto it = held_.find(std::string(request));
+    if (it != held_.end()) it->second.dropped = true;
+  }
+
+  void OnResponseStarted(std::string_view request, int number) {
+    auto it = held_.find(std::string(request));
+    if (it == held_.end() || number < 0 || static_cast<std::size_t>(number) >= it->second.attempts.size())
+      return;
+    Attempt& attempt = it->second.attempts[static_cast<std::size_t>(number)];
+    if (!attempt.out || std::exchange(attempt.begun, true)) return;
+    ++attempt.server->answering;
+    --pools_[attempt.server->pool].out;
+  }
+
   void OnClientGone(std::string_view request) {
     auto it = held_.find(std::string(request));
     if (it == held_.end()) return;
@@ -307,14 +335,14 @@
     pool.out_peak = std::max(static_cast<double>(++pool.out), pool.out_peak * (1 - 1 / kAnswerMemory));
     held.attempts.push_back({server, server->info.zone, server->info.cell, now_});
     sink_.Send(it->first, server->info.id, TimeOut(held));
-    if (const Micros late = held.arrived + ClassOf(held).aim - now_; late > 0) Alarm(it, late);
+    if (const Micros late = held.arrived + ClassOf(held).aim - now_; late > 0 && !held.open) Alarm(it, late);
   }
 
   // An attempt is given up when its answer would be worth nothing. Guards against servers kept busy with what
   // comes late, and tells early of those that hang.
   Micros TimeOut(const Held& held) const {
     const RequestClass& c = ClassOf(held);
-    if (c.aim <= 0 || c.late_worth > 0 || c.aim_stretch > 0) return 0;
+    if (c.aim <= 0 || c.late_worth > 0 || c.aim_stretch > 0 || held.open) return 0;
     return std::max<Micros>(held.arrived + c.aim - now_, set_.tick);
   }
 
@@ -347,7 +375,7 @@
   // hearing of an overload only when the answers come, seconds after they were late.
   void FeelLate(Held& held) {
     Attempt& attempt = held.attempts.back();
-    if (!attempt.out || std::exchange(attempt.felt, true)) return;
+    if (!attempt.out || attempt.begun || std::exchange(attempt.felt, true)) return;
     Feel(held, *attempt.server, {.request = {}, .result = Result::kTimeout});
     Strike(*attempt.server);
   }
@@ -405,7 +433,7 @@
 
   // A server in its wait, or with its one trial attempt out.
   bool Away(const Server& server) const {
-    return now_ < server.away_until || (server.strikes > 0 && server.out > 0);
+    return now_ < server.away_until || (server.strikes > 0 && server.Working() > 0);
   }
 
   // One class turned away of several is a limit on it and no pressure.
@@ -429,10 +457,10 @@
 
   // How busy a server is by own attempts out, counted in the time that it takes for each. Own counts alone do
   // not see a slow server that answers in the end, nor do they tell idle servers apart.
-  static double Busy(const Server& server) { return (server.out + 1) * server.slow; }
+  static double Busy(const Server& server) { return (server.Working() + 1) * server.slow; }
 
   bool Full(const Server& server) const {
-    return static_cast<std::size_t>(server.out) >=
+    return static_cast<std::size_t>(server.Working()) >=
            std::max(kMostOut / pools_[server.pool].sharers, kLeastOut);
   }
 
@@ -520,7 +548,7 @@
     server.served_then = served_warm_;
     if (server.young_credit >= 1) return true;
     const double most = warmth * static_cast<double>(kMostOut) / static_cast<double>(pool.sharers);
-    return sound == 0 && server.out < std::max(most, 1.0);
+    return sound == 0 && server.Working() < std::max(most, 1.0);
   }
 
   // The design's wait: full jitter, doubling. Ends the request when nothing more can come of it.
@@ -541,7 +569,9 @@
     sink_.SetTimer(wait, last_timer_);
   }
 
-  bool MayRepeat(const Held& held) const {
+  bool MayRepeat(const Held& held) const { return !held.dropped && HarmlessAgain(held); }
+
+  bool HarmlessAgain(const Held& held) const {
     const Attempt* ran = held.MayHaveRun();
     const RequestClass& c = ClassOf(held);
     return ran == nullptr || c.repeat == Repeat::kSafe ||
@@ -552,7 +582,7 @@
   void End(HeldIt it) {
     const RequestClass& c = ClassOf(it->second);
     const bool harmless = it->second.MayHaveRun() == nullptr || c.repeat == Repeat::kSafe ||
-                          (c.group == DedupGroup::kAll && MayRepeat(it->second));
+                          (c.group == DedupGroup::kAll && HarmlessAgain(it->second));
     SetEnded(it->second);
     if (harmless) {
       // Advice beyond half the aim would bring the client back too late to be served in time.
@@ -655,8 +685,17 @@
   state_->Advance(now);
   state_->OnRequest(request);
 }
-void Balancer::OnResponseStarted(Micros now, std::string_view, int) {
-  state_->Advance(now);  // the attempt is the client's now; its outcome still comes
+void Balancer::OnRequestEnded(Micros now, std::string_view request, Micros budget) {
+  state_->Advance(now);
+  state_->OnRequestEnded(request, budget);
+}
+void Balancer::OnBodyDropped(Micros now, std::string_view request) {
+  state_->Advance(now);
+  state_->OnBodyDropped(request);
+}
+void Balancer::OnResponseStarted(Micros now, std::string_view request, int attempt) {
+  state_->Advance(now);
+  state_->OnResponseStarted(request, attempt);
 }
 void Balancer::OnOutcome(Micros now, const Outcome& outcome) {
   state_->Advance(now);
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -16,6 +16,7 @@
   std::size_t pool = 0;
   bool listed = false;
   int out = 0;                   // own attempts in flight
+  int answering = 0;             // of them, those whose answer has begun: they wait for slow clients
   double slow = 1;               // its answer times as a multiple of what is usual for their class
   std::vector<double> refuses;   // by class: share of its requests that were turned away lately
   double fails = 0;              // share of all requests that it answered with an error lately
@@ -24,6 +25,8 @@
   double young_credit = 0;       // sends that a young server may still be given
   std::int64_t served_then = 0;  // what warm ones had served when the credit was last reckoned
 
+  int Working() const { return out - answering; }
+
   // What a process did says nothing of the one that replaces it.
   void Forget() {
     slow = 1;
@@ -57,6 +60,7 @@
   std::int64_t cell = -1;
   Micros sent = 0;
   bool out = true;
+  bool begun = false;        // its answer has
   bool felt = false;         // that it is late has been taken as pressure already
   bool may_have_run = true;  // until an outcome proves that it did not
 };
@@ -67,6 +71,8 @@
   std::size_t pool = 0;
   Micros arrived = 0;
   Micros deadline = 0;
+  bool open = false;     // its last byte is still to come
+  bool dropped = false;  // its first bytes are gone
   bool ended = false;
   bool cancelled = false;  // what was out at its end is called off
   int refusals = 0;
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -939,6 +939,55 @@
   }
 }
 
+TEST_F(BalancerTest, AnOpenRequestsTimeCountsFromItsLastByte) {
+  Start(MakeSettings(), 3);
+  Request request;
+  request.id = "r1";
+  request.request_class = 2;
+  request.budget = 2 * kSec;
+  request.open = true;
+  balancer_->OnRequest(now_, request);
+  auto actions = sink_.Take();
+  ASSERT_EQ(actions.size(), 1u);  // no alarm for its being late
+  EXPECT_EQ(actions[0].kind, Kind::kSend);
+  now_ += 20 * kSec;
+  balancer_->OnRequestEnded(now_, "r1", 2 * kSec);
+  actions = sink_.Take();
+  ASSERT_EQ(actions.size(), 1u);
+  EXPECT_EQ(actions[0].kind, Kind::kTimer);
+  EXPECT_EQ(actions[0].time, MakeSettings().classes[2].aim);
+  EXPECT_EQ(Resolve("r1", 0, Result::kRefused)[0].kind, Kind::kTimer);  // there is time for another try
+}
+
+TEST_F(BalancerTest, WhatIsPartlyGoneIsNotRepeated) {
+  for (int request_class : {0, 1, 2, 3}) {
+    Start(MakeSettings(), 3);
+    Deliver("r1", request_class);
+    balancer_->OnBodyDropped(now_, "r1");
+    sink_.Take();
+    const auto end = Resolve("r1", 0, Result::kRefused);
+    ASSERT_EQ(end.size(), 1u);
+    EXPECT_EQ(end[0].kind, Kind::kRefuse);  // harmless all the same: it never ran
+  }
+}
+
+TEST_F(BalancerTest, AnAnswerThatHasBegunKeepsNoServerBusy) {
+  Start(MakeSettings(), 1);
+  int sent = 0;
+  for (int i = 0; i < 40; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    if (Arrive(id)[0].kind != Kind::kSend) continue;
+    ++sent;
+    balancer_->OnResponseStarted(now_, id, 0);
+  }
+  EXPECT_EQ(sent, 40);  // 4 without an answer fill it
+  for (int i = 0; i < 40; ++i) Resolve("r" + std::to_string(i), 0, Result::kSuccess, true);
+  EXPECT_EQ(balancer_->requests_held(), 0u);
+  int more = 0;
+  for (int i = 0; i < 40; ++i) more += Arrive("s" + std::to_string(i))[0].kind == Kind::kSend;
+  EXPECT_EQ(more, 4);
+}
+
 TEST_F(BalancerTest, AServerTakenOutByHandGetsNothingUntilItIsCalledBack) {
   Start(MakeSettings(), 3);
   const auto used = [&](const std::string& name) {
