--- a/tests/net/sidecar_test.cpp
+++ b/tests/net/sidecar_test.cpp
@@ -470,10 +470,9 @@
   Tell(List(3, true, {Entry("s1", one.address, "up", 1000), both[1]}));
   ASSERT_TRUE(RunUntil(io, [&] { return Figure("members") == "2"; }));
   for (int i = 0; i < 20; ++i) ask();
-  sidecar.reset();
+  const auto old = std::move(sidecar);
   watching = nullptr;
-  discovery.peers.clear();
-  Start(both);  // the next process, as after an upgrade
+  Start(both);  // beside it, as in an upgrade
   for (int i = 0; i < 20; ++i) ask();
   EXPECT_EQ(one.requests(), before);
   EXPECT_EQ(CallStatus("enable", "s1"), "200");
