--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -94,6 +94,20 @@
   EXPECT_EQ(failures, static_cast<int>(bad.size()));
 }
 
+TEST_F(DiscoveryTest, ALineWithoutEndEndsTheWatchAndNotTheList) {
+  Start({Chunk(Line(42, "s-a")), Chunk(Line(43, "s-b"))});
+  ASSERT_TRUE(RunUntil(io, [&] { return lists.size() == 1; }));
+  // More than the kernel holds: written as it is read, for a write that waits would stop the loop for good.
+  const std::string line = Chunk(std::string(8'000'000, 'x'));
+  ::testing::internal::CaptureStderr();
+  asio::async_write(server->peers[0]->socket, asio::buffer(line), [](ErrorCode, std::size_t) {});
+  const bool again = RunUntil(io, [&] { return lists.size() == 2; });
+  const std::string said = ::testing::internal::GetCapturedStderr();
+  ASSERT_TRUE(again);
+  EXPECT_EQ(std::count(said.begin(), said.end(), '\n'), 1) << said;
+  EXPECT_NE(server->peers[1]->received.find("index=42 "), std::string::npos);
+}
+
 TEST_F(DiscoveryTest, LeavesReopeningToTheModuleWhereListsAreAskedFor) {
   Discovery::Timing timing;
   timing.reopens = false;
