Share the bound on what is out at a server among windows as wide as the load makes them

Trace of the servers twice a second: each of the two sidecars had up to 12 out at every server (70 and 41 in all over seven), together 22 at one of four cores; all turned slow and struck within two seconds, admission fell to 5% and the sidecars refilled what came free. Ruled out: the ban and the call back (0 of 24 calls wrong, 0 left unused), young servers without work (0 to 2 of nine). The part of each sidecar was reckoned at the least width of a window, so that two sidecars with windows over all servers counted as one (Full, pool.sharers).

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -37,9 +37,9 @@
 // Attempts that one server may have out from all sidecars whose windows hold it, each its even part; with so
 // many own ones it counts as full. More would only wait in its queue until they are late, and a server that
 // is overdriven so for seconds chokes. 8 to 24 were tried.
-constexpr std::size_t kMostOut = 12;
+constexpr double kMostOut = 12;
 // No sidecar's part is less: with one, a single dear request would close a server to all its others.
-constexpr std::size_t kLeastOut = 2;
+constexpr double kLeastOut = 2;
 // Draws from the window before it is searched from end to end: bounds the work of an ordinary choice.
 constexpr int kDraws = 8;
 // Answers over which a class's usual time is remembered, and sends over which the peak of what is out is.
@@ -459,9 +459,15 @@
   // not see a slow server that answers in the end, nor do they tell idle servers apart.
   static double Busy(const Server& server) { return (server.Working() + 1) * server.slow; }
 
+  // A server's even part of the bound for each sidecar that shares it. Nobody knows the others' windows; they
+  // are taken to lie half way between the least and the own, as a load that widens one widens others too.
+  double MostOut(const Pool& pool) const {
+    const double others = static_cast<double>((set_.siblings - 1) * (Width(pool) + kWindowWidth)) / 2;
+    return kMostOut / (1 + others / static_cast<double>(std::max<std::size_t>(pool.ring.size(), 1)));
+  }
+
   bool Full(const Server& server) const {
-    return static_cast<std::size_t>(server.Working()) >=
-           std::max(kMostOut / pools_[server.pool].sharers, kLeastOut);
+    return server.Working() + 1 > std::max(MostOut(pools_[server.pool]), kLeastOut);
   }
 
   // The less busy of two random window servers. Null if the window holds none that may be used.
@@ -547,8 +553,7 @@
     server.young_credit = std::min(1.0, server.young_credit + warmth * served_each);
     server.served_then = served_warm_;
     if (server.young_credit >= 1) return true;
-    const double most = warmth * static_cast<double>(kMostOut) / static_cast<double>(pool.sharers);
-    return sound == 0 && server.Working() < std::max(most, 1.0);
+    return sound == 0 && server.Working() < std::max(warmth * MostOut(pool), 1.0);
   }
 
   // The design's wait: full jitter, doubling. Ends the request when nothing more can come of it.
