Tell a body's reader of room from the loop, and keep half of the memory free

What a body held was booked by its size and not by what the system gave (up to twice that); now by that, from an eighth of the memory, and what is freed goes back (mallopt). The crash: Connection::Begin told the sidecar, whose writer took the piece at once and so made the connection parse on and end the attempt whose handler still ran; a test ends it in the same way without the change. The requests without an answer: a reader that stopped while the budget was spent was not woken when it was not any more (Body::Taken).

--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -33,15 +33,31 @@
 constexpr double kAdmitLeast = 0.05;
 // Good answers save up to this level, so that one bad answer by chance refuses nobody.
 constexpr double kAdmitMost = 1.5;
+// From this share of the requests that a sidecar can have open on, none is let in and none waits for another
+// try. Guards against clients that have no connection left: a refusal tells them at once, and when to return.
+constexpr double kCrowded = 0.85;
+// What is left of that at first to one that succeeds another process, whose requests are still open: they end
+// within about the longest aim, and the share grows evenly as long.
+constexpr double kCrowdedFirst = 0.15;
+// From this share on a class counts as turned away by a server.
+constexpr double kRefusesSome = 0.1;
 // Arrivals over which the mix of classes is remembered.
 constexpr double kMixMemory = 100;
 
+// One class turned away of several is a limit on it and no pressure.
+bool RefusesOneClass(const Server& server) {
+  const auto some = [](double share) { return share > kRefusesSome; };
+  return server.refuses.size() > 1 && std::count_if(server.refuses.begin(), server.refuses.end(), some) == 1;
+}
+
 }  // namespace
 
 Admission::Admission(const Settings& settings, Random& random)
     : set_(settings), random_(random), load_(settings.classes.size()) {}
 
-void Admission::CountArrival(std::size_t own, std::optional<Micros> cost) {
+void Admission::CountArrival(Micros now, std::size_t own, std::optional<Micros> cost) {
+  ++open_;
+  if (first_arrival_ == 0) first_arrival_ = now;
   hinted_ = hinted_ || cost.has_value();
   if (cost) load_[own].work += (static_cast<double>(*cost) - load_[own].work) / kMixMemory;
   for (ClassLoad& load : load_) load.arriving *= 1 - 1 / kMixMemory;
@@ -55,6 +71,18 @@
          pool.admit * Arriving(0) - Arriving(Density(own) * (late ? set_.classes[own].late_worth : 1));
 }
 
+bool Admission::Crowded(Micros now) const {
+  if (set_.most_open <= 0) return false;
+  double share = kCrowded;
+  if (succeeds_) {
+    Micros longest = 1;
+    for (const RequestClass& c : set_.classes) longest = std::max(longest, c.aim);
+    const double grown = static_cast<double>(now - first_arrival_) / static_cast<double>(longest);
+    share = kCrowdedFirst + (kCrowded - kCrowdedFirst) * std::min(grown, 1.0);
+  }
+  return static_cast<double>(open_) > share * static_cast<double>(set_.most_open);
+}
+
 bool Admission::WorthCrossing(std::size_t own) const {
   return Worth(own) >= set_.price_crossing * mean_worth_;
 }
@@ -95,14 +123,14 @@
 
 double Admission::Density(std::size_t i) const { return Worth(i) / load_[i].work; }
 
-void Admission::Feel(Pool& pool, std::size_t own, const Outcome& outcome, bool limit_on_one_class) {
+void Admission::Feel(Pool& pool, std::size_t own, const Outcome& outcome, const Server& server) {
   const double aim = static_cast<double>(std::max<Micros>(set_.classes[own].aim, 1));
   double aims = std::min(static_cast<double>(outcome.elapsed) / aim, kAdmitWorst);
   if (outcome.result == Result::kSuccess) {
     ClassLoad& load = load_[own];
     if (!hinted_) load.work += (static_cast<double>(outcome.elapsed) - load.work) / kMixMemory;
   } else if (outcome.result == Result::kTimeout ||
-             (outcome.result == Result::kRefused && !limit_on_one_class)) {
+             (outcome.result == Result::kRefused && !RefusesOneClass(server))) {
     aims = kAdmitWorst;
   } else {
     return;  // says nothing of load
--- a/src/admission.hpp
+++ b/src/admission.hpp
@@ -17,13 +17,19 @@
   // Keeps references: both must outlive it.
   Admission(const Settings& settings, Random& random);
 
-  void CountArrival(std::size_t request_class, std::optional<Micros> cost);
+  void CountArrival(Micros now, std::size_t request_class, std::optional<Micros> cost);
+  // A request that has arrived has its final answer.
+  void CountEnd() { --open_; }
+  // Another process came before this one, and may still serve when this one begins to.
+  void Succeed() { succeeds_ = true; }
+  // Whether so many requests are open that clients may soon find no connection for the next.
+  bool Crowded(Micros now) const;
   // Whether a request of that class is let in; `late` ones have waited past their aim already.
   bool Admits(const Pool& pool, std::size_t request_class, bool late);
   // A crossing has to be worth its price: requests of least worth stay at home or are refused.
   bool WorthCrossing(std::size_t request_class) const;
   // What an outcome tells of the pressure on the servers.
-  void Feel(Pool& pool, std::size_t request_class, const Outcome& outcome, bool limit_on_one_class);
+  void Feel(Pool& pool, std::size_t request_class, const Outcome& outcome, const Server& server);
 
  private:
   double Arriving(double density) const;
@@ -36,7 +42,10 @@
   Random& random_;
   std::vector<ClassLoad> load_;  // by class
   double mean_worth_ = 0;        // of an arriving request
-  bool hinted_ = false;          // requests carry their expected work
+  std::size_t open_ = 0;         // requests without their final answer
+  Micros first_arrival_ = 0;     // of a request; 0 = none yet
+  bool succeeds_ = false;
+  bool hinted_ = false;  // requests carry their expected work
 };
 
 }  // namespace merlinrun
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,6 +1,8 @@
 // fennelhollow: a sidecar that balances the load of the application beside it over its servers.
 // SIGHUP makes it follow the discovery that its configuration names by then.
 // Exit status: 0 after SIGTERM or SIGINT, 1 if it cannot listen, 2 if the configuration makes no sense.
+#include <malloc.h>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
@@ -65,9 +67,13 @@
   return 0;
 }
 
+// What a long body held goes back to the system when it is dropped, and is not kept in the heap.
+constexpr int kMapFrom = 32 * 1024;
+
 }  // namespace
 
 int main() {
+  ::mallopt(M_MMAP_THRESHOLD, kMapFrom);
   std::signal(SIGPIPE, SIG_IGN);  // a peer that has left is an error of the write, not the end
   try {
     return Serve();
--- a/src/net/body.cpp
+++ b/src/net/body.cpp
@@ -15,8 +15,7 @@
 }  // namespace
 
 std::shared_ptr<Body> Body::Whole(std::string text) {
-  auto body = std::make_shared<Body>(std::make_shared<Budget>(text.size()));
-  body->budget_->Take(text.size());
+  auto body = std::make_shared<Body>(std::make_shared<Budget>(0));
   body->data_ = std::move(text);
   body->ended_ = true;
   return body;
@@ -29,7 +28,7 @@
 void Body::Append(std::string_view piece) {
   if (abandoned_ || piece.empty()) return;
   data_.append(piece);
-  budget_->Take(piece.size());
+  Book();
   if (on_data) on_data();
 }
 
@@ -44,20 +43,30 @@
   if (on_data) on_data();
 }
 
+// What is taken from the system counts, and not what is in use of it.
+void Body::Book() {
+  budget_->Give(std::exchange(booked_, data_.capacity()));
+  budget_->Take(booked_);
+}
+
 std::string_view Body::From(std::uint64_t position) const {
   return std::string_view(data_).substr(static_cast<std::size_t>(position - dropped_));
 }
 
 // What is held is dropped only when there is no other way to go on.
 void Body::Taken(std::uint64_t position) {
-  if (held_ && (ended_ || HasRoom() || position < size())) return;
+  if (held_ && (ended_ || position < size())) return;
+  if (held_ && HasRoom()) {  // its reader may have stopped while the budget was spent
+    if (on_room) on_room();
+    return;
+  }
   const bool first = std::exchange(held_, false) || dropped_ == 0;
   const auto taken = static_cast<std::size_t>(position - dropped_);
   if (taken == 0) return;
   data_.erase(0, taken);
   if (data_.empty() && data_.capacity() > 2 * kPiece) data_.shrink_to_fit();
   dropped_ = position;
-  budget_->Give(taken);
+  Book();
   if (first && on_dropped) std::exchange(on_dropped, nullptr)();
   if (HasRoom() && on_room) on_room();
 }
--- a/src/net/body.hpp
+++ b/src/net/body.hpp
@@ -36,7 +36,7 @@
 class Body {
  public:
   explicit Body(std::shared_ptr<Budget> budget) : budget_(std::move(budget)) {}
-  ~Body() { budget_->Give(data_.size()); }
+  ~Body() { budget_->Give(booked_); }
   Body(const Body&) = delete;
   Body& operator=(const Body&) = delete;
 
@@ -68,8 +68,11 @@
   std::function<void()> on_end;        // it has come whole
 
  private:
+  void Book();
+
   const std::shared_ptr<Budget> budget_;
   std::string data_;
+  std::size_t booked_ = 0;  // of the budget
   std::uint64_t dropped_ = 0;
   bool held_ = true;
   bool ended_ = false;
--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/string.hpp>
@@ -122,6 +123,7 @@
     state_ = State::kReading;
     parser_.emplace();
     body_ = nullptr;
+    if (buffer_.size() == 0) buffer_.shrink_to_fit();  // it may be long before the next
     paused_ = std::nullopt;
     deadline_.cancel();  // between requests a client may rest
   }
@@ -236,8 +238,9 @@
       body_->length = length ? *length : 0;
     }
     const std::weak_ptr<Session> weak = shared_from_this();
+    // Later: who takes it may be in the middle of what it does with this session.
     body_->on_room = [weak] {
-      if (const auto self = weak.lock()) self->OnRoom();
+      if (const auto self = weak.lock()) asio::post(self->owner_.io_, [self] { self->OnRoom(); });
     };
     if (parser_->parser.is_done()) return true;
     const auto expect = request[http::field::expect];
@@ -338,9 +341,9 @@
   std::array<char, kReadSize> input_{};  // of its own: the buffer may move what it holds while a read is out
   beast::flat_buffer buffer_{2 * kMostUnparsed};
   std::optional<Incoming> parser_;
-  BodyPtr body_;                // of the request, once its head has come
+  BodyPtr body_;                             // of the request, once its head has come
   std::optional<Clock::time_point> paused_;  // since when it waits for room
-  BodyPtr answer_;              // while it is written
+  BodyPtr answer_;                           // while it is written
   MessageWriter writer_;
   std::function<void(bool)> done_;  // told when the answer has gone out, or cannot
   State state_ = State::kReading;
--- a/src/net/protocol.hpp
+++ b/src/net/protocol.hpp
@@ -28,7 +28,7 @@
 inline constexpr std::size_t kMostHeld = std::size_t{64} * 1024;  // a longer body is passed on as it comes
 inline constexpr std::size_t kPiece = std::size_t{16} * 1024;
 inline constexpr std::size_t kMostHeader = std::size_t{16} * 1024;
-inline constexpr std::size_t kReadSize = kPiece;
+inline constexpr std::size_t kReadSize = kPiece / 2;
 // What a connection holds unparsed: one header and one read.
 inline constexpr std::size_t kMostUnparsed = kMostHeader + kReadSize;
 
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -45,7 +45,8 @@
 // grace, half a second where it is shortest.
 constexpr Micros kBansPeriod = 200 * kMs;
 // The part of the memory that bodies may hold; half of it where two processes share it for a while.
-constexpr std::size_t kBudgetShare = 4;
+// Connections need about as much again for what they read and write, and half of the memory stays free.
+constexpr std::size_t kBudgetShare = 8;
 // A long body counts no time before its last byte, nor an answer after its first: both go by progress.
 constexpr Micros kNoDeadline = 3600 * kSecond;
 // In $TMPDIR once a process takes clients: the next one there succeeds it.
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -260,11 +260,11 @@
     const auto length = parser_->content_length();
     if (length) answer_->length = *length;
     const std::weak_ptr<Connection> weak = shared_from_this();
+    // Both later: who takes or abandons it may be in the middle of what it does with this connection.
     answer_->on_room = [weak] {
-      if (const auto self = weak.lock()) self->OnRoom();
+      if (const auto self = weak.lock()) asio::post(self->pool_.io_, [self] { self->OnRoom(); });
     };
     answer_->on_abandoned = [weak] {
-      // Later: who abandons it may be in the middle of what it does with this connection.
       if (const auto self = weak.lock()) asio::post(self->pool_.io_, [self] { self->OnAbandoned(); });
     };
     if (parser_->is_done()) return;
@@ -346,6 +346,7 @@
       if (!begun_) answer.body = answer_;
       answer_ = nullptr;  // whole: its writer goes on without this connection
     }
+    begun_ = false;
     if (reuse) {
       Read();
       pool_.Release(self);
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,8 +1,7 @@
 // Every decision of merlinrun but admission's, which are in admission.cpp. Interface:
 // include/merlinrun/balancer.hpp.
 //
-// Order of this file: tunables, state, the list of servers and the window, a request's life (arrival, choice
-// of a server, outcome, wait, end), discovery.
+// Order of this file: tunables, state, the list of servers and the window, a request's life, discovery.
 #include <algorithm>
 #include <array>
 #include <deque>
@@ -15,6 +14,7 @@
 #include "admission.hpp"
 #include "merlinrun/balancer.hpp"
 #include "records.hpp"
+#include "settings.hpp"
 
 namespace merlinrun {
 namespace {
@@ -53,8 +53,6 @@
 // random(0, min(kRetryCap, base * 2^n)), n being such events in a row: the request's own wait, applied to a
 // server.
 constexpr Micros kServerBase = 500 * kMillisecond;
-// From this share on a class counts as turned away by a server.
-constexpr double kRefusesSome = 0.1;
 // Answers over which a server's turning away of a class, or its failing, is remembered: quick to believe,
 // slow to forget. It is never quite believed, so that an attempt now and then finds the end of it.
 constexpr double kRefusalMemory = 3;
@@ -64,12 +62,6 @@
 constexpr Micros kNoDeadline = 3600 * kSecond;
 // At most this part of the window is left alone at once: a slowdown that all share must not empty it.
 constexpr double kMostAway = 0.5;
-// From this share of the requests that a sidecar can have open on, none is let in and none waits for another
-// try. Guards against clients that have no connection left: a refusal tells them at once, and when to return.
-constexpr double kCrowded = 0.85;
-// What is left of that at first to one that succeeds another process, whose requests are still open: they end
-// within about the longest aim, and the share grows evenly as long.
-constexpr double kCrowdedFirst = 0.15;
 // From this price of a crossing on (share of the result) servers of other zones serve only what their own
 // zone's cannot; below it a choice from all servers gains more than the crossings cost.
 constexpr double kCrossingPriced = 0.05;
@@ -114,7 +106,7 @@
   // ---- The list of servers and the window on its ring ----
 
   void OnServers(const ListUpdate& update) {
-    succeeds_ = succeeds_ || update.awaited;
+    if (update.awaited) admission_.Succeed();
     if (update.kind == ListUpdate::Kind::kFailed) {
       AskLater(update.awaited ? kAskAwaited : Doubled(kAskBase, asks_failed_++, set_.ask_within));
       return;
@@ -179,8 +171,6 @@
     auto [it, fresh] = held_.try_emplace(std::string(in.id));
     if (!fresh) return;
     Held& held = it->second;
-    ++open_;
-    if (first_arrival_ == 0) first_arrival_ = now_;
     held.request_class = static_cast<std::size_t>(in.request_class);
     held.arrived = now_;
     held.open = in.open;
@@ -189,7 +179,7 @@
     times.longest_budget = std::max(times.longest_budget, in.budget);
     held.late = in.budget < times.longest_budget - set_.tick &&
                 ClassOf(held).deadline - in.budget >= ClassOf(held).aim;
-    admission_.CountArrival(held.request_class, in.cost);
+    admission_.CountArrival(now_, held.request_class, in.cost);
     if (ClassOf(held).sequential && !in.key.empty()) lines_[held.key = in.key].push_back(it->first);
     if (!LetIn(held)) return End(it);
     SendOrWait(it);
@@ -303,19 +293,7 @@
   }
 
   void SetEnded(Held& held) {
-    if (!std::exchange(held.ended, true)) --open_;
-  }
-
-  bool Crowded() const {
-    if (set_.most_open <= 0) return false;
-    double share = kCrowded;
-    if (succeeds_) {
-      Micros longest = 1;
-      for (const RequestClass& c : set_.classes) longest = std::max(longest, c.aim);
-      const double grown = static_cast<double>(now_ - first_arrival_) / static_cast<double>(longest);
-      share = kCrowdedFirst + (kCrowded - kCrowdedFirst) * std::min(grown, 1.0);
-    }
-    return static_cast<double>(open_) > share * static_cast<double>(set_.most_open);
+    if (!std::exchange(held.ended, true)) admission_.CountEnd();
   }
 
   // Requests with one key go in order of arrival: only the first in line may be sent.
@@ -351,7 +329,7 @@
   // Under pressure the work of least worth is refused first, before it fills a queue. Guards against servers
   // that choke and against answers that all come late, each retried by its client on top of the load.
   bool LetIn(Held& held) {
-    if (Crowded()) return false;
+    if (admission_.Crowded(now_)) return false;
     const std::size_t own = held.request_class;
     for (held.pool = 0; held.pool < pools_.size(); ++held.pool) {
       if (held.pool > 0 && !admission_.WorthCrossing(own)) break;
@@ -381,7 +359,7 @@
   }
 
   void Feel(const Held& held, const Server& server, const Outcome& outcome) {
-    admission_.Feel(pools_[server.pool], held.request_class, outcome, RefusesOneClass(server));
+    admission_.Feel(pools_[server.pool], held.request_class, outcome, server);
   }
 
   // What an outcome tells of the server.
@@ -436,13 +414,6 @@
     return now_ < server.away_until || (server.strikes > 0 && server.Working() > 0);
   }
 
-  // One class turned away of several is a limit on it and no pressure.
-  static bool RefusesOneClass(const Server& server) {
-    const auto some = [](double share) { return share > kRefusesSome; };
-    return server.refuses.size() > 1 &&
-           std::count_if(server.refuses.begin(), server.refuses.end(), some) == 1;
-  }
-
   // A server that lately turned away this class, or failed, is passed over as often as it did. Guards against
   // limits on one class, which say nothing of room for the others, against full servers, and against those
   // that fail at once and so look idle. It could harm where all refuse by chance; the search from end to end
@@ -455,10 +426,6 @@
 
   // ---- The choice of a server ----
 
-  // How busy a server is by own attempts out, counted in the time that it takes for each. Own counts alone do
-  // not see a slow server that answers in the end, nor do they tell idle servers apart.
-  static double Busy(const Server& server) { return (server.Working() + 1) * server.slow; }
-
   // A server's even part of the bound for each sidecar that shares it. Nobody knows the others' windows; they
   // are taken to lie half way between the least and the own, as a load that widens one widens others too.
   double MostOut(const Pool& pool) const {
@@ -483,7 +450,7 @@
           !AcceptYoung(server))
         continue;
       ++found;
-      if (best == nullptr || Busy(server) < Busy(*best)) best = &server;
+      if (best == nullptr || server.Busy() < best->Busy()) best = &server;
     }
     if (best != nullptr) return best;
     bool none_warm = true;  // then nobody serves enough to earn credit, and chance by share has to do
@@ -523,14 +490,7 @@
     return true;
   }
 
-  // The share of its full capacity that a server certainly has: it grows from the cold share over the
-  // warm-up.
-  double Warmth(const Server& server) const {
-    const Micros age = now_ - server.info.started;
-    if (server.info.started == 0 || age >= set_.warm_after) return 1;
-    const double grown = static_cast<double>(std::max<Micros>(age, 0)) / static_cast<double>(set_.warm_after);
-    return set_.cold_share + (1 - set_.cold_share) * grown;
-  }
+  double Warmth(const Server& server) const { return WarmthOf(server.info, set_, now_); }
 
   // A young server is sent its share of what this sidecar is *served* by a warm one on average. Counting
   // answers and not sends guards against an overload, where sends and retries together exceed what a server
@@ -552,8 +512,8 @@
                                static_cast<double>(std::max<std::int64_t>(sound, 1));
     server.young_credit = std::min(1.0, server.young_credit + warmth * served_each);
     server.served_then = served_warm_;
-    if (server.young_credit >= 1) return true;
-    return sound == 0 && server.Working() < std::max(warmth * MostOut(pool), 1.0);
+    const double most = std::max(warmth * MostOut(pool), 1.0);
+    return server.young_credit >= 1 || (sound == 0 && server.Working() < most);
   }
 
   // The design's wait: full jitter, doubling. Ends the request when nothing more can come of it.
@@ -562,8 +522,8 @@
     const int n = held.refusals++;
     const Micros wait = random_.Upto(Doubled(kRetryBase, n, kRetryCap));
     const int limit = std::min(kMaxAttempts, set_.max_attempts);
-    if (held.refusals >= limit || now_ + wait + set_.tick >= held.deadline || !MayRepeat(held) || Crowded() ||
-        OutByHand())
+    if (held.refusals >= limit || now_ + wait + set_.tick >= held.deadline || !MayRepeat(held) ||
+        admission_.Crowded(now_) || OutByHand())
       return End(it);
     Alarm(it, wait);
   }
@@ -641,7 +601,6 @@
   std::unordered_set<std::string> ever_listed_;
   std::array<Pool, 2> pools_;
   std::unordered_map<std::string, Held> held_;  // looked up, never walked
-  std::size_t open_ = 0;                        // of them, those without their final answer
   std::unordered_map<std::uint64_t, std::string> timers_;
   std::uint64_t last_timer_ = kAskToken;
   std::unordered_map<std::string, std::deque<std::string>>
@@ -649,8 +608,6 @@
   Admission admission_;
   std::vector<ClassTimes> times_;  // by class
   std::int64_t served_warm_ = 0;   // attempts that succeeded at warm servers
-  Micros first_arrival_ = 0;       // of a request; 0 = none yet
-  bool succeeds_ = false;          // another process, which may still serve when this one begins to
   int asks_failed_ = 0;
   bool ask_pending_ = false;
 };
@@ -659,22 +616,7 @@
 
 std::unique_ptr<Balancer> Balancer::Create(const Settings& s, std::uint64_t seed, Micros now,
                                            ActionSink& sink, std::string& error) {
-  error.clear();
-  if (s.classes.empty()) error = "no request classes";
-  for (const RequestClass& c : s.classes) {
-    if (c.aim < 0 || c.deadline < 0 || c.dedup_window < 0) error = "negative time in class " + c.name;
-    if (c.repeat < Repeat::kSafe || c.repeat > Repeat::kNever)
-      error = "unknown repeat kind in class " + c.name;
-    if (c.group < DedupGroup::kAll || c.group > DedupGroup::kCell) error = "unknown group in class " + c.name;
-    if (!(c.worth >= 0)) error = "negative worth in class " + c.name;
-  }
-  if (s.max_attempts < 1) error = "max_attempts under 1";
-  if (s.siblings < 1 || s.rank >= s.siblings) error = "rank outside the number of sidecars";
-  if (!(s.cold_share > 0 && s.cold_share <= 1)) error = "cold_share outside (0, 1]";
-  if (!(s.overload_factor > 0)) error = "overload_factor not above 0";
-  if (s.warm_after < 0 || s.drain_grace < 0 || s.fall_window < 0 || s.tick < 0 || s.ask_within < 0 ||
-      s.max_retry_after < 0 || s.settle_after_doubt < 0)
-    error = "negative time";
+  error = WhatIsWrong(s);
   if (!error.empty()) return nullptr;
   return std::unique_ptr<Balancer>(new Balancer(std::make_unique<State>(s, seed, now, sink)));
 }
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -27,6 +27,10 @@
 
   int Working() const { return out - answering; }
 
+  // By own attempts out, counted in the time that it takes for each. Own counts alone do not see a slow
+  // server that answers in the end, nor do they tell idle servers apart.
+  double Busy() const { return (Working() + 1) * slow; }
+
   // What a process did says nothing of the one that replaces it.
   void Forget() {
     slow = 1;
@@ -37,6 +41,15 @@
   }
 };
 
+// The share of its full capacity that a server certainly has: it grows from the cold share over the warm-up.
+inline double WarmthOf(const ServerInfo& info, const Settings& settings, Micros now) {
+  const Micros age = now - info.started;
+  if (info.started == 0 || age >= settings.warm_after) return 1;
+  const double grown =
+      static_cast<double>(std::max<Micros>(age, 0)) / static_cast<double>(settings.warm_after);
+  return settings.cold_share + (1 - settings.cold_share) * grown;
+}
+
 // Servers that share a ring, and what this sidecar knows of them together. Own zone and elsewhere where
 // crossing is priced, else all in one.
 struct Pool {
--- a/tests/net/upstream_test.cpp
+++ b/tests/net/upstream_test.cpp
@@ -124,6 +124,36 @@
   EXPECT_EQ(upstream().open_connections(), 0U);
 }
 
+// Met as a crash: the answer was whole in the buffer, and the attempt ended under the feet of who was told.
+TEST_F(UpstreamTest, TakingAnAnswerAsItBeginsDoesNotEndTheAttemptMeanwhile) {
+  budget->Take(2 * 1024 * 1024);
+  ScriptedServer server(io, [&](Peer& peer) {
+    peer.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4000\r\n" + std::string(kPiece, 'x') +
+               "\r\n0\r\n\r\n");
+  });
+  Tell(server.address);
+  bool done = false;
+  bool ended_meanwhile = false;
+  const auto take = [](Body& body) {
+    body.Release();
+    body.Taken(body.size());
+  };
+  Upstream::Events events;
+  events.done = [&](UpstreamAnswer) { done = true; };
+  events.begun = [&](const ResponseHead&, const BodyPtr& answer) {
+    begun.push_back(answer);
+    take(*answer);
+    ended_meanwhile = done;
+  };
+  upstream().Send("s1", RequestHead(http::verb::get, "/api", 11), Body::Whole(""), events);
+  ASSERT_TRUE(RunUntil(io, [&] {
+    if (!begun.empty()) take(*begun[0]);
+    return done;
+  }));
+  EXPECT_FALSE(ended_meanwhile);
+  EXPECT_EQ(begun[0]->size(), kPiece);
+}
+
 TEST_F(UpstreamTest, WhatBreaksAfterTheLastByteMayHaveRun) {
   EXPECT_EQ(TryReply("", /*close=*/true), Result::kReset);
   EXPECT_EQ(TryReply("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort", /*close=*/true), Result::kReset);
