--- a/src/net/admin.cpp
+++ b/src/net/admin.cpp
@@ -64,23 +64,24 @@
                             });
   }
 
-  // Closes without a word to the owner.
+  // Closes without a word to the owner, which is going.
   void Abandon() {
     owner_ = nullptr;
-    deadline_.cancel();
     ErrorCode ignored;
     socket_.close(ignored);
   }
 
-  std::list<CallerPtr>::iterator place;
-
- private:
   void Close() {
     if (owner_ == nullptr) return;
-    owner_->callers_.erase(place);  // whoever calls holds a pointer
+    const auto kept = *place;
+    owner_->callers_.erase(place);
     Abandon();
+    deadline_.cancel();
   }
 
+  std::list<CallerPtr>::iterator place;
+
+ private:
   void ExpireAfter(std::chrono::milliseconds time) {
     deadline_.expires_after(time);
     deadline_.async_wait([self = shared_from_this()](ErrorCode stopped) {
@@ -161,10 +162,7 @@
         if (!stopped) Accept();
       });
     }
-    if (callers_.size() >= kMostCallers) {
-      callers_.front()->Abandon();
-      callers_.pop_front();
-    }
+    if (callers_.size() >= kMostCallers) CallerPtr(callers_.front())->Close();
     const auto caller = std::make_shared<Caller>(*this, std::move(socket));
     caller->place = callers_.insert(callers_.end(), caller);
     caller->Start();
--- a/src/net/body.cpp
+++ b/src/net/body.cpp
@@ -78,7 +78,7 @@
   if (on_abandoned) std::exchange(on_abandoned, nullptr)();
 }
 
-void MessageWriter::Start(std::shared_ptr<void> owner, std::string head, BodyPtr body, bool chunked,
+void MessageWriter::Start(const std::shared_ptr<void>& owner, std::string head, BodyPtr body, bool chunked,
                           Done done) {
   owner_ = owner;
   body_ = std::move(body);
--- a/src/net/body.hpp
+++ b/src/net/body.hpp
@@ -118,7 +118,7 @@
   // `owner` is kept while a write is out. `done` is called once, from the loop, unless it is stopped: when
   // the last byte is written, or when that cannot be, as the peer takes nothing for long or the body has
   // broken.
-  void Start(std::shared_ptr<void> owner, std::string head, BodyPtr body, bool chunked, Done done);
+  void Start(const std::shared_ptr<void>& owner, std::string head, BodyPtr body, bool chunked, Done done);
   void Stop();
 
  private:
