Keep no server busy with a request that is still coming

A request whose body is still being sent took a place in that bound for seconds, though no server begins it before its last byte (SendOrWait).

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -70,13 +70,6 @@
 // A sidecar that waits for a list before it serves asks within this time: soon, and still not all at once.
 constexpr Micros kAskAwaited = kSecond;
 
-// The one place that says which outcomes prove that the attempt never ran. Some servers also turn away what
-// they had begun: their refusal proves nothing.
-bool ProvesNeverRan(Result result, bool refused_may_have_run) {
-  return (result == Result::kRefused && !refused_may_have_run) || result == Result::kUnreachable ||
-         result == Result::kNeverSent;
-}
-
 Micros Doubled(Micros base, int n, Micros cap) {
   return std::min(cap, base << std::min(n, 20));  // 20: far past any cap, short of overflow
 }
@@ -195,8 +188,8 @@
     attempt.out = false;
     attempt.may_have_run = !ProvesNeverRan(outcome.result, set_.refused_may_have_run);
     --attempt.server->out;
-    attempt.server->answering -= attempt.begun;
-    pools_[attempt.server->pool].out -= !attempt.begun;
+    attempt.server->idle -= attempt.idle;
+    pools_[attempt.server->pool].out -= !attempt.idle;
     if (outcome.result == Result::kSuccess && Warmth(*attempt.server) >= 1) ++served_warm_;
     Judge(held, *attempt.server, outcome);
     if (!attempt.felt) Feel(held, *attempt.server, outcome);
@@ -225,7 +218,11 @@
     if (it == held_.end() || !std::exchange(it->second.open, false)) return;
     it->second.arrived = now_;
     it->second.deadline = now_ + budget;
-    if (it->second.AnyOut() && !it->second.ended) Alarm(it, ClassOf(it->second).aim);
+    if (!it->second.AnyOut() || it->second.ended) return;
+    Attempt& attempt = it->second.attempts.back();
+    attempt.server->idle -= attempt.idle;
+    pools_[attempt.server->pool].out += std::exchange(attempt.idle, false);
+    Alarm(it, ClassOf(it->second).aim);
   }
 
   void OnBodyDropped(std::string_view request) {
@@ -238,8 +235,8 @@
     if (it == held_.end() || number < 0 || static_cast<std::size_t>(number) >= it->second.attempts.size())
       return;
     Attempt& attempt = it->second.attempts[static_cast<std::size_t>(number)];
-    if (!attempt.out || std::exchange(attempt.begun, true)) return;
-    ++attempt.server->answering;
+    if (!attempt.out || std::exchange(attempt.idle, true)) return;
+    ++attempt.server->idle;
     --pools_[attempt.server->pool].out;
   }
 
@@ -308,10 +305,12 @@
     Server* server = held.deadline > now_ ? Choose(held) : nullptr;
     if (server == nullptr) return Wait(it);
     ++server->out;
+    server->idle += held.open;  // no server begins what has not come whole
     server->young_credit = std::max(server->young_credit - 1, 0.0);  // spent by a send, not by a draw
     Pool& pool = pools_[server->pool];
-    pool.out_peak = std::max(static_cast<double>(++pool.out), pool.out_peak * (1 - 1 / kAnswerMemory));
-    held.attempts.push_back({server, server->info.zone, server->info.cell, now_});
+    pool.out += !held.open;
+    pool.out_peak = std::max(static_cast<double>(pool.out), pool.out_peak * (1 - 1 / kAnswerMemory));
+    held.attempts.push_back({server, server->info.zone, server->info.cell, now_, /*out=*/true, held.open});
     sink_.Send(it->first, server->info.id, TimeOut(held));
     if (const Micros late = held.arrived + ClassOf(held).aim - now_; late > 0 && !held.open) Alarm(it, late);
   }
@@ -353,7 +352,7 @@
   // hearing of an overload only when the answers come, seconds after they were late.
   void FeelLate(Held& held) {
     Attempt& attempt = held.attempts.back();
-    if (!attempt.out || attempt.begun || std::exchange(attempt.felt, true)) return;
+    if (!attempt.out || attempt.idle || std::exchange(attempt.felt, true)) return;
     Feel(held, *attempt.server, {.request = {}, .result = Result::kTimeout});
     Strike(*attempt.server);
   }
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -11,12 +11,19 @@
 
 namespace merlinrun {
 
+// The one place that says which outcomes prove that the attempt never ran. Some servers also turn away what
+// they had begun: their refusal proves nothing.
+inline bool ProvesNeverRan(Result result, bool refused_may_have_run) {
+  return (result == Result::kRefused && !refused_may_have_run) || result == Result::kUnreachable ||
+         result == Result::kNeverSent;
+}
+
 struct Server {
   ServerInfo info;
   std::size_t pool = 0;
   bool listed = false;
   int out = 0;                   // own attempts in flight
-  int answering = 0;             // of them, those whose answer has begun: they wait for slow clients
+  int idle = 0;                  // of them, those that wait for slow clients and keep no core busy
   double slow = 1;               // its answer times as a multiple of what is usual for their class
   std::vector<double> refuses;   // by class: share of its requests that were turned away lately
   double fails = 0;              // share of all requests that it answered with an error lately
@@ -25,7 +32,7 @@
   double young_credit = 0;       // sends that a young server may still be given
   std::int64_t served_then = 0;  // what warm ones had served when the credit was last reckoned
 
-  int Working() const { return out - answering; }
+  int Working() const { return out - idle; }
 
   // By own attempts out, counted in the time that it takes for each. Own counts alone do not see a slow
   // server that answers in the end, nor do they tell idle servers apart.
@@ -73,7 +80,7 @@
   std::int64_t cell = -1;
   Micros sent = 0;
   bool out = true;
-  bool begun = false;        // its answer has
+  bool idle = false;         // its request is still coming, or its answer has begun
   bool felt = false;         // that it is late has been taken as pressure already
   bool may_have_run = true;  // until an outcome proves that it did not
 };
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -1004,6 +1004,25 @@
   }
 }
 
+TEST_F(BalancerTest, ARequestThatIsStillComingKeepsNoServerBusy) {
+  Start(MakeSettings(), 1);
+  for (int i = 0; i < 40; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    Request request;
+    request.id = id;
+    request.budget = 5 * kSec;
+    request.open = true;
+    balancer_->OnRequest(now_, request);
+    EXPECT_EQ(Took()[0].kind, Kind::kSend);
+  }
+  EXPECT_EQ(Arrive("s1")[0].kind, Kind::kSend);
+  for (int i = 0; i < 12; ++i) balancer_->OnRequestEnded(now_, "r" + std::to_string(i), 5 * kSec);
+  sink_.Take();
+  EXPECT_EQ(Arrive("s2")[0].kind, Kind::kTimer);  // full now, and it waits
+  for (int i = 0; i < 40; ++i) Resolve("r" + std::to_string(i), 0, Result::kSuccess, true);
+  EXPECT_EQ(Arrive("s3")[0].kind, Kind::kSend);
+}
+
 TEST_F(BalancerTest, AServerTakenOutByHandGetsNothingUntilItIsCalledBack) {
   Start(MakeSettings(), 3);
   const auto used = [&](const std::string& name) {
