--- /dev/null
+++ b/src/common/log.cpp
@@ -0,0 +1,36 @@
+#include "log.hpp"
+
+#include <spdlog/sinks/basic_file_sink.h>
+#include <spdlog/sinks/null_sink.h>
+
+namespace violetwing {
+
+Log::Log()
+    : logger_(std::make_shared<spdlog::logger>("lab", std::make_shared<spdlog::sinks::null_sink_st>())) {
+  logger_->set_level(spdlog::level::off);
+}
+
+Log::Log(const std::string& file)
+    : logger_(std::make_shared<spdlog::logger>(
+          "lab", std::make_shared<spdlog::sinks::basic_file_sink_st>(file, /*truncate=*/true))) {
+  logger_->set_pattern("%v");
+  logger_->flush_on(spdlog::level::info);  // events are few, and the program may be killed
+}
+
+std::string Log::Line(const char* level, std::int64_t at_us, const char* part, const char* event,
+                      const nlohmann::json& fields) {
+  nlohmann::ordered_json line = {
+      {"time", static_cast<double>(at_us) / 1e6}, {"level", level}, {"part", part}, {"event", event}};
+  for (const auto& [key, value] : fields.items()) line[key] = value;
+  // A process may write what is no UTF-8; its line is kept all the same.
+  return line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+}
+
+void Log::Write(spdlog::level::level_enum level, std::int64_t at_us, const char* part, const char* event,
+                const nlohmann::json& fields) {
+  if (!logger_->should_log(level)) return;
+  logger_->log(level, "{}",
+               Line(level == spdlog::level::warn ? "warning" : "info", at_us, part, event, fields));
+}
+
+}  // namespace violetwing
--- /dev/null
+++ b/src/common/random.hpp
@@ -0,0 +1,56 @@
+// Seeded random numbers that are the same on every machine and with every standard library: the distributions
+// of <random> are not. SplitMix64 (Steele, Lea, Flood: Fast splittable pseudorandom number generators, 2014).
+#ifndef VIOLETWING_COMMON_RANDOM_HPP_
+#define VIOLETWING_COMMON_RANDOM_HPP_
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <cmath>
+#include <cstdint>
+#include <numbers>
+#include <string_view>
+
+namespace violetwing {
+
+// A number that depends on the seed and the text alone: a draw that needs no order among the drawers.
+inline std::uint64_t Hash(std::uint64_t seed, std::string_view text) {
+  return XXH64(text.data(), text.size(), seed);
+}
+
+class Random {
+ public:
+  explicit Random(std::uint64_t seed) : state_(seed) {}
+  // Each party draws from a stream of its own, so that one more draw here moves nothing there.
+  Random(std::uint64_t seed, std::string_view party) : state_(Hash(seed, party)) {}
+
+  std::uint64_t Next() {
+    std::uint64_t z = (state_ += 0x9e3779b97f4a7c15U);
+    z = (z ^ (z >> 30U)) * 0xbf58476d1ce4e5b9U;
+    z = (z ^ (z >> 27U)) * 0x94d049bb133111ebU;
+    return z ^ (z >> 31U);
+  }
+  // In [0, 1).
+  double Uniform() { return static_cast<double>(Next() >> 11U) * 0x1.0p-53; }
+  double Uniform(double least, double most) { return least + (most - least) * Uniform(); }
+  // In [0, count); count > 0. The bias of the remainder is below 2^-40 for the counts in use.
+  std::uint64_t Below(std::uint64_t count) { return Next() % count; }
+  double Exponential(double mean) { return -mean * std::log1p(-Uniform()); }
+  // Box and Muller, one of the pair.
+  double Normal() {
+    const double radius = std::sqrt(-2 * std::log1p(-Uniform()));
+    return radius * std::cos(2 * std::numbers::pi * Uniform());
+  }
+  // By its mean and its coefficient of variation.
+  double LogNormal(double mean, double cv) {
+    const double variance = std::log1p(cv * cv);
+    return mean * std::exp(std::sqrt(variance) * Normal() - variance / 2);
+  }
+
+ private:
+  std::uint64_t state_;
+};
+
+}  // namespace violetwing
+
+#endif  // VIOLETWING_COMMON_RANDOM_HPP_
