Judge a run by the records of its clients, servers and discovery

Need: a sidecar's own figures can't say whether it broke a rule. Change: the four rules by request id, figures by class, second, fault, zone and process, claims over them, a report as JSON and as one HTML file with the faults marked.

--- /dev/null
+++ b/src/lab/report.hpp
@@ -0,0 +1,27 @@
+// What a run is told as: JSON of a stated version, a summary for people, one HTML file, and two runs side by
+// side.
+#ifndef VIOLETWING_LAB_REPORT_HPP_
+#define VIOLETWING_LAB_REPORT_HPP_
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "judge/core.hpp"
+
+namespace violetwing::lab {
+
+inline constexpr int kReportVersion = 1;
+
+nlohmann::ordered_json ReportJson(const Scenario& scenario, const Plan& plan, const Records& records,
+                                  const Verdict& verdict, const std::string& sidecar);
+
+// Both take what ReportJson gives.
+std::string Summary(const nlohmann::ordered_json& report);
+std::string Html(const nlohmann::ordered_json& report);
+
+// A table of the figures that both have. Throws std::runtime_error if either is no report of this version.
+std::string Compare(const nlohmann::ordered_json& a, const nlohmann::ordered_json& b);
+
+}  // namespace violetwing::lab
+
+#endif  // VIOLETWING_LAB_REPORT_HPP_
