Let go of requests that the module gives up on from a timer

Cause: a call was dropped after a request, an outcome and its deadline, and not when a wait's timer made the module refuse it. Change: what is refused or failed is looked at once the action is over.

--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -514,12 +514,20 @@
   HttpResponse response = Plain(http::status::service_unavailable, "refused\n");
   if (retry_after > 0) response.set(http::field::retry_after, Seconds(retry_after));
   Answer(it->second, std::move(response));
+  EraseLater(it->first);
 }
 
 void Sidecar::Fail(std::string_view request) {
   const auto it = calls_.find(std::string(request));
   if (it == calls_.end() || it->second.session == nullptr) return;
   Answer(it->second, Plain(http::status::bad_gateway, "failed\n"));
+  EraseLater(it->first);
+}
+
+// The module may give up on a request from a timer, or on another than the one it was told of: nothing else would
+// come for such a request, and it would be held for ever.
+void Sidecar::EraseLater(const std::string& id) {
+  asio::post(io_, [this, id] { EraseIfOver(id); });
 }
 
 void Sidecar::SetTimer(Micros delay, std::uint64_t token) {
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -97,6 +97,7 @@
   void Watch(const std::string& id, Call& call);
   void OnDue(const std::string& id);
   void EraseIfOver(const std::string& id);
+  void EraseLater(const std::string& id);
   static RequestHead Forwarded(const Call& call, Micros left);
   int ClassIndex(std::string_view name) const;
   int TenantIndex(std::string_view name) const;
