--- a/src/lab/links.cpp
+++ b/src/lab/links.cpp
@@ -21,7 +21,9 @@
   if (spec.to.text.empty()) return out;
   for (const int sidecar : plan.on) {
     if (spec.to.party == Party::kDiscovery) out.emplace_back(sidecar, kDiscovery);
-    for (const int server : plan.to) out.emplace_back(sidecar, server);
+    if (spec.to.party == Party::kSidecar) out.emplace_back(sidecar, kClients);
+    if (spec.to.party == Party::kServer)
+      for (const int server : plan.to) out.emplace_back(sidecar, server);
   }
   return out;
 }
@@ -54,7 +56,7 @@
   const auto link = links_.find(pair);
   if (link == links_.end()) return;
   LaneState there;
-  if (pair.second != kDiscovery) {
+  if (pair.second >= 0) {
     const int zone = plan_.servers[static_cast<std::size_t>(pair.second)].zone;
     const bool same = plan_.sidecar_zones[static_cast<std::size_t>(pair.first)] == zone;
     there.delay = same ? scenario_.network.same : scenario_.network.cross;
--- a/src/lab/links.hpp
+++ b/src/lab/links.hpp
@@ -16,6 +16,7 @@
 class Links {
  public:
   static constexpr int kDiscovery = -1;  // in place of a server's number
+  static constexpr int kClients = -2;    // the link from a sidecar's clients to it
 
   // A pair has a link if the network has delays or a fault of the timeline is for it; others meet directly,
   // so that a proxy costs time only where it does something.
--- a/src/lab/run.cpp
+++ b/src/lab/run.cpp
@@ -121,7 +121,9 @@
           Application::World{io_, clock_, scenario_, plan_, records_,
                              [this](const std::string& id) { return Attempted(id); },
                              [this](std::size_t arrival) { timeline_.OnSent(arrival); }},
-          sidecars_.address(i)));
+          links_.Address(i, Links::kClients, sidecars_.address(i))));
+    // A sidecar that is down is seen when a connection through the link is refused at its far end.
+    links_.FollowFar(Links::kClients, Door::State::kOpen);
     Say("starting " + std::to_string(scenario_.fleet.sidecars) + " sidecars");
     sidecars_.StartAll([this] { BeginLoad(); });
     io_.run();
--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -289,11 +289,14 @@
   std::string which;
   std::string more;
   words >> party >> which >> more;
-  const std::map<std::string, Party> parties = {
-      {"server", Party::kServer}, {"sidecar", Party::kSidecar}, {"discovery", Party::kDiscovery}};
+  const std::map<std::string, Party> parties = {{"server", Party::kServer},
+                                                {"sidecar", Party::kSidecar},
+                                                {"client", Party::kClient},
+                                                {"discovery", Party::kDiscovery}};
   const auto it = parties.find(party);
   if (it == parties.end() || !more.empty())
-    in.Bad(key, "'" + out.text + "': say server, sidecar or discovery, and then numbers, zone=Z or share=F");
+    in.Bad(key, "'" + out.text +
+                    "': say server, sidecar, client or discovery, and then numbers, zone=Z or share=F");
   out.party = it->second;
   out.all = which.empty();
   if (out.all) return out;
@@ -372,8 +375,12 @@
   if (act.party == Party::kLink) {
     out.on = ReadSelector(in, "from", scenario);
     out.to = ReadSelector(in, "to", scenario);
-    if (out.on.party != Party::kSidecar) in.Bad("from", "links begin at sidecars");
-    if (out.to.party == Party::kSidecar) in.Bad("to", "links of a scenario lead to servers or discovery");
+    const bool client = out.on.party == Party::kClient;
+    if (!client && out.on.party != Party::kSidecar) in.Bad("from", "links begin at sidecars or clients");
+    if (client && (out.to.party != Party::kSidecar || !out.to.all))
+      in.Bad("to", "a client's link leads to its sidecar");
+    if (!client && out.to.party != Party::kServer && out.to.party != Party::kDiscovery)
+      in.Bad("to", "a sidecar's links lead to servers or discovery");
     if (out.act == Act::kLoss || out.act == Act::kReorder)
       in.Bad("do", "for datagrams, and these links are TCP");
     out.direction = in.OneOf<Direction>(
--- a/src/lab/scenario.hpp
+++ b/src/lab/scenario.hpp
@@ -83,7 +83,7 @@
   int watchers = 5000;
 };
 
-enum class Party { kServer, kSidecar, kDiscovery, kLink };
+enum class Party { kServer, kSidecar, kClient, kDiscovery, kLink };
 
 // Which parties a fault is for: all, some by number, a zone, or a share of them (the first by a seeded
 // order).
@@ -131,7 +131,7 @@
   std::string name;
   Act act = Act::kCrash;
   std::string act_text;
-  Selector on;  // of a link: who opens the connections
+  Selector on;  // of a link: who opens the connections; clients are numbered as their sidecars
   Selector to;  // of a link
   Direction direction = Direction::kBoth;
   std::optional<Micros> at;       // from the first planned arrival on
--- a/tests/lab/judge_test.cpp
+++ b/tests/lab/judge_test.cpp
@@ -118,7 +118,8 @@
 INSTANTIATE_TEST_SUITE_P(Lab, EachScenario,
                          ::testing::Values("breakfast", "zone-loss", "cold-restart", "herd",
                                            "discovery-outage", "frozen-sidecar", "rolling-servers",
-                                           "upgrade-under-load", "hard-links", "hard-sidecars"),
+                                           "upgrade-under-load", "hard-links", "hard-sidecars",
+                                           "hard-discovery"),
                          [](const auto& parameter) {
                            std::string name = parameter.param;
                            std::replace(name.begin(), name.end(), '-', '_');
--- a/tests/lab/plan_test.cpp
+++ b/tests/lab/plan_test.cpp
@@ -60,7 +60,7 @@
       {"name='a'\n[[fault]]\nname='b'\ndo='roll'\non='server'\nat_s=1\nvalue=1\nfor_s=1",
        "fault.for_s: 'roll' does not"},
       {"name='a'\n[[fault]]\nname='b'\ndo='cut'\nfrom='server'\nto='server'\nat_s=1",
-       "fault.from: links begin at"},
+       "fault.from: links begin at sidecars or clients"},
       {"name='a'\n[[fault]]\nname='b'\ndo='cut'\nfrom='sidecar'\nto='server'\ndirection='up'\nat_s=1",
        "'up' is none of"},
       {"name='a'\n[[claim]]\nfigure='refused'", "f.toml:2: claim.at_least: needed"},
