Store and serve the registry, and add the command violetwing registry

Need: a discovery that is durable, in the platform's protocol as today's sidecars read it. A second registry that failed to open the store had emptied the first one's log: the log is opened after it, and kept.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -5,7 +5,9 @@
 #include <exception>
 #include <string>
 
+#include "http_call.hpp"
 #include "lab_command.hpp"
+#include "registry_command.hpp"
 
 namespace {
 
@@ -21,10 +23,11 @@
 int main(int argc, char** argv) {
   int status = 0;
   try {
-    CLI::App app("What operators of violetwing run: play a fleet, and judge it");
+    CLI::App app("What operators of violetwing run: discovery, and a lab that plays a fleet and judges it");
     app.set_version_flag("--version", std::string("violetwing ") + VIOLETWING_VERSION);
     app.require_subcommand(1);
     violetwing::cli::AddLab(app, status);
+    violetwing::cli::AddRegistry(app, status);
     try {
       app.parse(argc, argv);
     } catch (const CLI::ParseError& error) {
@@ -32,6 +35,9 @@
       std::fprintf(stderr, "violetwing: %s\n", OneLine(error.what()).c_str());
       return 2;
     }
+  } catch (const violetwing::cli::Unreachable& error) {
+    std::fprintf(stderr, "violetwing: %s\n", OneLine(error.what()).c_str());
+    return 1;
   } catch (const std::exception& error) {
     std::fprintf(stderr, "violetwing: %s\n", OneLine(error.what()).c_str());
     return 2;
--- a/src/common/log.hpp
+++ b/src/common/log.hpp
@@ -13,8 +13,9 @@
 
 class Log {
  public:
-  Log();                                  // keeps nothing
-  explicit Log(const std::string& file);  // throws spdlog::spdlog_ex if it cannot be opened
+  Log();  // keeps nothing
+  enum class Old { kReplaced, kKept };
+  Log(const std::string& file, Old old);  // throws spdlog::spdlog_ex if it cannot be opened
 
   // `at_us` is the time of the event by the program's own clock; `fields` is an object.
   void Info(std::int64_t at_us, const char* part, const char* event, const nlohmann::json& fields = {}) {
--- a/src/lab/process/shell.cpp
+++ b/src/lab/process/shell.cpp
@@ -83,6 +83,13 @@
   return out;
 }
 
+EndSignals::EndSignals(asio::io_context& io, std::function<void()> on_signal)
+    : signals_(io, SIGINT, SIGTERM) {
+  signals_.async_wait([tell = std::move(on_signal)](ErrorCode error, int) {
+    if (!error) tell();
+  });
+}
+
 void Child::Signal(int signal) const {
   if (running_) ::kill(pid_, signal);
 }
--- a/src/lab/process/shell.hpp
+++ b/src/lab/process/shell.hpp
@@ -27,6 +27,15 @@
 // What the system says of a process; zeros if it is gone.
 Usage UsageOf(pid_t pid);
 
+// Tells of SIGINT and SIGTERM to this process, as long as it lives.
+class EndSignals {
+ public:
+  EndSignals(asio::io_context& io, std::function<void()> on_signal);
+
+ private:
+  asio::signal_set signals_;
+};
+
 class Children;
 
 class Child : public std::enable_shared_from_this<Child> {
--- a/src/lab/run.cpp
+++ b/src/lab/run.cpp
@@ -3,8 +3,6 @@
 #include <sys/resource.h>
 
 #include <algorithm>
-#include <boost/asio/signal_set.hpp>
-#include <csignal>
 #include <cstdio>
 #include <filesystem>
 #include <memory>
@@ -87,7 +85,8 @@
         plan_(plan),
         options_(options),
         directory_(options.keep),
-        journal_(clock_, options.keep.empty() ? Log() : Log(directory_.path() + "/lab.jsonl")),
+        journal_(clock_,
+                 options.keep.empty() ? Log() : Log(directory_.path() + "/lab.jsonl", Log::Old::kReplaced)),
         links_(io_, clock_, scenario, plan),
         servers_({io_, clock_, scenario, plan, links_.send_times(), records_}, journal_,
                  [this](int server, Door::State state) { links_.FollowFar(server, state); }),
@@ -107,14 +106,9 @@
         arrivals_(io_),
         samples_(io_),
         looks_(io_),
-        signals_(io_) {}
+        end_signals_(io_, [this] { Interrupt(); }) {}
 
   Records Run() {
-    signals_.add(SIGINT);
-    signals_.add(SIGTERM);
-    signals_.async_wait([this](ErrorCode error, int) {
-      if (!error) Interrupt();
-    });
     servers_.StartAll();
     servers_.Follow(discovery_);
     discovery_.Up(scenario_.discovery.up);
@@ -289,7 +283,7 @@
   asio::steady_timer arrivals_;
   asio::steady_timer samples_;
   asio::steady_timer looks_;
-  asio::signal_set signals_;
+  EndSignals end_signals_;
   std::size_t next_ = 0;  // arrival
   std::size_t attempts_seen_ = 0;
   std::unordered_set<std::string> attempted_;
