--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -524,8 +524,8 @@
   EraseLater(it->first);
 }
 
-// The module may give up on a request from a timer, or on another than the one it was told of: nothing else would
-// come for such a request, and it would be held for ever.
+// The module may give up on a request from a timer, or on another than the one it was told of: nothing else
+// would come for such a request, and it would be held for ever.
 void Sidecar::EraseLater(const std::string& id) {
   asio::post(io_, [this, id] { EraseIfOver(id); });
 }
--- a/tests/net/sidecar_test.cpp
+++ b/tests/net/sidecar_test.cpp
@@ -598,19 +598,20 @@
 
 // The module gives up on it when its wait is over, from a timer and not from an outcome.
 TEST_F(SidecarTest, ARequestRefusedAfterItsWaitIsNotHeldOn) {
-  ScriptedServer server(io, [](Peer& peer) {
-    peer.Write(Reply("503 Service Unavailable", "", "Srv-Declined: 1\r\n"));
-  });
+  ScriptedServer server(
+      io, [](Peer& peer) { peer.Write(Reply("503 Service Unavailable", "", "Srv-Declined: 1\r\n")); });
   Start({Entry("s1", server.address)});
   auto client = Client(Get("r1"));
   ASSERT_TRUE(RunUntil(io, [&] { return server.requests() == 1; }));
   Tell(List(2, false, {Entry("s1", server.address, "draining")}));
   EXPECT_EQ(Status(*client), "503");
-  EXPECT_TRUE(RunUntil(io, [&] { return sidecar->requests_held() == 0; }, 2s));
+  EXPECT_TRUE(RunUntil(
+      io, [&] { return sidecar->requests_held() == 0; }, 2s));
   bool finished = false;
   sidecar->Drain([&] { finished = true; });
   client->Close();
-  EXPECT_TRUE(RunUntil(io, [&] { return finished; }, 2s));
+  EXPECT_TRUE(RunUntil(
+      io, [&] { return finished; }, 2s));
 }
 
 TEST_F(SidecarTest, ADrainEndsInTimeEvenIfServersStaySilent) {
