Give the lab's parties one world, end them without throwing, and draw round scales

Change: World once; destructors let go of their sessions and close sockets; scales end at 1, 2, 2.5, 4 or 5 times ten.

--- a/src/lab/clients/shell.cpp
+++ b/src/lab/clients/shell.cpp
@@ -54,6 +54,12 @@
 
   bool used() const { return answers_ > 0; }
 
+  // The application is gone.
+  void Abandon() {
+    owner_ = nullptr;
+    ErrorCode ignored;
+    socket_.close(ignored);
+  }
   // The client is not interested any more.
   void Close() {
     if (owner_ == nullptr) return;
@@ -139,12 +145,11 @@
   std::size_t last_record_ = 0;
 };
 
-Application::Application(const World& world, Tcp::endpoint sidecar)
+Application::Application(const ClientWorld& world, Tcp::endpoint sidecar)
     : world_(world), sidecar_(std::move(sidecar)) {}
 
 Application::~Application() {
-  for (const auto& call : calls_) call->timer.cancel();
-  for (const auto& connection : std::exchange(connections_, {})) connection->Close();
+  for (const auto& connection : connections_) connection->Abandon();
 }
 
 TryRecord& Application::Record(const ClientCall& call) { return world_.records.tries[call.record]; }
--- a/src/lab/clients/shell.hpp
+++ b/src/lab/clients/shell.hpp
@@ -9,29 +9,23 @@
 #include <string>
 #include <vector>
 
-#include "../plan.hpp"
-#include "../shell.hpp"
+#include "../world.hpp"
 
 namespace violetwing::lab {
 
 class ClientConnection;
 struct ClientCall;
 
+struct ClientWorld : World {
+  // Whether a server has got a request of this id: only then may it have been read.
+  std::function<bool(const std::string& id)> attempted;
+  // The last byte of the first try of this request has been written.
+  std::function<void(std::size_t arrival)> on_sent;
+};
+
 class Application {
  public:
-  struct World {
-    asio::io_context& io;
-    const Clock& clock;
-    const Scenario& scenario;
-    const Plan& plan;
-    Records& records;
-    // Whether a server has got a request of this id: only then may it have been read.
-    std::function<bool(const std::string& id)> attempted;
-    // The last byte of the first try of this request has been written.
-    std::function<void(std::size_t arrival)> on_sent;
-  };
-
-  Application(const World& world, Tcp::endpoint sidecar);
+  Application(const ClientWorld& world, Tcp::endpoint sidecar);
   ~Application();
   Application(const Application&) = delete;
   Application& operator=(const Application&) = delete;
@@ -53,7 +47,7 @@
   TryRecord& Record(const ClientCall& call);
   std::string Request(const ClientCall& call) const;
 
-  World world_;
+  ClientWorld world_;
   Tcp::endpoint sidecar_;
   std::vector<std::shared_ptr<ClientConnection>> idle_;
   std::set<std::shared_ptr<ClientConnection>> connections_;
--- a/src/lab/discovery/shell.cpp
+++ b/src/lab/discovery/shell.cpp
@@ -49,6 +49,11 @@
     Tell(core.Since(index_));
   }
 
+  // Discovery is gone.
+  void Abandon() {
+    owner_ = nullptr;
+    Reset(socket_);
+  }
   void End(bool reset) {
     if (owner_ == nullptr) return;
     owner_ = nullptr;
@@ -164,7 +169,9 @@
       on_door_(std::move(on_door)),
       doors_(MakeDoors()) {}
 
-DiscoveryShell::~DiscoveryShell() { EndAll(); }
+DiscoveryShell::~DiscoveryShell() {
+  for (const auto& session : sessions_) session->Abandon();
+}
 
 DiscoveryShell::Doors DiscoveryShell::MakeDoors() {
   Doors out;
--- a/src/lab/html.cpp
+++ b/src/lab/html.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <map>
 #include <vector>
@@ -13,6 +14,7 @@
 constexpr double kWidth = 860;
 constexpr double kHeight = 180;
 constexpr double kLeft = 56;
+constexpr double kRight = 24;
 constexpr double kBottom = 24;
 
 std::string Escape(const std::string& text) {
@@ -39,6 +41,14 @@
   return text;
 }
 
+// The next of 1, 2, 2.5, 4, 5 and their multiples by ten: its quarters are plain numbers to read.
+double RoundUp(double most) {
+  const double unit = std::pow(10, std::floor(std::log10(std::max(most, 1e-9))));
+  for (const double step : {1.0, 2.0, 2.5, 4.0, 5.0, 10.0})
+    if (most <= step * unit) return step * unit;
+  return most;
+}
+
 struct Series {
   std::string name;
   std::string colour;
@@ -49,7 +59,7 @@
 class Plot {
  public:
   Plot(std::string title, double length, double most)
-      : title_(std::move(title)), length_(std::max(length, 1e-9)), most_(std::max(most, 1e-9)) {}
+      : title_(std::move(title)), length_(std::max(length, 1e-9)), most_(RoundUp(most)) {}
 
   void Bars(const std::vector<Series>& stacked) {
     std::vector<double> base(stacked.empty() ? 0 : stacked[0].points.size());
@@ -81,8 +91,8 @@
            "</text>\n<g transform='translate(0,28)'>\n" + body_;
     for (int i = 0; i <= 4; ++i) {
       const double value = most_ * i / 4;
-      out += Format("<line x1='%.1f' x2='%.1f' y1='%.1f' y2='%.1f' class='grid'/>", kLeft, kWidth, Y(value),
-                    Y(value)) +
+      out += Format("<line x1='%.1f' x2='%.1f' y1='%.1f' y2='%.1f' class='grid'/>", kLeft, kWidth - kRight,
+                    Y(value), Y(value)) +
              Format("<text x='%.1f' y='%.1f' class='y'>%.4g</text>\n", kLeft - 6, Y(value) + 4, value);
     }
     const int step = std::max(1, static_cast<int>(std::ceil(length_ / 15)));
@@ -93,7 +103,9 @@
   }
 
  private:
-  double X(double at) const { return kLeft + std::clamp(at, 0.0, length_) / length_ * (kWidth - kLeft); }
+  double X(double at) const {
+    return kLeft + std::clamp(at, 0.0, length_) / length_ * (kWidth - kRight - kLeft);
+  }
   double Y(double value) const { return kHeight - value / most_ * kHeight; }
 
   void Legend(const Series& series) {
@@ -134,8 +146,7 @@
 
 std::string RequestPlot(const Json& report) {
   const Json& seconds = report["seconds"];
-  Plot plot("Requests a second", report["length_s"].get<double>(),
-            Most(BySecond(seconds, "requests")) * 1.05);
+  Plot plot("Requests a second", report["length_s"].get<double>(), Most(BySecond(seconds, "requests")));
   plot.Bars({{"in time", "#2a7f62", BySecond(seconds, "in_time")},
              {"late", "#e0a030", BySecond(seconds, "late")},
              {"refused", "#8a8fa3", BySecond(seconds, "refused")},
@@ -146,7 +157,7 @@
 std::string LatencyPlot(const Json& report) {
   const auto half = BySecond(report["seconds"], "p50_ms");
   const auto last = BySecond(report["seconds"], "p99_ms");
-  Plot plot("Time to the answer, ms", report["length_s"].get<double>(), Most(last) * 1.05);
+  Plot plot("Time to the answer, ms", report["length_s"].get<double>(), Most(last));
   plot.Line({"median", "#2a5fa0", half});
   plot.Line({"99th percentile", "#b3323e", last});
   return plot.Draw(report["faults"]);
@@ -164,7 +175,7 @@
     series.points.emplace_back(usage["at_s"].get<double>(), usage[key].get<double>());
     most = std::max(most, usage[key].get<double>());
   }
-  Plot plot(title, report["length_s"].get<double>(), most * 1.05);
+  Plot plot(title, report["length_s"].get<double>(), most);
   std::size_t drawn = 0;
   for (const auto& [sidecar, series] : sidecars)
     if (drawn++ < std::size(colours)) plot.Line(series);
--- a/src/lab/link/stream.cpp
+++ b/src/lab/link/stream.cpp
@@ -50,6 +50,13 @@
     there_.queue.clear();
   }
 
+  // The link is gone.
+  void Abandon() {
+    Forget();
+    link_ = nullptr;
+    lab::Reset(near_);
+    lab::Reset(far_);
+  }
   // Resets both ends and lets go of the link.
   void End() {
     if (link_ == nullptr) return;
@@ -189,7 +196,9 @@
         pipe->Open();
       }) {}
 
-StreamLink::~StreamLink() { Reset(); }
+StreamLink::~StreamLink() {
+  for (const auto& pipe : pipes_) pipe->Abandon();
+}
 
 void StreamLink::Set(const LaneState& there, const LaneState& back) {
   there_ = there;
--- a/src/lab/process/shell.cpp
+++ b/src/lab/process/shell.cpp
@@ -37,7 +37,10 @@
     const std::string text = *each;
     if (added.count(text.substr(0, text.find('='))) == 0) out.push_back(text);
   }
-  for (const auto& [name, value] : added) out.push_back(name + "=" + value);
+  for (const auto& [name, value] : added) {
+    out.push_back(name);
+    out.back().append("=").append(value);
+  }
   return out;
 }
 
--- a/src/lab/run.cpp
+++ b/src/lab/run.cpp
@@ -88,13 +88,13 @@
         journal_(clock_,
                  options.keep.empty() ? Log() : Log(directory_.path() + "/lab.jsonl", Log::Old::kReplaced)),
         links_(io_, clock_, scenario, plan),
-        servers_({io_, clock_, scenario, plan, links_.send_times(), records_}, journal_,
+        servers_({Given(), links_.send_times()}, journal_,
                  [this](int server, Door::State state) { links_.FollowFar(server, state); }),
         discovery_(
             io_, clock_, scenario, records_,
             [this](int sidecar, const Entry& entry) { return Written(sidecar, entry); },
             [this](Door::State state) { links_.FollowFar(Links::kDiscovery, state); }),
-        sidecars_({io_, clock_, scenario, plan, records_, journal_, options.sidecar, directory_.path(),
+        sidecars_({Given(), journal_, options.sidecar, directory_.path(),
                    [this](int sidecar) { return discovery_.Text(sidecar, discovery_.core().Whole()); },
                    [this](int sidecar) {
                      return links_.Address(sidecar, Links::kDiscovery, discovery_.address(sidecar));
@@ -114,9 +114,8 @@
     discovery_.Up(scenario_.discovery.up);
     for (int i = 0; i < scenario_.fleet.sidecars; ++i)
       applications_.push_back(std::make_unique<Application>(
-          Application::World{io_, clock_, scenario_, plan_, records_,
-                             [this](const std::string& id) { return Attempted(id); },
-                             [this](std::size_t arrival) { timeline_.OnSent(arrival); }},
+          ClientWorld{Given(), [this](const std::string& id) { return Attempted(id); },
+                      [this](std::size_t arrival) { timeline_.OnSent(arrival); }},
           links_.Address(i, Links::kClients, sidecars_.address(i))));
     // A sidecar that is down is seen when a connection through the link is refused at its far end.
     links_.FollowFar(Links::kClients, Door::State::kOpen);
@@ -131,6 +130,8 @@
   }
 
  private:
+  World Given() { return {io_, clock_, scenario_, plan_, records_}; }
+
   nlohmann::ordered_json Written(int sidecar, const Entry& entry) {
     static const char* const names[] = {"up", "draining", "removed"};
     const ServerPlan& server = plan_.servers[static_cast<std::size_t>(entry.server)];
--- a/src/lab/server/shell.cpp
+++ b/src/lab/server/shell.cpp
@@ -173,7 +173,7 @@
   std::string output_;
 };
 
-ServerShell::ServerShell(const World& world, int number, std::shared_ptr<KeyMemory> pod,
+ServerShell::ServerShell(const ServerWorld& world, int number, std::shared_ptr<KeyMemory> pod,
                          std::function<void(Door::State)> on_door)
     : world_(world),
       number_(number),
--- a/src/lab/server/shell.hpp
+++ b/src/lab/server/shell.hpp
@@ -11,26 +11,21 @@
 
 #include "../door.hpp"
 #include "../link/stream.hpp"
-#include "../plan.hpp"
+#include "../world.hpp"
 #include "core.hpp"
 
 namespace violetwing::lab {
 
 class ServerSession;
 
+struct ServerWorld : World {
+  const SendTimes& send_times;
+};
+
 class ServerShell {
  public:
-  struct World {
-    asio::io_context& io;
-    const Clock& clock;
-    const Scenario& scenario;
-    const Plan& plan;
-    const SendTimes& send_times;
-    Records& records;
-  };
-
   // `pod` is shared by the servers of one cell. `on_door` hears of each change of who listens.
-  ServerShell(const World& world, int number, std::shared_ptr<KeyMemory> pod,
+  ServerShell(const ServerWorld& world, int number, std::shared_ptr<KeyMemory> pod,
               std::function<void(Door::State)> on_door);
   ~ServerShell();
   ServerShell(const ServerShell&) = delete;
@@ -61,7 +56,7 @@
   void Fall();
   void SetDoor(Door::State state);
 
-  World world_;
+  ServerWorld world_;
   int number_;
   ServerSpec spec_;
   ServerCore core_;
--- a/src/lab/servers.cpp
+++ b/src/lab/servers.cpp
@@ -21,7 +21,7 @@
 
 }  // namespace
 
-Servers::Servers(const ServerShell::World& world, Journal& journal,
+Servers::Servers(const ServerWorld& world, Journal& journal,
                  const std::function<void(int, Door::State)>& on_door)
     : world_(world), journal_(journal) {
   // A little longer than the rule's window, as repeats take time to come.
--- a/src/lab/servers.hpp
+++ b/src/lab/servers.hpp
@@ -14,8 +14,7 @@
 
 class Servers {
  public:
-  Servers(const ServerShell::World& world, Journal& journal,
-          const std::function<void(int, Door::State)>& on_door);
+  Servers(const ServerWorld& world, Journal& journal, const std::function<void(int, Door::State)>& on_door);
 
   void Follow(DiscoveryShell& discovery);  // who hears of changes; tells it all at once
   // All processes run, and have for long.
@@ -43,7 +42,7 @@
   void Drain(int number, bool draining);
   void Replace(const std::vector<int>& numbers, std::size_t from, int fault, std::function<void()> done);
 
-  ServerShell::World world_;
+  ServerWorld world_;
   Journal& journal_;
   DiscoveryShell* discovery_ = nullptr;
   Micros late_ = 0;
--- a/src/lab/sidecars.cpp
+++ b/src/lab/sidecars.cpp
@@ -139,7 +139,7 @@
           {"weights", "rough"}};
 }
 
-Sidecars::Sidecars(World world) : world_(std::move(world)), children_(world_.io) {
+Sidecars::Sidecars(SidecarWorld world) : world_(std::move(world)), children_(world_.io) {
   for (int i = 0; i < world_.scenario.fleet.sidecars; ++i) {
     auto host = std::make_unique<Host>();
     if (world_.scenario.fleet.passed_socket) {
--- a/src/lab/sidecars.hpp
+++ b/src/lab/sidecars.hpp
@@ -11,31 +11,26 @@
 
 #include "door.hpp"
 #include "journal.hpp"
-#include "plan.hpp"
 #include "process/shell.hpp"
+#include "world.hpp"
 
 namespace violetwing::lab {
 
 // The settings of a sidecar (WIRE, "SETTINGS") that the scenario's deployment states.
 nlohmann::json SettingsOf(const Scenario& scenario, const Plan& plan, int sidecar);
 
+struct SidecarWorld : World {
+  Journal& journal;
+  std::string program;    // the sidecar to be played
+  std::string directory;  // for configurations and TMPDIR
+  // The list that a sidecar is given at its start, in discovery's form.
+  std::function<nlohmann::ordered_json(int sidecar)> known;
+  std::function<Tcp::endpoint(int sidecar)> discovery;
+};
+
 class Sidecars {
  public:
-  struct World {
-    asio::io_context& io;
-    const Clock& clock;
-    const Scenario& scenario;
-    const Plan& plan;
-    Records& records;
-    Journal& journal;
-    std::string program;    // the sidecar to be played
-    std::string directory;  // for configurations and TMPDIR
-    // The list that a sidecar is given at its start, in discovery's form.
-    std::function<nlohmann::ordered_json(int sidecar)> known;
-    std::function<Tcp::endpoint(int sidecar)> discovery;
-  };
-
-  explicit Sidecars(World world);
+  explicit Sidecars(SidecarWorld world);
   ~Sidecars();
   Sidecars(const Sidecars&) = delete;
   Sidecars& operator=(const Sidecars&) = delete;
@@ -89,7 +84,7 @@
   void OnEnd(const std::shared_ptr<Process>& process, const std::string& how, bool cleanly);
   ProcessRecord& Record(const Process& process) { return world_.records.processes[process.record]; }
 
-  World world_;
+  SidecarWorld world_;
   Children children_;
   std::vector<std::unique_ptr<Host>> hosts_;
   std::function<void()> on_end_;
--- a/src/registry/service.cpp
+++ b/src/registry/service.cpp
@@ -82,6 +82,12 @@
   bool watching() const { return watching_; }
   std::int64_t index() const { return index_; }
 
+  // The service is gone.
+  void Abandon() {
+    service_ = nullptr;
+    ErrorCode ignored;
+    socket_.close(ignored);
+  }
   void End() {
     if (service_ == nullptr) return;
     Service* const service = std::exchange(service_, nullptr);
@@ -268,7 +274,7 @@
       timer_(io) {}
 
 Service::~Service() {
-  for (const auto& session : std::set(sessions_)) session->End();
+  for (const auto& session : sessions_) session->Abandon();
 }
 
 Micros Service::Now() {
--- a/src/registry/store.cpp
+++ b/src/registry/store.cpp
@@ -102,6 +102,10 @@
   return text;
 }
 
+[[noreturn]] void Unsound(const char* what, const std::string& name, const std::string& why) {
+  throw StoreError(std::string(what) + " " + name + ": " + why);
+}
+
 void AbsentOrFail(const std::string& file) {
   std::error_code ignored;
   if (std::filesystem::exists(file, ignored)) throw StoreError(file + ": is there already");
@@ -252,13 +256,12 @@
     Core::State state = store.Load();
     const std::int64_t generation = state.epoch * kEpochUnit + state.change;
     for (const auto& [id, kept] : state.entries) {
-      if (kept.first.id != id) throw StoreError("entry " + id + " holds another id");
-      if (const std::string wrong = Wrong(kept.first); !wrong.empty())
-        throw StoreError("entry " + id + ": " + wrong);
-      if (kept.second > generation) throw StoreError("entry " + id + " is of a version to come");
+      if (kept.first.id != id) Unsound("entry", id, "it holds another id");
+      if (const std::string wrong = Wrong(kept.first); !wrong.empty()) Unsound("entry", id, wrong);
+      if (kept.second > generation) Unsound("entry", id, "of a version to come");
     }
     for (const auto& [key, version] : state.keys)
-      if (version > generation) throw StoreError("key " + key + " is of a version to come");
+      if (version > generation) Unsound("key", key, "of a version to come");
     return state;
   } catch (const StoreError& error) {
     throw StoreError(file + ": " + error.what());
--- a/tests/lab/shell_test.cpp
+++ b/tests/lab/shell_test.cpp
@@ -18,7 +18,7 @@
             "[[machine]]\nname='m'\nhandshake_ms=0\n",
             "f")),
         plan(Draw(scenario, 1)),
-        server({io, clock, scenario, plan, times, records}, 0, std::make_shared<KeyMemory>(0), {}) {
+        server({{io, clock, scenario, plan, records}, times}, 0, std::make_shared<KeyMemory>(0), {}) {
     server.Start("s1", /*cold=*/false);
   }
   Tcp::socket Ask(std::size_t arrival) {
