--- a/src/registry/service.cpp
+++ b/src/registry/service.cpp
@@ -3,6 +3,7 @@
 #include <toml++/toml.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -31,6 +32,9 @@
 constexpr std::size_t kMostCalls =
     1'000;  // connections that are no watch; more wait no shorter here than at the door
 
+constexpr std::string_view kWatchHead =
+    "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
+
 std::string Chunk(const std::string& text) {
   char size[20];
   std::snprintf(size, sizeof size, "%zx\r\n", text.size());
@@ -155,12 +159,10 @@
     ++service_->watchers_;
     watching_ = true;
     // PROTOCOL: the first object holds what changed after that version, or else the whole list. It is owed
-    // also if that is nothing, so that the watcher knows at once that it is up to date.
-    const auto first = service_->OwedChunk(index);
-    Write(std::make_shared<const std::string>(
-              "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n" +
-              *first),
-          service_->core_.generation());
+    // also if that is nothing, so that the watcher knows at once that it is up to date. Its text is shared,
+    // not copied behind the head: a long list for each of thousands that come back at once would fill the
+    // memory.
+    Write(service_->OwedChunk(index), service_->core_.generation(), kWatchHead);
     WatchForEnd();
   }
 
@@ -173,12 +175,12 @@
     socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](ErrorCode) { self->End(); });
   }
 
-  void Write(Service::Text text, std::int64_t index) {
+  void Write(Service::Text text, std::int64_t index, std::string_view head = {}) {
     writing_ = true;
     index_ = index;
-    const asio::const_buffer buffer = asio::buffer(*text);
+    const std::array<asio::const_buffer, 2> buffers = {asio::buffer(head), asio::buffer(*text)};
     Expect(std::chrono::microseconds(service_->config_.stall));
-    asio::async_write(socket_, buffer,
+    asio::async_write(socket_, buffers,
                       [self = shared_from_this(), text = std::move(text)](ErrorCode error, std::size_t) {
                         self->writing_ = false;
                         if (self->service_ == nullptr) return;
