--- a/src/cli/lab_command.cpp
+++ b/src/cli/lab_command.cpp
@@ -108,20 +108,29 @@
   return report["held"].get<bool>() ? 0 : 1;
 }
 
-int List(const std::string& directory) {
+int List(const std::string& directory, bool json) {
   std::vector<fs::path> files;
   std::error_code error;
   for (const auto& entry : fs::directory_iterator(directory, error))
     if (entry.path().extension() == ".toml") files.push_back(entry.path());
   if (error) throw std::runtime_error(directory + ": " + error.message());
   std::sort(files.begin(), files.end());
+  nlohmann::ordered_json all = nlohmann::ordered_json::array();
   for (const fs::path& file : files) {
     const lab::Scenario scenario = lab::LoadScenario(file.string());
-    std::printf("%-20s %s\n", scenario.name.c_str(), scenario.description.c_str());
+    all.push_back({{"file", file.string()}, {"name", scenario.name}, {"description", scenario.description}});
+    if (!json) std::printf("%-20s %s\n", scenario.name.c_str(), scenario.description.c_str());
   }
+  if (json) std::printf("%s\n", all.dump(1).c_str());
   return files.empty() ? 1 : 0;
 }
 
+int Compare(const std::vector<std::string>& files, bool json) {
+  const auto compared = lab::Compare(ReadReport(files[0]), ReadReport(files[1]));
+  std::printf("%s", json ? (compared.dump(1) + "\n").c_str() : lab::CompareTable(compared).c_str());
+  return 0;
+}
+
 int Trace(const std::string& directory, const std::string& id) {
   std::istringstream lines(Read(directory + "/log.jsonl"));
   bool any = false;
@@ -162,15 +171,15 @@
   auto directory = std::make_shared<std::string>("scenarios");
   CLI::App* const list = lab->add_subcommand("list", "The scenarios of a directory");
   list->add_option("DIR", *directory, "directory of scenario files")->capture_default_str();
-  list->callback([directory, &status] { status = List(*directory); });
+  auto json = std::make_shared<bool>(false);
+  list->add_flag("--json", *json, "as JSON");
+  list->callback([directory, json, &status] { status = List(*directory, *json); });
 
   auto pair = std::make_shared<std::vector<std::string>>();
   CLI::App* const compare = lab->add_subcommand("compare", "Two reports side by side");
   compare->add_option("REPORT", *pair, "two files written by --json")->required()->expected(2);
-  compare->callback([pair, &status] {
-    std::printf("%s", lab::Compare(ReadReport((*pair)[0]), ReadReport((*pair)[1])).c_str());
-    status = 0;
-  });
+  compare->add_flag("--json", *json, "as JSON");
+  compare->callback([pair, json, &status] { status = Compare(*pair, *json); });
 
   auto kept = std::make_shared<std::string>();
   auto id = std::make_shared<std::string>();
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -138,21 +138,35 @@
   return out + (report["held"].get<bool>() ? "held\n" : "failed\n");
 }
 
-std::string Compare(const Json& a, const Json& b) {
+Json Compare(const Json& a, const Json& b) {
   for (const Json* const each : {&a, &b})
     if (!each->is_object() || each->value("version", 0) != kReportVersion || !each->contains("figures"))
       throw std::runtime_error("no report of version " + std::to_string(kReportVersion));
-  std::string out = Pad("", 38);
+  Json runs = Json::array();
   for (const Json* const each : {&a, &b})
-    out += Pad((*each)["scenario"].get<std::string>() + " " + (*each)["seed"].dump(), 22);
-  out += "difference\n";
+    runs.push_back(
+        {{"scenario", (*each)["scenario"]}, {"seed", (*each)["seed"]}, {"sidecar", (*each)["sidecar"]}});
+  Json figures = Json::object();
   for (const auto& [name, value] : a["figures"].items()) {
     if (!b["figures"].contains(name)) continue;
     const Json& other = b["figures"][name];
-    out += Pad(name, 38) + Pad(Show(value), 22) + Pad(Show(other), 22);
-    if (value.is_number() && other.is_number()) out += Show(other.get<double>() - value.get<double>());
-    out += "\n";
+    const bool numbers = value.is_number() && other.is_number();
+    figures[name] = {
+        {"a", value},
+        {"b", other},
+        {"difference", numbers ? Json(other.get<double>() - value.get<double>()) : Json(nullptr)}};
   }
+  return {{"runs", std::move(runs)}, {"figures", std::move(figures)}};
+}
+
+std::string CompareTable(const Json& compared) {
+  std::string out = Pad("", 38);
+  for (const Json& run : compared["runs"])
+    out += Pad(run["scenario"].get<std::string>() + " " + run["seed"].dump(), 22);
+  out += "difference\n";
+  for (const auto& [name, figure] : compared["figures"].items())
+    out += Pad(name, 38) + Pad(Show(figure["a"]), 22) + Pad(Show(figure["b"]), 22) +
+           Show(figure["difference"]) + "\n";
   return out;
 }
 
--- a/src/lab/report.hpp
+++ b/src/lab/report.hpp
@@ -19,8 +19,10 @@
 std::string Summary(const nlohmann::ordered_json& report);
 std::string Html(const nlohmann::ordered_json& report);
 
-// A table of the figures that both have. Throws std::runtime_error if either is no report of this version.
-std::string Compare(const nlohmann::ordered_json& a, const nlohmann::ordered_json& b);
+// The figures that both have, and their difference where both are numbers. Throws std::runtime_error if
+// either is no report of this version.
+nlohmann::ordered_json Compare(const nlohmann::ordered_json& a, const nlohmann::ordered_json& b);
+std::string CompareTable(const nlohmann::ordered_json& compared);
 
 }  // namespace violetwing::lab
 
--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -413,10 +413,6 @@
   out.zones = in.Names("zones", {"aarhus", "odense", "ballerup"});
   if (std::set<std::string>(out.zones.begin(), out.zones.end()).size() != out.zones.size())
     in.Bad("zones", "a zone twice");
-  out.regions = in.Names("regions", {"west"});
-  if (!in.Has("regions")) out.regions.clear();
-  if (!out.regions.empty() && out.regions.size() != out.zones.size())
-    in.Bad("regions", "one for each zone is needed");
   out.memory_mb = in.Whole("memory_mb", out.memory_mb, 16, 1'000'000);
   out.sockets = in.Whole("sockets", out.sockets, 64, 1'000'000);
   out.passed_socket = in.Flag("passed_socket", false);
--- a/src/lab/scenario.hpp
+++ b/src/lab/scenario.hpp
@@ -48,7 +48,6 @@
   int servers = 9;
   int cells = 3;
   std::vector<std::string> zones;
-  std::vector<std::string> regions;  // one for each zone; empty = none are known
   int memory_mb = 96;
   int sockets = 512;
   bool passed_socket = false;  // the lab holds the clients' sockets, as for upgrades
--- a/tests/lab/command_test.sh
+++ b/tests/lab/command_test.sh
@@ -47,6 +47,8 @@
 grep -q '"version": 1' "$work/a.json"
 grep -q '<svg' "$work/a.html"
 "$program" lab compare "$work/a.json" "$work/b.json" | grep -q '^served.in_time' || fail "compare"
+"$program" lab compare "$work/a.json" "$work/b.json" --json | grep -q '"difference"' || fail "compare --json"
+"$program" lab list "$2" --json | grep -q '"name": "short"' || fail "list --json"
 "$program" lab trace "$work/a" 0000000000070000 | grep -q '"part":"server"' || fail "trace finds no attempt"
 if "$program" lab trace "$work/a" none; then fail "trace of nothing"; fi
 
@@ -61,6 +63,14 @@
 "$program" lab run "$short" --sidecar /bin/false >"$work/out" 2>&1 || status=$?
 [ "$status" = 1 ] && grep -q CRASHED "$work/out" || fail "a sidecar that ends ended with $status"
 
+# One that a sanitizer has something to say of.
+printf '#!/bin/sh\necho "ERROR: AddressSanitizer: heap-use-after-free"\nexec "%s"\n' "$(dirname "$program")/fennelhollow" \
+  >"$work/reported"
+chmod +x "$work/reported"
+status=0
+"$program" lab run "$short" --replays 3 --sidecar "$work/reported" >"$work/out" || status=$?
+[ "$status" = 1 ] && grep -q CRASHED "$work/out" || fail "a sanitizer's report ended with $status: $(cat "$work/out")"
+
 # Waits until the condition holds.
 until_true() {
   for _ in $(seq 1 400); do
--- a/tests/lab/judge_test.cpp
+++ b/tests/lab/judge_test.cpp
@@ -307,7 +307,9 @@
   EXPECT_NE(page.find("<svg"), std::string::npos);
   EXPECT_NE(page.find(">f</text>"), std::string::npos);  // the fault's mark
   EXPECT_EQ(page.find("src="), std::string::npos);
-  EXPECT_NE(Compare(report, report).find("served.in_time"), std::string::npos);
+  const auto compared = Compare(report, report);
+  EXPECT_EQ(compared["figures"]["served.in_time"]["difference"], 0.0);
+  EXPECT_NE(CompareTable(compared).find("served.in_time"), std::string::npos);
   EXPECT_THROW(Compare(report, nlohmann::ordered_json::object()), std::runtime_error);
 }
 
