Name the number of remembered keys once

Need: core and store each held 65,536 and must forget the same keys. Change: one constant, in the core.

--- a/src/registry/core.hpp
+++ b/src/registry/core.hpp
@@ -20,6 +20,7 @@
 using Micros = std::int64_t;
 
 inline constexpr std::int64_t kEpochUnit = std::int64_t{1} << 40;  // generation = epoch * this + change
+inline constexpr std::size_t kMostKeys = 65'536;  // of batches, remembered by core and store alike
 inline constexpr std::int64_t kMostEpoch = (std::int64_t{1} << 13) - 1;
 
 enum class Lifecycle { kUp, kDraining, kRemoved };
@@ -84,9 +85,9 @@
 };
 
 struct Limits {
-  std::size_t log = 4096;          // versions kept for watchers
-  std::size_t entries = 20'000;    // a list of more is longer than a sidecar takes
-  std::size_t keys = 65'536;       // of batches, remembered
+  std::size_t log = 4096;        // versions kept for watchers
+  std::size_t entries = 20'000;  // a list of more is longer than a sidecar takes
+  std::size_t keys = kMostKeys;
   double preserve_share = 0.34;    // of a zone's leases; over this, their ends are not believed
   std::size_t preserve_least = 3;  // so many at least
 };
--- a/src/registry/store.cpp
+++ b/src/registry/store.cpp
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr int kApplication = 0x56575247;  // "VWRG"
-constexpr std::size_t kKeysKept = 65'536;
 
 [[noreturn]] void Fail(sqlite3* database, const std::string& doing) {
   throw StoreError("store: " + doing + ": " + sqlite3_errmsg(database));
@@ -216,7 +215,7 @@
         .Step();
     // Each version adds one key at most, so those before so many versions are forgotten by the core too.
     Statement(database, "DELETE FROM keys WHERE generation < ?")
-        .Bind(1, change.generation - static_cast<std::int64_t>(kKeysKept))
+        .Bind(1, change.generation - static_cast<std::int64_t>(kMostKeys))
         .Step();
   }
   SetMeta(database, "change", change.generation % kEpochUnit);
