Let sidecars go on to further discovery addresses, with the last list kept

A sidecar knew one discovery: while that was gone it learnt nothing, and a start in that time had the configuration's list alone.

The configuration may name `further_discovery`. A watch that ends, falls silent or tells a list older than the one in use is opened at another address, any of the others by draw, after a jittered wait (0.5 s doubling to 8 s, so that those who lose one registry do not come to the next in one instant). A follower that calls its list stale is left for another; if all are stale the watch stays, so that the first to hear again tells it at once. The list is kept in TMPDIR and begun with if it is later than the configuration's; changes that would leave no server are not taken. Without the setting nothing of it is there: no file, timer or socket.

--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -64,6 +64,20 @@
   return *address;
 }
 
+// The platform's own goes first. With the further ones comes the list's copy in TMPDIR, so that a start with
+// none of them up finds it; an empty list of them brings the copy alone.
+void ReadDiscovery(const Json& json, const std::string& from_environment, Config& config) {
+  config.discovery = {Address(json, "discovery", from_environment)};
+  if (!json.contains("further_discovery")) return;
+  config.keeps_list = true;
+  for (const Json& one : json.at("further_discovery")) {
+    const auto address = ParseAddress(one.get<std::string>());
+    if (!address) throw ConfigError("further_discovery " + one.dump() + ": not an address with a port");
+    if (std::find(config.discovery.begin(), config.discovery.end(), *address) == config.discovery.end())
+      config.discovery.push_back(*address);
+  }
+}
+
 std::uint64_t Seed(const Json& json) {
   const std::string text = json.value("seed", std::string("0"));
   std::uint64_t seed = 0;
@@ -102,7 +116,7 @@
   Config config;
   config.name = json.value("name", std::string());
   config.listen = Address(json, "listen", Variable(environment, "EDGE_LISTEN"));
-  config.discovery = Address(json, "discovery", Variable(environment, "EDGE_DISCOVERY"));
+  ReadDiscovery(json, Variable(environment, "EDGE_DISCOVERY"), config);
   const std::string admin = Variable(environment, "EDGE_ADMIN");
   if (!admin.empty() || (json.contains("admin") && !json.at("admin").is_null()))
     config.admin = Address(json, "admin", admin);
@@ -122,6 +136,7 @@
   std::int64_t& most_open = config.wire.settings.most_open;
   most_open = most_open > 0 ? std::min(most_open, connections) : connections;
   config.known = Known(json, config.wire);
+  if (config.keeps_list && !config.known.endpoints.empty()) config.known_text = json.at("known").dump();
   return config;
 }
 
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -67,6 +67,7 @@
     EndpointList list;
     list.generation = json.at("generation").get<std::int64_t>();
     list.whole = json.at("reset").get<bool>();
+    list.stale = json.value("stale", false);
     for (const nlohmann::json& entry : json.at("instances"))
       list.endpoints.push_back(ParseEntry(entry, names, error));
     if (error.empty()) return list;
@@ -86,7 +87,7 @@
     request_.target("/v1/endpoints?stream=1&index=" + std::to_string(owner_->generation_));
     request_.set(http::field::host, "discovery");
     ExpectProgress();
-    tcp_.async_connect(owner_->address_, [self = shared_from_this()](ErrorCode error) {
+    tcp_.async_connect(owner_->address(), [self = shared_from_this()](ErrorCode error) {
       if (error) return self->End(error.message());
       self->Ask();
     });
@@ -165,10 +166,10 @@
   std::string line_;
 };
 
-Discovery::Discovery(asio::io_context& io, Tcp::endpoint address, const drill::WireSettings& names,
-                     Timing timing, std::uint64_t seed, Events events)
+Discovery::Discovery(asio::io_context& io, std::vector<Tcp::endpoint> addresses,
+                     const drill::WireSettings& names, Timing timing, std::uint64_t seed, Events events)
     : io_(io),
-      address_(std::move(address)),
+      addresses_(std::move(addresses)),
       names_(names),
       timing_(timing),
       events_(std::move(events)),
@@ -185,8 +186,9 @@
   Open();
 }
 
-void Discovery::Move(Tcp::endpoint address, std::int64_t generation) {
-  address_ = std::move(address);
+void Discovery::Move(std::vector<Tcp::endpoint> addresses, std::int64_t generation) {
+  addresses_ = std::move(addresses);
+  at_ = tried_ = 0;
   backoff_.cancel();
   failures_ = 0;  // they were the old address's
   complained_ = false;
@@ -205,7 +207,7 @@
   const auto list = json.is_discarded() ? std::nullopt : ParseList(json, names_, error);
   if (list && list->generation < generation_) error = "older than the list that is in use";
   if (list && list->whole && list->endpoints.empty()) error = "a whole list of no servers";
-  if (!list || !error.empty()) {
+  if (!list || !error.empty() || (events_.may_take && !events_.may_take(json, error))) {
     std::exchange(stream_, nullptr)->Stop();
     return OnEnd(error, /*bad_input=*/true);
   }
@@ -213,12 +215,46 @@
   complained_ = false;
   generation_ = list->generation;
   events_.on_list(*list);
+  if (addresses_.size() < 2 || stream_ == nullptr) return;
+  if (!list->stale) {
+    tried_ = 0;
+    backoff_.cancel();
+  } else if (tried_ < addresses_.size()) {
+    LookElsewhere();
+  } else {
+    StayForNow();
+  }
+}
+
+void Discovery::LookElsewhere() {
+  std::exchange(stream_, nullptr)->Stop();
+  OnEnd("a list of long ago", /*bad_input=*/false);
+}
+
+// All are stale or gone, so this one may be the first to be told something again: the watch stays, and the
+// others are looked at now and then.
+void Discovery::StayForNow() {
+  tried_ = 0;
+  backoff_.expires_after(std::chrono::microseconds(
+      std::uniform_int_distribution<Micros>(timing_.stale_stay, 2 * timing_.stale_stay)(random_)));
+  backoff_.async_wait([this](ErrorCode error) {
+    if (!error && stream_ != nullptr) LookElsewhere();
+  });
+}
+
+// Any of the others alike: were it always the next, all that a lost registry had would meet at one.
+void Discovery::GoToAnother() {
+  if (addresses_.size() < 2) return;
+  ++tried_;
+  const std::size_t step = std::uniform_int_distribution<std::size_t>(1, addresses_.size() - 1)(random_);
+  at_ = (at_ + step) % addresses_.size();
 }
 
 void Discovery::OnEnd(const std::string& reason, bool bad_input) {
   stream_ = nullptr;
   if (bad_input && !std::exchange(complained_, true))  // once: it may say the same at each reopening
     std::fprintf(stderr, "discovery: the list is kept as it was: %.200s\n", reason.c_str());
+  GoToAnother();
   events_.on_failed();
   if (!timing_.reopens) return;
   // Jitter guards against all sidecars coming back in the same instant when discovery does.
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -1,5 +1,5 @@
 // Follows the list of servers: one watch, reopened with jittered backoff when it ends, falls silent or says
-// something that cannot be understood.
+// something that cannot be understood. Where there are further addresses, the next one is tried each time.
 #ifndef MERLINRUN_NET_DISCOVERY_HPP_
 #define MERLINRUN_NET_DISCOVERY_HPP_
 
@@ -28,6 +28,7 @@
   bool whole = false;  // else changed entries alone
   std::int64_t generation = 0;
   std::vector<Endpoint> endpoints;
+  bool stale = false;  // a follower that has long heard nothing of its registry tells it
 };
 
 // Reads a list; empty, with the reason in `error`, if any part of it makes no sense.
@@ -43,23 +44,29 @@
     Micros silence = 4'500'000;       // an empty line comes every 2 s; what is told counts as told after 6 s
     Micros backoff_base = 200'000;    // the wait before the n-th reopening is random(0, base * 2^n) ...
     Micros backoff_most = 1'000'000;  // ... and no longer than this
+    Micros stale_stay = 10'000'000;   // and up to twice so long, where all addresses are stale or gone
     bool reopens = true;              // false: somebody else decides when to ask again
   };
   struct Events {
+    // A list before it is taken, as it was read; false if it must not be taken, with the reason. May be
+    // empty.
+    std::function<bool(const nlohmann::json&, std::string& reason)> may_take;
     std::function<void(const EndpointList&)> on_list;
     std::function<void()> on_failed;  // the watch ended or never opened
   };
 
-  Discovery(asio::io_context& io, Tcp::endpoint address, const drill::WireSettings& names, Timing timing,
-            std::uint64_t seed, Events events);
+  // Asks the first of `addresses` as long as it answers; there is at least one.
+  Discovery(asio::io_context& io, std::vector<Tcp::endpoint> addresses, const drill::WireSettings& names,
+            Timing timing, std::uint64_t seed, Events events);
   ~Discovery();
   Discovery(const Discovery&) = delete;
   Discovery& operator=(const Discovery&) = delete;
 
   // Opens the watch, to be told of what changed after `generation`. Does nothing if it is open already.
   void Watch(std::int64_t generation);
-  // Follows discovery to another address, at once: the watch at the old one is over.
-  void Move(Tcp::endpoint address, std::int64_t generation);
+  // Follows discovery to other addresses, at once: the watch at the old one is over.
+  void Move(std::vector<Tcp::endpoint> addresses, std::int64_t generation);
+  const Tcp::endpoint& address() const { return addresses_[at_]; }  // that is watched, or asked next
 
  private:
   class Stream;
@@ -68,8 +75,14 @@
   void OnLine(const std::string& line);
   void OnEnd(const std::string& reason, bool bad_input);
 
+  void GoToAnother();
+  void LookElsewhere();
+  void StayForNow();
+
   asio::io_context& io_;
-  Tcp::endpoint address_;
+  std::vector<Tcp::endpoint> addresses_;
+  std::size_t at_ = 0;
+  std::size_t tried_ = 0;  // addresses left since a fresh list came
   const drill::WireSettings& names_;
   const Timing timing_;
   const Events events_;
--- /dev/null
+++ b/src/net/last_list.hpp
@@ -0,0 +1,51 @@
+// The list of servers as it was last told, kept in a directory: a sidecar that starts with no registry up
+// begins with it. Only where further discovery addresses are configured; docs/registry.md has the use.
+#ifndef MERLINRUN_NET_LAST_LIST_HPP_
+#define MERLINRUN_NET_LAST_LIST_HPP_
+
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+
+#include "discovery.hpp"
+
+namespace merlinrun::net {
+
+class LastList {
+ public:
+  static constexpr const char* kFile = "fennelhollow-last-list.json";
+
+  // `names` outlives it.
+  LastList(asio::io_context& io, const std::string& directory, const drill::WireSettings& names);
+  ~LastList();  // writes what is not written yet
+  LastList(const LastList&) = delete;
+  LastList& operator=(const LastList&) = delete;
+
+  // Begins with `known`, a whole list as text or empty, or with the copy if that is later; the copy is given
+  // then. One that makes no sense is one line in the log. Called once, before Take.
+  std::optional<EndpointList> Begin(const std::string& known);
+  // Takes a list or its changes in discovery's form, and writes the whole within two seconds. False, with the
+  // reason and nothing taken, if it would leave no server.
+  bool Take(const nlohmann::json& list, std::string& reason);
+
+ private:
+  std::optional<nlohmann::json> ReadCopy(EndpointList& parsed) const;
+  bool LeavesNone(const nlohmann::json& changes) const;
+  void Adopt(const nlohmann::json& list);
+  void WriteLater();
+  void Write();
+
+  const std::string file_;
+  const drill::WireSettings& names_;
+  asio::steady_timer timer_;
+  bool pending_ = false;
+  bool complained_ = false;
+  std::int64_t generation_ = 0;
+  std::map<std::string, nlohmann::json> entries_;
+};
+
+}  // namespace merlinrun::net
+
+#endif  // MERLINRUN_NET_LAST_LIST_HPP_
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -44,6 +44,10 @@
 // How often a process looks for bans that another one has made: what that one has said yes to binds after the
 // grace, half a second where it is shortest.
 constexpr Micros kBansPeriod = 200 * kMs;
+// Waits before another registry is asked. Lists may be seconds old by design (ask_within); 5,000 sidecars
+// that come within the first half second are 10 a millisecond, what a registry words and writes in that time.
+constexpr Micros kFailoverBase = 500 * kMs;
+constexpr Micros kMostFailover = 8 * kSecond;  // within the time for asking, 10 s
 // The part of the memory that bodies may hold; half of it where two processes share it for a while.
 // Connections need about as much again for what they read and write, and half of the memory stays free.
 constexpr std::size_t kBudgetShare = 8;
@@ -116,6 +120,8 @@
 
 Discovery::Timing DiscoveryTiming(const Config& config) {
   Discovery::Timing timing;
+  // Those who lose one of several registries come to the others within seconds, not all in the same instant.
+  if (config.discovery.size() > 1) timing.backoff_base = kFailoverBase, timing.backoff_most = kMostFailover;
   timing.reopens = !config.wire.settings.must_subscribe;
   return timing;
 }
@@ -143,9 +149,13 @@
       metrics_(config_.wire.settings.classes),
       bans_(config_.directory),
       bans_timer_(io),
+      last_list_(config_.keeps_list && !config_.directory.empty()
+                     ? std::make_unique<LastList>(io, config_.directory, config_.wire)
+                     : nullptr),
       upstream_(io, UpstreamLimits(config_), budget_, [this] { metrics_.AttemptWritten(); }),
       discovery_(io, config_.discovery, config_.wire, DiscoveryTiming(config_), config_.seed,
-                 {[this](const EndpointList& list) {
+                 {TakesLists(),
+                  [this](const EndpointList& list) {
                     OnList(list.whole ? ListUpdate::Kind::kFull : ListUpdate::Kind::kDelta, list);
                   },
                   [this] { OnDiscoveryFailed(); }}),
@@ -176,7 +186,7 @@
     FollowBans();
   }
   const bool awaits = Succeeds();
-  OnList(ListUpdate::Kind::kStale, config_.known, awaits);
+  OnList(ListUpdate::Kind::kStale, Known(), awaits);
   if (!config_.wire.settings.must_subscribe) discovery_.Watch(generation_);
   if (!awaits) return TakeClients();
   start_timer_.expires_after(std::chrono::microseconds(kMostAwait));
@@ -252,6 +262,18 @@
   return clock_offset_ + std::chrono::duration_cast<std::chrono::microseconds>(steady).count();
 }
 
+std::function<bool(const nlohmann::json&, std::string&)> Sidecar::TakesLists() {
+  if (last_list_ == nullptr) return {};
+  return [this](const nlohmann::json& list, std::string& reason) { return last_list_->Take(list, reason); };
+}
+
+// The list to begin with: the configuration's, or the copy in TMPDIR where that is later.
+EndpointList Sidecar::Known() {
+  if (last_list_ == nullptr) return config_.known;
+  const auto kept = last_list_->Begin(config_.known_text);
+  return kept ? *kept : config_.known;
+}
+
 void Sidecar::OnList(ListUpdate::Kind kind, const EndpointList& list, bool awaits) {
   generation_ = list.generation;
   EndpointList applied = list;
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -16,6 +16,7 @@
 #include "config.hpp"
 #include "discovery.hpp"
 #include "inbound.hpp"
+#include "last_list.hpp"
 #include "merlinrun/balancer.hpp"
 #include "metrics.hpp"
 #include "upstream.hpp"
@@ -83,6 +84,8 @@
   void FollowBans();
   bool ApplyBans();
   bool Ready() const;
+  std::function<bool(const nlohmann::json&, std::string&)> TakesLists();
+  EndpointList Known();
   void OnList(ListUpdate::Kind kind, const EndpointList& list, bool awaits = false);
   void OnDiscoveryFailed();
   void OnRequest(const Inbound::SessionPtr& session, RequestHead head, const BodyPtr& body);
@@ -113,6 +116,7 @@
   Metrics metrics_;
   Bans bans_;
   asio::steady_timer bans_timer_;
+  std::unique_ptr<LastList> last_list_;  // null where none is kept
   Upstream upstream_;
   Discovery discovery_;
   std::unique_ptr<Inbound> inbound_;
--- a/tests/net/config_test.cpp
+++ b/tests/net/config_test.cpp
@@ -21,6 +21,21 @@
             "grades.0.name=x grades.1.name=y tenants=");
 }
 
+TEST(Config, TakesFurtherDiscoveryAddressesOnceEach) {
+  const Tcp::endpoint at(asio::ip::make_address("127.0.0.1"), 81);
+  Json json = ConfigJson(at, {Entry("s1", at)});
+  json["further_discovery"] = {"127.0.0.1:82", "127.0.0.1:81"};
+  const Config config = ParseConfig(json.dump());
+  ASSERT_EQ(config.discovery.size(), 2U);
+  EXPECT_EQ(Text(config.discovery[1]), "127.0.0.1:82");
+  EXPECT_TRUE(config.keeps_list);
+  EXPECT_FALSE(config.known_text.empty());
+  for (const Json& bad : {Json({"127.0.0.1"}), Json({7}), Json("127.0.0.1:82x")}) {
+    json["further_discovery"] = bad;
+    EXPECT_THROW(ParseConfig(json.dump()), ConfigError) << bad;
+  }
+}
+
 TEST(Config, ReadsAllThatASidecarIsTold) {
   const Tcp::endpoint at(asio::ip::make_address("127.0.0.1"), 81);
   const Config config = ParseConfig(ConfigJson(at, {Entry("s1", at)}).dump(), [](const char* name) {
@@ -28,7 +43,9 @@
     return std::string_view(name) == "EDGE_ADMIN" ? "127.0.0.2:81" : nullptr;
   });
   EXPECT_EQ(Text(config.listen), "127.0.0.2:80");  // the environment's
-  EXPECT_EQ(Text(config.discovery), "127.0.0.1:81");
+  ASSERT_EQ(config.discovery.size(), 1U);
+  EXPECT_EQ(Text(config.discovery[0]), "127.0.0.1:81");
+  EXPECT_FALSE(config.keeps_list);
   ASSERT_TRUE(config.admin);
   EXPECT_EQ(Text(*config.admin), "127.0.0.2:81");
   EXPECT_EQ(config.seed, 0x8c1f30d27a5be964U);
--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -28,9 +28,9 @@
     });
     timing.backoff_base = timing.backoff_most = 2'000;
     discovery = std::make_unique<Discovery>(
-        io, server->address, names, timing, 1,
-        Discovery::Events{[this](const EndpointList& list) { lists.push_back(list); },
-                          [this] { ++failures; }});
+        io, std::vector{server->address}, names, timing, 1,
+        Discovery::Events{
+            {}, [this](const EndpointList& list) { lists.push_back(list); }, [this] { ++failures; }});
     discovery->Watch(41);
   }
   static std::string Line(std::int64_t generation, const std::string& id) {
@@ -108,6 +108,55 @@
   EXPECT_NE(server->peers[1]->received.find("index=42 "), std::string::npos);
 }
 
+// Three registries: the first is gone, the second tells a list of long ago, and the third is followed.
+TEST_F(DiscoveryTest, GoesOnToAnotherAddressWhenOneIsGoneOrStale) {
+  nlohmann::json old = List(41, false, {});
+  old["stale"] = true;
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  ScriptedServer gone(io);
+  gone.StopListening();
+  ScriptedServer stale(io, [&](Peer& peer) { peer.Write(head + Chunk(old.dump() + "\n")); });
+  ScriptedServer fresh(io, [&](Peer& peer) { peer.Write(head + Chunk(Line(42, "s-a"))); });
+  Discovery::Timing timing;
+  timing.backoff_base = timing.backoff_most = 2'000;
+  for (std::uint64_t seed = 0; seed < 8; ++seed) {  // some go to the stale one first
+    std::int64_t last = 0;
+    Discovery follows(io, {gone.address, stale.address, fresh.address}, names, timing, seed,
+                      {{}, [&](const EndpointList& list) { last = list.generation; }, [] {}});
+    follows.Watch(41);
+    ASSERT_TRUE(RunUntil(io, [&] { return last == 42; }));
+    EXPECT_EQ(follows.address(), fresh.address);
+    RunFor(io, 20ms);
+    EXPECT_EQ(follows.address(), fresh.address);
+  }
+  EXPECT_GT(stale.peers.size(), 0U);
+}
+
+// With all of them stale there is nowhere better: the watch stays, and hears at once when its registry does.
+TEST_F(DiscoveryTest, StaysAtAStaleAddressWhenAllAreStale) {
+  nlohmann::json old = List(41, false, {});
+  old["stale"] = true;
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const auto answer = [&](Peer& peer) { peer.Write(head + Chunk(old.dump() + "\n")); };
+  ScriptedServer one(io, answer);
+  ScriptedServer two(io, answer);
+  Discovery::Timing timing;
+  timing.backoff_base = timing.backoff_most = 2'000;
+  timing.stale_stay = 3'600'000'000;
+  std::int64_t last = 0;
+  Discovery follows(io, {one.address, two.address}, names, timing, 1,
+                    {{}, [&](const EndpointList& list) { last = list.generation; }, [] {}});
+  follows.Watch(41);
+  const auto asked = [&] { return one.requests() + two.requests(); };
+  ASSERT_TRUE(RunUntil(io, [&] { return asked() == 3; }));  // each, and the first again
+  RunFor(io, 50ms);
+  EXPECT_EQ(asked(), 3);
+  ScriptedServer& at = follows.address() == one.address ? one : two;
+  at.peers.back()->Write(Chunk(Line(42, "s-a")));
+  ASSERT_TRUE(RunUntil(io, [&] { return last == 42; }));
+  EXPECT_EQ(asked(), 3);
+}
+
 TEST_F(DiscoveryTest, LeavesReopeningToTheModuleWhereListsAreAskedFor) {
   Discovery::Timing timing;
   timing.reopens = false;
--- /dev/null
+++ b/tests/net/last_list_test.cpp
@@ -0,0 +1,80 @@
+// The copy of the list that a start without a registry begins with.
+#include "net/last_list.hpp"
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+#include "loopback.hpp"
+
+namespace merlinrun::net {
+namespace {
+
+using namespace testing;  // NOLINT(google-build-using-namespace)
+namespace fs = std::filesystem;
+
+class LastListTest : public ::testing::Test {
+ protected:
+  LastListTest() {
+    std::string name = (fs::temp_directory_path() / "list-XXXXXX").string();
+    EXPECT_NE(::mkdtemp(name.data()), nullptr);
+    directory = name;
+  }
+  ~LastListTest() override { fs::remove_all(directory); }
+
+  // What a process leaves that began with `known` and was told `lists`.
+  void Told(const std::string& known, const std::vector<nlohmann::json>& lists) {
+    LastList last(io, directory, names);
+    last.Begin(known);
+    std::string reason;
+    for (const auto& list : lists) EXPECT_TRUE(last.Take(list, reason)) << reason;
+  }
+  std::optional<EndpointList> Begin(const std::string& known = "") {
+    return LastList(io, directory, names).Begin(known);
+  }
+
+  asio::io_context io;
+  const Tcp::endpoint at{asio::ip::make_address("127.0.0.1"), 80};
+  drill::WireSettings names{{}, {"west", "east"}, {"std"}};
+  std::string directory;
+};
+
+TEST_F(LastListTest, IsTheWholeListAfterChanges) {
+  EXPECT_FALSE(Begin());
+  Told(List(5, true, {Entry("a", at), Entry("b", at)}).dump(),
+       {List(6, false, {Entry("c", at)}), List(7, false, {Entry("a", at, "removed")})});
+  const auto kept = Begin();
+  ASSERT_TRUE(kept);
+  EXPECT_EQ(kept->generation, 7);
+  ASSERT_EQ(kept->endpoints.size(), 2U);
+  EXPECT_EQ(kept->endpoints[0].info.id, "b");
+  EXPECT_EQ(kept->endpoints[1].info.id, "c");
+  EXPECT_TRUE(Begin(List(6, true, {Entry("d", at)}).dump()));
+  EXPECT_FALSE(Begin(List(7, true, {Entry("d", at)}).dump()));  // as late: the configuration's stays
+}
+
+TEST_F(LastListTest, TakesNoChangesThatLeaveNoServer) {
+  LastList last(io, directory, names);
+  last.Begin(List(5, true, {Entry("a", at), Entry("b", at)}).dump());
+  std::string reason;
+  EXPECT_FALSE(last.Take(List(6, false, {Entry("a", at, "removed"), Entry("b", at, "removed")}), reason));
+  EXPECT_FALSE(reason.empty());
+  EXPECT_TRUE(last.Take(
+      List(7, false, {Entry("a", at, "removed"), Entry("b", at, "removed"), Entry("c", at)}), reason));
+}
+
+TEST_F(LastListTest, PassesOverACopyThatMakesNoSense) {
+  for (const std::string& text : {std::string("{\"generation\":9,\"re"), List(9, true, {}).dump(),
+                                  List(9, false, {Entry("a", at)}).dump()}) {
+    std::ofstream(fs::path(directory) / LastList::kFile) << text;
+    ::testing::internal::CaptureStderr();
+    EXPECT_FALSE(Begin()) << text;
+    const std::string said = ::testing::internal::GetCapturedStderr();
+    EXPECT_EQ(std::count(said.begin(), said.end(), '\n'), 1) << said;
+  }
+}
+
+}  // namespace
+}  // namespace merlinrun::net
