Play real registries in the lab, with links to them and leases of the servers

What the registry does to a fleet when it breaks was not to be seen: the lab had its scripted discovery alone.

`[registry]` in a scenario starts so many `violetwing registry serve` processes, the first the primary. The lab's servers hold leases with them by the code that the agent ships, sidecars follow them (each begins at its own, the others are its further addresses), and what a sidecar was told is read off its link. Faults: kill, terminate, freeze and promote; links from sidecars, servers and registries to registries. At the end lists of registries and views of sidecars are compared. `--scripted` plays the scripted discovery in their place.

--- a/src/cli/lab_command.cpp
+++ b/src/cli/lab_command.cpp
@@ -26,16 +26,18 @@
   std::string report;
   std::string keep;
   std::string sidecar;
+  bool scripted = false;
   int replays = 0;
 };
 
-// The sidecar that was built beside this program.
-std::string UsualSidecar() {
+std::string Self() {
   std::error_code error;
-  const fs::path self = fs::read_symlink("/proc/self/exe", error);
-  return (self.parent_path() / "fennelhollow").string();
+  return fs::read_symlink("/proc/self/exe", error).string();
 }
 
+// The sidecar that was built beside this program.
+std::string UsualSidecar() { return (fs::path(Self()).parent_path() / "fennelhollow").string(); }
+
 void Write(const std::string& file, const std::string& text) {
   std::ofstream out(file, std::ios::binary);
   if (!(out << text << std::flush)) throw std::runtime_error(file + ": cannot be written");
@@ -74,6 +76,8 @@
   lab::RunOptions options;
   options.sidecar = call.sidecar.empty() ? UsualSidecar() : call.sidecar;
   options.keep = call.keep;
+  options.program = Self();
+  options.scripted = call.scripted;
   if (::access(options.sidecar.c_str(), X_OK) != 0)
     throw std::runtime_error(options.sidecar + ": no sidecar that can be started (--sidecar)");
   const bool terminal = ::isatty(STDERR_FILENO) != 0;
@@ -164,6 +168,8 @@
   run->add_option("--report", call->report, "write the report there, as one HTML file");
   run->add_option("--keep", call->keep, "keep logs, plan and configurations in this directory");
   run->add_option("--sidecar", call->sidecar, "the program to play; the one built beside this if not given");
+  run->add_flag("--scripted", call->scripted,
+                "the scripted discovery in place of the scenario's registries, for comparison");
   run->add_option("--replays", call->replays, "play again up to so often while the lab itself ran late")
       ->check(CLI::Range(0, 100));
   run->callback([call, &status] { status = Run(*call); });
--- a/src/lab/judge/core.cpp
+++ b/src/lab/judge/core.cpp
@@ -241,7 +241,10 @@
   void CountProcesses() {
     double crashed = 0;
     for (const ProcessRecord& process : records_.processes) crashed += process.crashed ? 1 : 0;
-    At("crashed") = crashed;
+    At("crashed") = crashed + records_.registries_crashed;
+    At("registry.writing") = records_.views ? records_.views->writing : kNothing;
+    At("registry.equal") = records_.views ? records_.views->equal : kNothing;
+    At("registry.told_wrong") = records_.views ? records_.views->wrong : kNothing;
     At("ready") = records_.all_ready ? 1 : 0;
     for (int i = 0; i < scenario_.fleet.sidecars; ++i) {
       double cpu = 0;
--- a/src/lab/link/stream.cpp
+++ b/src/lab/link/stream.cpp
@@ -128,6 +128,17 @@
         });
   }
 
+  void Tell(const std::string& bytes) {
+    if (!link_->tap_.on_line) return;
+    line_ += bytes;
+    std::size_t begin = 0;
+    for (std::size_t end = line_.find('\n'); end != std::string::npos; end = line_.find('\n', begin)) {
+      link_->tap_.on_line(line_.substr(begin, end - begin));
+      begin = end + 1;
+    }
+    line_.erase(0, begin);
+  }
+
   void Enter(std::size_t size, Micros now) {
     total_ += size;
     entered_.emplace_back(total_, now);
@@ -158,6 +169,8 @@
                         side.writing = false;
                         if (self->link_ == nullptr || self->half_open_) return;
                         if (error) return self->End();
+                        if (&side == &self->back_) self->Tell(side.queue.front().bytes);
+                        if (self->link_ == nullptr) return;
                         side.queued -= size;
                         side.queue.pop_front();
                         self->Write(side);
@@ -172,6 +185,7 @@
   Side back_;
   std::uint16_t port_ = 0;
   bool half_open_ = false;
+  std::string line_;  // what was handed to the near end of a line that has not ended
   std::uint64_t total_ = 0;
   std::deque<std::pair<std::uint64_t, Micros>> entered_;  // bytes there so far, and when
 };
@@ -193,6 +207,7 @@
         const auto pipe =
             std::make_shared<StreamPipe>(*this, std::move(socket), Hash(seed_ + pipes_opened_++, "pipe"));
         pipes_.insert(pipe);
+        if (tap_.on_open) tap_.on_open();
         pipe->Open();
       }) {}
 
--- a/src/lab/link/stream.hpp
+++ b/src/lab/link/stream.hpp
@@ -3,9 +3,12 @@
 #ifndef VIOLETWING_LAB_LINK_STREAM_HPP_
 #define VIOLETWING_LAB_LINK_STREAM_HPP_
 
+#include <functional>
 #include <memory>
 #include <set>
+#include <string>
 #include <unordered_map>
+#include <utility>
 
 #include "../door.hpp"
 #include "core.hpp"
@@ -27,6 +30,12 @@
 
 class StreamLink {
  public:
+  // Hears of each connection as it comes, and of each line that was handed to the near end.
+  struct Tap {
+    std::function<void()> on_open;
+    std::function<void(const std::string& line)> on_line;
+  };
+
   StreamLink(asio::io_context& io, const Clock& clock, Tcp::endpoint target, std::uint64_t seed,
              SendTimes& times);
   ~StreamLink();
@@ -34,6 +43,7 @@
   StreamLink& operator=(const StreamLink&) = delete;
 
   const Tcp::endpoint& address() const { return door_.address(); }
+  void SetTap(Tap tap) { tap_ = std::move(tap); }
   const LaneState& there() const { return there_; }
   const LaneState& back() const { return back_; }
   // A direction that is cut keeps what it has; connections that would be opened never come up meanwhile.
@@ -55,6 +65,7 @@
   std::uint64_t seed_;
   std::uint64_t pipes_opened_ = 0;
   SendTimes& times_;
+  Tap tap_;
   LaneState there_;
   LaneState back_;
   Door::State far_ = Door::State::kRefusing;
--- a/src/lab/links.cpp
+++ b/src/lab/links.cpp
@@ -5,10 +5,15 @@
 
 namespace violetwing::lab {
 
-Links::Links(asio::io_context& io, const Clock& clock, const Scenario& scenario, const Plan& plan)
-    : io_(io), clock_(clock), scenario_(scenario), plan_(plan) {
+Links::Links(asio::io_context& io, const Clock& clock, const Scenario& scenario, const Plan& plan,
+             bool scripted)
+    : io_(io), clock_(clock), scenario_(scenario), plan_(plan), scripted_(scripted) {
   for (std::size_t i = 0; i < scenario.faults.size(); ++i)
     for (const Pair& pair : PairsOf(static_cast<int>(i))) linked_.insert(pair);
+  // The lab hears on these links what a registry tells a sidecar.
+  for (int sidecar = 0; sidecar < scenario.fleet.sidecars && !scripted; ++sidecar)
+    for (int registry = 0; registry < scenario.registry.count; ++registry)
+      linked_.insert({sidecar, Registry(registry)});
   if (scenario.network.same <= 0 && scenario.network.cross <= 0) return;
   for (int sidecar = 0; sidecar < scenario.fleet.sidecars; ++sidecar)
     for (int server = 0; server < scenario.fleet.servers; ++server) linked_.insert({sidecar, server});
@@ -19,15 +24,32 @@
   const Fault& spec = scenario_.faults[static_cast<std::size_t>(fault)];
   const FaultPlan& plan = plan_.faults[static_cast<std::size_t>(fault)];
   if (spec.to.text.empty()) return out;
-  for (const int sidecar : plan.on) {
-    if (spec.to.party == Party::kDiscovery) out.emplace_back(sidecar, kDiscovery);
-    if (spec.to.party == Party::kSidecar) out.emplace_back(sidecar, kClients);
-    if (spec.to.party == Party::kServer)
-      for (const int server : plan.to) out.emplace_back(sidecar, server);
-  }
+  for (const int from : plan.on) AddPairs(spec.on.party, from, spec.to, plan.to, out);
   return out;
 }
 
+void Links::AddPairs(Party from_party, int from, const Selector& to, const std::vector<int>& numbers,
+                     std::vector<Pair>& out) const {
+  const bool primary = std::find(numbers.begin(), numbers.end(), 0) != numbers.end();
+  if (to.party == Party::kRegistry && scripted_) {
+    if (from_party == Party::kSidecar && primary) out.emplace_back(from, kDiscovery);
+    return;
+  }
+  if (from_party == Party::kServer) from = FromServer(from);
+  if (from_party == Party::kRegistry) from = FromRegistry(from);
+  if (to.party == Party::kDiscovery) out.emplace_back(from, kDiscovery);
+  if (to.party == Party::kSidecar) out.emplace_back(from, kClients);
+  for (const int number : numbers) {
+    if (to.party == Party::kServer) out.emplace_back(from, number);
+    if (to.party == Party::kRegistry && from != FromRegistry(number))
+      out.emplace_back(from, Registry(number));
+  }
+}
+
+void Links::SetTap(int sidecar, int server, StreamLink::Tap tap) {
+  links_.at({sidecar, server})->SetTap(std::move(tap));
+}
+
 Tcp::endpoint Links::Address(int sidecar, int server, const Tcp::endpoint& target) {
   const Pair pair{sidecar, server};
   if (linked_.count(pair) == 0) return target;
--- a/src/lab/plan.cpp
+++ b/src/lab/plan.cpp
@@ -113,12 +113,14 @@
   }
 }
 
-std::vector<int> Select(const Selector& selector, const Plan& plan, Random random) {
+std::vector<int> Select(const Selector& selector, const Plan& plan, int registries, Random random) {
   const bool servers = selector.party == Party::kServer;
   std::vector<int> out;
   if (selector.party == Party::kDiscovery) return out;
   if (!selector.numbers.empty()) return selector.numbers;
-  const std::size_t count = servers ? plan.servers.size() : plan.sidecar_zones.size();
+  const std::size_t count = servers                              ? plan.servers.size()
+                            : selector.party == Party::kRegistry ? static_cast<std::size_t>(registries)
+                                                                 : plan.sidecar_zones.size();
   out.resize(count);
   std::iota(out.begin(), out.end(), 0);
   if (selector.share <= 0) return out;
@@ -130,7 +132,7 @@
 
 std::vector<int> SelectIn(const Selector& selector, const Scenario& scenario, const Plan& plan,
                           Random random) {
-  std::vector<int> out = Select(selector, plan, random);
+  std::vector<int> out = Select(selector, plan, scenario.registry.count, random);
   if (selector.zone.empty()) return out;
   const auto& zones = scenario.fleet.zones;
   const auto zone = static_cast<int>(std::find(zones.begin(), zones.end(), selector.zone) - zones.begin());
--- a/src/lab/records.hpp
+++ b/src/lab/records.hpp
@@ -4,6 +4,7 @@
 #ifndef VIOLETWING_LAB_RECORDS_HPP_
 #define VIOLETWING_LAB_RECORDS_HPP_
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -107,6 +108,15 @@
   std::vector<Micros> lateness;  // of each arrival: how late the lab itself came to it
   long discovery_calls = 0;
   bool all_ready = true;
+  int registries_crashed = 0;
+  // With registries, as the run ended: how many write, whether all hold one list, and how many servers a
+  // sidecar was last told otherwise, over all sidecars.
+  struct Views {
+    int writing = 0;
+    bool equal = false;
+    int wrong = 0;
+  };
+  std::optional<Views> views;
 };
 
 }  // namespace violetwing::lab
--- a/src/lab/run.cpp
+++ b/src/lab/run.cpp
@@ -12,6 +12,7 @@
 #include "clients/shell.hpp"
 #include "links.hpp"
 #include "merged_log.hpp"
+#include "registries.hpp"
 #include "servers.hpp"
 #include "sidecars.hpp"
 #include "timeline.hpp"
@@ -87,7 +88,7 @@
         directory_(options.keep),
         journal_(clock_,
                  options.keep.empty() ? Log() : Log(directory_.path() + "/lab.jsonl", Log::Old::kReplaced)),
-        links_(io_, clock_, scenario, plan),
+        links_(io_, clock_, scenario, plan, options.scripted),
         servers_({Given(), links_.send_times()}, journal_,
                  [this](int server, Door::State state) { links_.FollowFar(server, state); }),
         discovery_(
@@ -97,7 +98,9 @@
         sidecars_({Given(), journal_, options.sidecar, directory_.path(),
                    [this](int sidecar) { return discovery_.Text(sidecar, discovery_.core().Whole()); },
                    [this](int sidecar) {
-                     return links_.Address(sidecar, Links::kDiscovery, discovery_.address(sidecar));
+                     if (registries_ != nullptr) return registries_->AddressesOf(sidecar);
+                     return std::vector{
+                         links_.Address(sidecar, Links::kDiscovery, discovery_.address(sidecar))};
                    }}),
         timeline_(io_, clock_, scenario, records_, journal_,
                   [this](int fault, bool begin, std::function<void()> done) {
@@ -109,6 +112,10 @@
         end_signals_(io_, [this] { Interrupt(); }) {}
 
   Records Run() {
+    if (scenario_.registry.count > 0 && !options_.scripted)
+      registries_ = std::make_unique<Registries>(
+          RegistryWorld{Given(), journal_, links_, options_.program, directory_.path(),
+                        [this](int server) { return Text(servers_.at(server).address()); }});
     servers_.StartAll();
     servers_.Follow(discovery_);
     discovery_.Up(scenario_.discovery.up);
@@ -119,8 +126,15 @@
           links_.Address(i, Links::kClients, sidecars_.address(i))));
     // A sidecar that is down is seen when a connection through the link is refused at its far end.
     links_.FollowFar(Links::kClients, Door::State::kOpen);
-    Say("starting " + std::to_string(scenario_.fleet.sidecars) + " sidecars");
-    sidecars_.StartAll([this] { BeginLoad(); });
+    if (registries_ == nullptr) {
+      StartSidecars();
+    } else {
+      Say("starting " + std::to_string(scenario_.registry.count) + " registries");
+      registries_->Start([this] {
+        servers_.SetBeside(*registries_);
+        registries_->AwaitListed(plan_.servers.size(), [this] { StartSidecars(); });
+      });
+    }
     io_.run();
     if (interrupted_) throw Interrupted();
     ShiftAll(records_, clock_.load_begin());
@@ -153,6 +167,11 @@
     return attempted_.count(id) > 0;
   }
 
+  void StartSidecars() {
+    Say("starting " + std::to_string(scenario_.fleet.sidecars) + " sidecars");
+    sidecars_.StartAll([this] { BeginLoad(); });
+  }
+
   void BeginLoad() {
     clock_.BeginLoad(clock_.Now() + kBeforeLoad);
     journal_.Note("lab", "load begins", {{"ready", sidecars_.ready()}, {"seed", plan_.seed}});
@@ -221,7 +240,8 @@
     timeline_.Stop();
     samples_.cancel();
     journal_.Note("lab", "load ended");
-    sidecars_.EndAll([this] { io_.stop(); });
+    if (registries_ == nullptr) return sidecars_.EndAll([this] { io_.stop(); });
+    registries_->Finish([this] { sidecars_.EndAll([this] { io_.stop(); }); });
   }
 
   void Interrupt() {
@@ -242,10 +262,23 @@
       if (spec.act == Act::kUpgrade) done();
       return;
     }
+    if (spec.on.party == Party::kRegistry) {
+      if (registries_ != nullptr) return registries_->Apply(fault, begin, std::move(done));
+      return ApplyScripted(fault, begin, std::move(done));
+    }
     ApplyToDiscovery(spec, begin);
     if (!spec.lasts && (spec.act == Act::kLower || spec.act == Act::kMove)) done();
   }
 
+  // What a fault of registries is to the one scripted discovery in their place: the primary's are its own.
+  void ApplyScripted(int fault, bool begin, const std::function<void()>& done) {
+    const Fault& spec = scenario_.faults[static_cast<std::size_t>(fault)];
+    const std::vector<int>& on = plan_.faults[static_cast<std::size_t>(fault)].on;
+    if (spec.act == Act::kPromote) return done();
+    if (std::find(on.begin(), on.end(), 0) == on.end()) return;
+    spec.act == Act::kFreeze ? discovery_.Stale(begin) : discovery_.Up(!begin);
+  }
+
   void ApplyToDiscovery(const Fault& spec, bool begin) {
     switch (spec.act) {
       case Act::kDown:
@@ -278,6 +311,7 @@
   Links links_;
   Servers servers_;
   DiscoveryShell discovery_;
+  std::unique_ptr<Registries> registries_;  // null with the scripted discovery
   Sidecars sidecars_;
   Timeline timeline_;
   std::vector<std::unique_ptr<Application>> applications_;
--- a/src/lab/run.hpp
+++ b/src/lab/run.hpp
@@ -12,8 +12,10 @@
 namespace violetwing::lab {
 
 struct RunOptions {
-  std::string sidecar;  // the program to play
-  std::string keep;     // a directory for logs and configurations; empty = none are kept
+  std::string sidecar;    // the program to play
+  std::string program;    // violetwing itself, for the registries of a scenario that has them
+  bool scripted = false;  // the scripted discovery also where the scenario has registries
+  std::string keep;       // a directory for logs and configurations; empty = none are kept
   // Told about four times a second of what is going on.
   std::function<void(const std::string& line)> progress;
 };
--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -270,6 +270,7 @@
       {"late", {Act::kLate, Party::kDiscovery, true, 0, 600, false}},
       {"lower", {Act::kLower, Party::kDiscovery, false, 0, 0, true}},
       {"move", {Act::kMove, Party::kDiscovery, false, 0, 0, true}},
+      {"promote", {Act::kPromote, Party::kRegistry, true, 1, 8191, true}},
       {"delay", {Act::kDelay, Party::kLink, true, 0, 60'000, false}},
       {"cut", {Act::kCut, Party::kLink, false, 0, 0, false}},
       {"half-open", {Act::kHalfOpen, Party::kLink, false, 0, 0, false}},
@@ -292,15 +293,19 @@
   const std::map<std::string, Party> parties = {{"server", Party::kServer},
                                                 {"sidecar", Party::kSidecar},
                                                 {"client", Party::kClient},
-                                                {"discovery", Party::kDiscovery}};
+                                                {"discovery", Party::kDiscovery},
+                                                {"registry", Party::kRegistry}};
   const auto it = parties.find(party);
   if (it == parties.end() || !more.empty())
-    in.Bad(key, "'" + out.text +
-                    "': say server, sidecar, client or discovery, and then numbers, zone=Z or share=F");
+    in.Bad(key,
+           "'" + out.text +
+               "': say server, sidecar, client, registry or discovery, and then numbers, zone=Z or share=F");
   out.party = it->second;
   out.all = which.empty();
   if (out.all) return out;
   if (out.party == Party::kDiscovery) in.Bad(key, "there is one discovery");
+  const bool numbered = which.find('=') == std::string::npos;
+  if (out.party == Party::kRegistry && !numbered) in.Bad(key, "registries are named by number");
   if (which.rfind("zone=", 0) == 0) {
     out.zone = which.substr(5);
     const auto& zones = scenario.fleet.zones;
@@ -319,7 +324,9 @@
       out.share = value;
       continue;
     }
-    const int count = out.party == Party::kServer ? scenario.fleet.servers : scenario.fleet.sidecars;
+    const int count = out.party == Party::kServer     ? scenario.fleet.servers
+                      : out.party == Party::kRegistry ? scenario.registry.count
+                                                      : scenario.fleet.sidecars;
     if (value < 0 || value >= count || value != std::floor(value))
       in.Bad(key, "'" + item + "' is none of the " + std::to_string(count) + ", counted from 0");
     out.numbers.push_back(static_cast<int>(value));
@@ -358,6 +365,29 @@
   in.Bad("when", "'" + when + "': say 'all sidecars ready', 'begun NAME' or 'ended NAME'");
 }
 
+void CheckLink(Table& in, const Fault& link, const Scenario& scenario) {
+  const Party from = link.on.party;
+  const Party to = link.to.party;
+  if (from == Party::kClient) {
+    if (to != Party::kSidecar || !link.to.all) in.Bad("to", "a client's link leads to its sidecar");
+  } else if (from == Party::kSidecar) {
+    if (to != Party::kServer && to != Party::kDiscovery && to != Party::kRegistry)
+      in.Bad("to", "a sidecar's links lead to servers, discovery or registries");
+    if (to != Party::kRegistry && scenario.registry.count > 0)
+      in.Bad("to", "with [registry] a sidecar's links lead to registries");
+  } else if (from == Party::kServer || from == Party::kRegistry) {
+    if (to != Party::kRegistry) in.Bad("to", "links of servers and registries lead to registries");
+  } else {
+    in.Bad("from", "links begin at sidecars, clients, servers or registries");
+  }
+}
+
+// What may be done to a sidecar's process may be done to a registry's too.
+bool MayBeFor(const ActSpec& act, Party party) {
+  const bool process = act.act == Act::kKill || act.act == Act::kTerminate || act.act == Act::kFreeze;
+  return party == act.party || (party == Party::kRegistry && process);
+}
+
 Fault ReadFault(Table& in, const Scenario& scenario) {
   Fault out;
   out.name = in.Name("name");
@@ -375,12 +405,7 @@
   if (act.party == Party::kLink) {
     out.on = ReadSelector(in, "from", scenario);
     out.to = ReadSelector(in, "to", scenario);
-    const bool client = out.on.party == Party::kClient;
-    if (!client && out.on.party != Party::kSidecar) in.Bad("from", "links begin at sidecars or clients");
-    if (client && (out.to.party != Party::kSidecar || !out.to.all))
-      in.Bad("to", "a client's link leads to its sidecar");
-    if (!client && out.to.party != Party::kServer && out.to.party != Party::kDiscovery)
-      in.Bad("to", "a sidecar's links lead to servers or discovery");
+    CheckLink(in, out, scenario);
     if (out.act == Act::kLoss || out.act == Act::kReorder)
       in.Bad("do", "for datagrams, and these links are TCP");
     out.direction = in.OneOf<Direction>(
@@ -388,8 +413,14 @@
         {{"both", Direction::kBoth}, {"there", Direction::kThere}, {"back", Direction::kBack}});
   } else {
     out.on = ReadSelector(in, "on", scenario);
-    if (out.on.party != act.party) in.Bad("on", "'" + out.act_text + "' is for another party");
+    if (!MayBeFor(act, out.on.party)) in.Bad("on", "'" + out.act_text + "' is for another party");
   }
+  for (const Selector* const one : {&out.on, &out.to})
+    if (one->party == Party::kRegistry && !one->text.empty() && scenario.registry.count == 0)
+      in.Bad(one == &out.to              ? "to"
+             : act.party == Party::kLink ? "from"
+                                         : "on",
+             "no [registry] in this scenario");
   if (act.valued && !in.Has("value")) in.Bad("value", "needed by '" + out.act_text + "'");
   if (act.valued) out.value = in.Number("value", 0, act.least, act.most);
   if (out.act == Act::kUpgrade && !scenario.fleet.passed_socket)
@@ -445,6 +476,18 @@
   in.End();
 }
 
+void ReadRegistry(Table& top, Scenario& out) {
+  if (!top.Has("registry")) return;
+  Table in = top.Inner("registry");
+  out.registry.count = in.Whole("count", 3, 1, 20);
+  out.registry.term = in.Seconds("term_s", out.registry.term);
+  if (out.registry.term < 100'000) in.Bad("term_s", "under 0.1 s");
+  out.registry.stale_after = in.Seconds("stale_s", out.registry.stale_after);
+  in.End();
+  // A registry tells all sidecars one address of a server, so there is no room for links between them.
+  if (out.network.same > 0 || out.network.cross > 0) top.Bad("network", "not with [registry]");
+}
+
 Claim ReadClaim(Table& in) {
   Claim out;
   out.where = in.Where();
@@ -503,6 +546,7 @@
   out.discovery.silent_notice = discovery.Seconds("silent_notice_s", out.discovery.silent_notice);
   out.discovery.watchers = discovery.Whole("watchers", out.discovery.watchers, 0, 1'000'000);
   discovery.End();
+  ReadRegistry(top, out);
   for (Table& each : top.Tables("class")) out.classes.push_back(ReadClass(each));
   if (out.classes.empty()) out.classes = UsualClasses();
   NamesDiffer(top, "class", out.classes);
--- a/src/lab/scenario.hpp
+++ b/src/lab/scenario.hpp
@@ -82,7 +82,14 @@
   int watchers = 5000;
 };
 
-enum class Party { kServer, kSidecar, kClient, kDiscovery, kLink };
+// The project's own registry in place of the scripted discovery.
+struct RegistrySpec {
+  int count = 0;                   // processes, the first the primary; 0 = the scripted discovery
+  Micros term = 3'000'000;         // of the servers' leases
+  Micros stale_after = 2'000'000;  // a follower calls its list stale
+};
+
+enum class Party { kServer, kSidecar, kClient, kDiscovery, kRegistry, kLink };
 
 // Which parties a fault is for: all, some by number, a zone, or a share of them (the first by a seeded
 // order).
@@ -114,7 +121,8 @@
   kStale,
   kLate,
   kLower,
-  kMove,  // discovery
+  kMove,     // discovery
+  kPromote,  // registries
   kDelay,
   kCut,
   kHalfOpen,
@@ -161,6 +169,7 @@
   ClientSpec clients;
   Network network;
   DiscoverySpec discovery;
+  RegistrySpec registry;
   Micros drain_grace = 500'000;
   int max_attempts = 6;
   std::vector<ClassSpec> classes;
--- a/src/lab/servers.cpp
+++ b/src/lab/servers.cpp
@@ -52,6 +52,11 @@
   }
 }
 
+void Servers::SetBeside(Beside& beside) {
+  beside_ = &beside;
+  for (const Server& server : servers_) beside.Begun(server.truth);
+}
+
 void Servers::After(Micros wait, std::function<void()> act) {
   auto timer = std::make_shared<asio::steady_timer>(world_.io, std::chrono::microseconds(wait));
   timer->async_wait([timer, act = std::move(act)](ErrorCode error) {
@@ -82,18 +87,21 @@
   server.truth.started_ms = UnixMs();
   server.shell->Start(server.truth.id, /*cold=*/true);
   journal_.Note("server", "started", {{"server", server.truth.id}, {"cold", true}});
+  if (beside_ != nullptr) beside_->Begun(server.truth);
   Notice(number, world_.scenario.discovery.notice);
 }
 
-void Servers::End(int number, Lifecycle lifecycle, bool silent) {
+void Servers::End(int number, Way way) {
   Server& server = Get(number);
-  server.truth.lifecycle = lifecycle;
+  server.truth.lifecycle = Lifecycle::kRemoved;
+  const bool silent = way == Way::kSilent;
   if (silent) {
     server.shell->Vanish();
   } else {
     server.shell->Crash();
   }
   journal_.Note("server", silent ? "vanished" : "ended", {{"server", server.truth.id}});
+  if (beside_ != nullptr) way == Way::kInOrder ? beside_->Leaves(server.truth) : beside_->Lost(server.truth);
   Notice(number, silent ? world_.scenario.discovery.silent_notice : world_.scenario.discovery.notice);
 }
 
@@ -103,6 +111,7 @@
   server.truth.lifecycle = draining ? Lifecycle::kDraining : Lifecycle::kUp;
   server.shell->Drain(draining);
   journal_.Note("server", draining ? "drains" : "drains no more", {{"server", server.truth.id}});
+  if (beside_ != nullptr) beside_->Drains(server.truth, draining);
   Notice(number, world_.scenario.discovery.notice);
 }
 
@@ -114,7 +123,7 @@
   const std::size_t to = std::min(numbers.size(), from + batch);
   for (std::size_t i = from; i < to; ++i) Drain(numbers[i], true);
   After(spec.drain, [this, numbers, from, to, fault, &spec, done = std::move(done)]() mutable {
-    for (std::size_t i = from; i < to; ++i) End(numbers[i], Lifecycle::kRemoved, /*silent=*/false);
+    for (std::size_t i = from; i < to; ++i) End(numbers[i], Way::kInOrder);
     After(spec.down, [this, numbers, from, to, fault, done = std::move(done)]() mutable {
       for (std::size_t i = from; i < to; ++i) Start(numbers[i], /*anew=*/true);
       Replace(numbers, to, fault, std::move(done));
@@ -131,14 +140,15 @@
     switch (spec.act) {
       case Act::kCrash:
       case Act::kVanish:
-        begin ? End(number, Lifecycle::kRemoved, spec.act == Act::kVanish) : Start(number, /*anew=*/false);
+        begin ? End(number, spec.act == Act::kVanish ? Way::kSilent : Way::kCrash)
+              : Start(number, /*anew=*/false);
         break;
       case Act::kDrain:
         Drain(number, begin);
         break;
       case Act::kRemove:
         Drain(number, true);
-        After(spec.drain, [this, number] { End(number, Lifecycle::kRemoved, /*silent=*/false); });
+        After(spec.drain, [this, number] { End(number, Way::kInOrder); });
         break;
       case Act::kSlow:
         shell.Slow(begin ? spec.value : 1);
--- a/src/lab/servers.hpp
+++ b/src/lab/servers.hpp
@@ -12,11 +12,22 @@
 
 namespace violetwing::lab {
 
+// Hears at once what happens to the servers' processes, as what runs beside them would.
+class Beside {
+ public:
+  virtual ~Beside() = default;
+  virtual void Begun(const Entry& entry) = 0;  // also again, under the same id
+  virtual void Drains(const Entry& entry, bool drains) = 0;
+  virtual void Leaves(const Entry& entry) = 0;  // in good order
+  virtual void Lost(const Entry& entry) = 0;    // with whatever ran beside it
+};
+
 class Servers {
  public:
   Servers(const ServerWorld& world, Journal& journal, const std::function<void(int, Door::State)>& on_door);
 
   void Follow(DiscoveryShell& discovery);  // who hears of changes; tells it all at once
+  void SetBeside(Beside& beside);          // tells it of all that run
   // All processes run, and have for long.
   void StartAll();
   // Begins or ends the fault of this index; `done` is called when one ends by itself.
@@ -38,13 +49,15 @@
   void After(Micros wait, std::function<void()> act);
   void Notice(int number, Micros wait);
   void Start(int number, bool anew);
-  void End(int number, Lifecycle lifecycle, bool silent);
+  enum class Way { kInOrder, kCrash, kSilent };
+  void End(int number, Way way);
   void Drain(int number, bool draining);
   void Replace(const std::vector<int>& numbers, std::size_t from, int fault, std::function<void()> done);
 
   ServerWorld world_;
   Journal& journal_;
   DiscoveryShell* discovery_ = nullptr;
+  Beside* beside_ = nullptr;  // null if nothing runs there
   Micros late_ = 0;
   std::vector<Server> servers_;
 };
--- a/src/lab/sidecars.cpp
+++ b/src/lab/sidecars.cpp
@@ -166,14 +166,17 @@
   const std::uint64_t drawn =
       Hash(world_.plan.seed, "sidecar " + std::to_string(sidecar) + " start " + std::to_string(host.starts));
   std::snprintf(seed, sizeof seed, "%016llx", static_cast<unsigned long long>(drawn));
-  const nlohmann::ordered_json config = {
+  const std::vector<Tcp::endpoint> discovery = world_.discovery(sidecar);
+  nlohmann::ordered_json config = {
       {"name", "n" + std::to_string(sidecar)},
       {"listen", Text(host.address)},
-      {"discovery", Text(world_.discovery(sidecar))},
+      {"discovery", Text(discovery.front())},
       {"seed", seed},
       {"limits", {{"cores", 1.0}, {"memory_mb", fleet.memory_mb}, {"sockets", fleet.sockets}}},
       {"known", world_.known(sidecar)},
       {"settings", SettingsOf(world_.scenario, world_.plan, sidecar)}};
+  for (std::size_t i = 1; i < discovery.size(); ++i)
+    config["further_discovery"].push_back(Text(discovery[i]));
   std::ofstream file(Directory(sidecar) + ".json");
   if (!(file << config.dump() << std::flush))
     throw std::runtime_error(Directory(sidecar) + ".json: cannot be written");
@@ -192,10 +195,12 @@
   world_.records.processes.push_back(record);
   Child::Start start;
   start.arguments = {world_.program};
-  start.environment = {
-      {"EDGE_NAME", "n" + std::to_string(sidecar)},        {"EDGE_LISTEN", Text(host.address)},
-      {"EDGE_DISCOVERY", Text(world_.discovery(sidecar))}, {"EDGE_CONFIG", Directory(sidecar) + ".json"},
-      {"EDGE_ADMIN", Text(process->admin->address())},     {"TMPDIR", Directory(sidecar)}};
+  start.environment = {{"EDGE_NAME", "n" + std::to_string(sidecar)},
+                       {"EDGE_LISTEN", Text(host.address)},
+                       {"EDGE_DISCOVERY", Text(world_.discovery(sidecar).front())},
+                       {"EDGE_CONFIG", Directory(sidecar) + ".json"},
+                       {"EDGE_ADMIN", Text(process->admin->address())},
+                       {"TMPDIR", Directory(sidecar)}};
   if (host.passed != nullptr) {
     start.passed_descriptor = host.passed->native_handle();
     start.environment["EDGE_PASSED_SOCKET"] = std::to_string(start.passed_descriptor);
--- a/src/lab/sidecars.hpp
+++ b/src/lab/sidecars.hpp
@@ -25,7 +25,8 @@
   std::string directory;  // for configurations and TMPDIR
   // The list that a sidecar is given at its start, in discovery's form.
   std::function<nlohmann::ordered_json(int sidecar)> known;
-  std::function<Tcp::endpoint(int sidecar)> discovery;
+  // Where it asks, the first first; the others stand in its configuration as further ones.
+  std::function<std::vector<Tcp::endpoint>(int sidecar)> discovery;
 };
 
 class Sidecars {
