--- a/src/common/http_client.cpp
+++ b/src/common/http_client.cpp
@@ -30,7 +30,7 @@
     : call_(std::move(call)), events_(std::move(events)), stream_(io) {}
 
 std::shared_ptr<HttpExchange> HttpExchange::Start(asio::io_context& io, Call call, Events events) {
-  const std::shared_ptr<HttpExchange> exchange(new HttpExchange(io, std::move(call), std::move(events)));
+  std::shared_ptr<HttpExchange> exchange(new HttpExchange(io, std::move(call), std::move(events)));
   exchange->Connect();
   return exchange;
 }
--- a/src/lab/registries.hpp
+++ b/src/lab/registries.hpp
@@ -45,7 +45,7 @@
   void Leaves(const Entry& entry) override;
   void Lost(const Entry& entry) override;
   // Begins or ends the fault of this index; `done` is called when one ends by itself.
-  void Apply(int fault, bool begin, std::function<void()> done);
+  void Apply(int fault, bool begin, const std::function<void()>& done);
   // Where a sidecar asks: one of them is its own, the others follow in a ring.
   std::vector<Tcp::endpoint> AddressesOf(int sidecar);
   // Asks all for their lists and compares them with what the sidecars were told; ends them then.
--- a/src/net/last_list.cpp
+++ b/src/net/last_list.cpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdio>
+#include <exception>
 #include <filesystem>
 #include <fstream>
 #include <set>
@@ -25,7 +26,12 @@
     : file_((std::filesystem::path(directory) / kFile).string()), names_(names), timer_(io) {}
 
 LastList::~LastList() {
-  if (pending_) Write();
+  if (!pending_) return;
+  try {
+    Write();
+  } catch (const std::exception& error) {  // no memory: the copy stays as it was
+    std::fprintf(stderr, "discovery: the list's copy is not written: %s\n", error.what());
+  }
 }
 
 std::optional<nlohmann::json> LastList::ReadCopy(EndpointList& parsed) const {
--- a/src/registry/role/core.cpp
+++ b/src/registry/role/core.cpp
@@ -84,11 +84,10 @@
   std::optional<std::size_t> best;
   if (upstream_) {  // stays unless another one is better
     const Standing* const one = Heard(now, *upstream_);
-    if (one != nullptr && MayFollow(*one, own)) best = upstream_;
-    // While it is behind this one in words alone: what it said is older than what it told.
-    else if (one != nullptr && one->generation < own && one->epoch() == own / kEpochUnit &&
-             std::find(one->path.begin(), one->path.end(), name_) == one->path.end())
-      best = upstream_;
+    // It may be behind this one in words alone: what it said is older than what it told.
+    const bool behind = one != nullptr && one->generation < own && one->epoch() == own / kEpochUnit &&
+                        std::find(one->path.begin(), one->path.end(), name_) == one->path.end();
+    if (one != nullptr && (behind || MayFollow(*one, own))) best = upstream_;
   }
   for (std::size_t i = 0; i < others_.size(); ++i) {
     const Standing* const one = Heard(now, i);
