Let an operator empty a zone by hand and return to it in steps

POST /zones/drain and /zones/return on the operators' address, and the command `violetwing zone`. An order is its begin, its length and how far the zone was open then; how far it is open follows from that and the time, so it goes on over upgrades and restarts (kept in TMPDIR as bans are). In the module a draw there is taken with that probability and a closed zone's servers leave the ring; an order that leaves no server elsewhere is refused. What outcomes tell of a server moves to evidence.cpp unchanged; bans and their polling leave the sidecar's class for by_hand.

--- a/include/merlinrun/balancer.hpp
+++ b/include/merlinrun/balancer.hpp
@@ -192,6 +192,15 @@
 
 // Receives what the balancer decides. Calls come from inside the event calls; do not call back into the
 // Balancer.
+// What an operator wants of a zone: how far it is open follows from this and the time alone.
+struct ZoneOrder {
+  bool drains = false;  // else it is returned to, in steps
+  Micros begun = 0;
+  Micros over = 0;  // 0 = at once
+  double from = 1;  // how far it was open then
+  bool operator==(const ZoneOrder&) const = default;
+};
+
 class ActionSink {
  public:
   virtual ~ActionSink() = default;
@@ -233,6 +242,11 @@
   void Enable(Micros now, const std::string& server);
   const std::set<std::string>& disabled() const;
   bool EverListed(const std::string& server) const;
+  // A zone, by its number in the settings, is emptied or returned to by hand. The latest order holds.
+  void OrderZone(Micros now, int zone, const ZoneOrder& order);
+  void ForgetZone(int zone);              // it is wholly open
+  double ZoneOpen(Micros now, int zone);  // the share of its usual part that it gets
+  bool AnyElsewhere(int zone) const;      // a server that may be used in another zone
   Membership membership(Micros now);
 
   std::size_t requests_held() const;  // records kept, ended ones with an attempt still out included
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -9,6 +9,7 @@
 #include "http_call.hpp"
 #include "lab_command.hpp"
 #include "registry_command.hpp"
+#include "zone_command.hpp"
 
 namespace {
 
@@ -25,12 +26,14 @@
   int status = 0;
   try {
     CLI::App app(
-        "What operators of violetwing run: discovery, leases, and a lab that plays a fleet and judges it");
+        "What operators of violetwing run: discovery, leases, zones, and a lab that plays a fleet and judges "
+        "it");
     app.set_version_flag("--version", std::string("violetwing ") + VIOLETWING_VERSION);
     app.require_subcommand(1);
     violetwing::cli::AddLab(app, status);
     violetwing::cli::AddRegistry(app, status);
     violetwing::cli::AddAgent(app, status);
+    violetwing::cli::AddZone(app, status);
     try {
       app.parse(argc, argv);
     } catch (const CLI::ParseError& error) {
--- a/src/net/admin.cpp
+++ b/src/net/admin.cpp
@@ -21,6 +21,7 @@
 // How long accepting rests after it failed: guards against a loop that spins where descriptors have run out.
 constexpr auto kAcceptPause = std::chrono::milliseconds(50);
 constexpr std::size_t kMostCallBody = std::size_t{4} * 1024;
+constexpr double kMostOver = 86'400;  // seconds
 constexpr std::size_t kMostCallHeader = std::size_t{8} * 1024;
 
 HttpResponse NotAllowed(const char* method) {
@@ -29,22 +30,39 @@
   return response;
 }
 
-HttpResponse AnswerBan(const std::string& body,
-                       const std::function<Admin::Verdict(const std::string&)>& carry_out) {
-  const auto json = nlohmann::json::parse(body, nullptr, /*allow_exceptions=*/false);
-  if (!json.is_object() || !json.contains("who") || !json.at("who").is_string())
-    return Plain(http::status::bad_request, "want {\"who\":\"ID\"}\n");
-  switch (carry_out(json.at("who").get<std::string>())) {
+HttpResponse AnswerVerdict(Admin::Verdict verdict) {
+  switch (verdict) {
     case Admin::Verdict::kDone:
       return Plain(http::status::ok, "done\n");
     case Admin::Verdict::kNeverListed:
       return Plain(http::status::not_found, "never listed\n");
+    case Admin::Verdict::kLast:
+      return Plain(http::status::conflict, "no server would be left elsewhere\n");
     case Admin::Verdict::kNotKept:
       break;
   }
   return Plain(http::status::internal_server_error, "cannot be kept in $TMPDIR\n");
 }
 
+HttpResponse AnswerBan(const std::string& body,
+                       const std::function<Admin::Verdict(const std::string&)>& carry_out) {
+  const auto json = nlohmann::json::parse(body, nullptr, /*allow_exceptions=*/false);
+  if (!json.is_object() || !json.contains("who") || !json.at("who").is_string())
+    return Plain(http::status::bad_request, "want {\"who\":\"ID\"}\n");
+  return AnswerVerdict(carry_out(json.at("who").get<std::string>()));
+}
+
+HttpResponse AnswerZone(const std::string& body, bool drains, const Admin::Events& events) {
+  const auto json = nlohmann::json::parse(body, nullptr, /*allow_exceptions=*/false);
+  const bool zone = json.is_object() && json.contains("zone") && json.at("zone").is_string();
+  const bool over = zone && (!json.contains("over_s") || json.at("over_s").is_number());
+  const double seconds = over ? json.value("over_s", 0.0) : -1;
+  if (!(seconds >= 0 && seconds <= kMostOver))
+    return Plain(http::status::bad_request, "want {\"zone\":\"NAME\",\"over_s\":SECONDS}, a day at most\n");
+  return AnswerVerdict(
+      events.order_zone(json.at("zone").get<std::string>(), drains, static_cast<Micros>(seconds * 1e6)));
+}
+
 }  // namespace
 
 class Admin::Caller : public std::enable_shared_from_this<Caller> {
@@ -186,6 +204,10 @@
     if (request.method() != http::verb::post) return NotAllowed("POST");
     return AnswerBan(request.body(), path == "/servers/disable" ? events_.disable : events_.enable);
   }
+  if (path == "/zones/drain" || path == "/zones/return") {
+    if (request.method() != http::verb::post) return NotAllowed("POST");
+    return AnswerZone(request.body(), path == "/zones/drain", events_);
+  }
   return Plain(http::status::not_found, "no such call\n");
 }
 
--- a/src/net/admin.hpp
+++ b/src/net/admin.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 
+#include "merlinrun/balancer.hpp"
 #include "protocol.hpp"
 
 namespace merlinrun::net {
@@ -17,12 +18,18 @@
   // Callers at once, with a descriptor set aside for each. One more ends the oldest that is still there.
   static constexpr std::size_t kMostCallers = 16;
 
-  enum class Verdict { kDone, kNeverListed, kNotKept };
+  enum class Verdict {
+    kDone,
+    kNeverListed,
+    kLast,     // nothing would be left
+    kNotKept,  // in $TMPDIR
+  };
   struct Events {
     std::function<bool()> ready;
     std::function<std::string()> metrics;
     std::function<Verdict(const std::string& server)> disable;
     std::function<Verdict(const std::string& server)> enable;
+    std::function<Verdict(const std::string& zone, bool drains, Micros over)> order_zone;
   };
 
   // Throws boost::system::system_error if the address cannot be listened on.
--- a/src/net/bans.hpp
+++ b/src/net/bans.hpp
@@ -1,31 +1,30 @@
 // Servers that operators have taken out, kept in a directory that the processes of an upgrade share: one
-// empty file for each, named after the server, so that it is made and removed whole.
+// empty file for each, named after the server.
 #ifndef MERLINRUN_NET_BANS_HPP_
 #define MERLINRUN_NET_BANS_HPP_
 
 #include <set>
 #include <string>
+#include <utility>
+
+#include "kept_files.hpp"
 
 namespace merlinrun::net {
 
 class Bans {
  public:
   // An empty name means that there is no directory: nothing can be kept then.
-  explicit Bans(std::string directory) : directory_(std::move(directory)) {}
+  explicit Bans(std::string directory) : files_(std::move(directory), "fennelhollow-ban-") {}
 
   // False, and nothing has changed, if it cannot be kept. Adding or removing again is no error.
-  bool Add(const std::string& server);
-  bool Remove(const std::string& server);
+  bool Add(const std::string& server) { return files_.Put(server, ""); }
+  bool Remove(const std::string& server) { return files_.Remove(server); }
 
-  // Looks what is there. False, and `servers` is as it was, if the directory cannot be read. Files that are
-  // no bans are passed over; those that look like one are named in the log once.
+  // Looks what is there. False, and `servers` is as it was, if the directory cannot be read.
   bool Read(std::set<std::string>& servers);
 
  private:
-  std::string Path(const std::string& server) const;
-
-  const std::string directory_;
-  std::set<std::string> complained_;
+  KeptFiles files_;
 };
 
 }  // namespace merlinrun::net
--- /dev/null
+++ b/src/net/by_hand.cpp
@@ -0,0 +1,101 @@
+#include "by_hand.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <set>
+#include <utility>
+
+namespace merlinrun::net {
+namespace {
+
+// How often a process looks for what another one was told: what that one has said yes to binds after the
+// grace, half a second where it is shortest.
+constexpr auto kPeriod = std::chrono::milliseconds(200);
+
+}  // namespace
+
+ByHand::ByHand(asio::io_context& io, const std::string& directory, const drill::WireSettings& names,
+               Balancer& balancer, Upstream& upstream, std::function<Micros()> now)
+    : names_(names),
+      balancer_(balancer),
+      upstream_(upstream),
+      now_(std::move(now)),
+      bans_(directory),
+      zones_(directory),
+      timer_(io) {}
+
+void ByHand::Follow() {
+  ApplyBans();
+  ApplyZones();
+  timer_.expires_after(kPeriod);
+  timer_.async_wait([this](ErrorCode error) {
+    if (!error) Follow();
+  });
+}
+
+bool ByHand::Known(const std::string& server) const {
+  return balancer_.EverListed(server) || balancer_.disabled().count(server) > 0;
+}
+
+Admin::Verdict ByHand::TakeOut(const std::string& server) {
+  if (!Known(server)) return Admin::Verdict::kNeverListed;
+  return bans_.Add(server) && ApplyBans() ? Admin::Verdict::kDone : Admin::Verdict::kNotKept;
+}
+
+Admin::Verdict ByHand::CallBack(const std::string& server) {
+  if (!Known(server)) return Admin::Verdict::kNeverListed;
+  return bans_.Remove(server) && ApplyBans() ? Admin::Verdict::kDone : Admin::Verdict::kNotKept;
+}
+
+Admin::Verdict ByHand::OrderZone(const std::string& zone, bool drains, Micros over) {
+  const int number = drill::IndexOf(names_.zones, zone);
+  if (number < 0) return Admin::Verdict::kNeverListed;
+  if (drains && !balancer_.AnyElsewhere(number)) return Admin::Verdict::kLast;
+  const Micros now = now_();
+  const ZoneOrder order{drains, now, over, balancer_.ZoneOpen(now, number)};
+  return zones_.Put(zone, order) && ApplyZones() ? Admin::Verdict::kDone : Admin::Verdict::kNotKept;
+}
+
+// False if they cannot be read.
+bool ByHand::ApplyBans() {
+  std::set<std::string> kept;
+  if (!bans_.Read(kept)) return false;
+  const std::set<std::string> before = balancer_.disabled();
+  for (const std::string& server : kept) {
+    if (before.count(server) > 0) continue;
+    balancer_.Disable(now_(), server);
+    upstream_.Retire(server);
+  }
+  for (const std::string& server : before)
+    if (kept.count(server) == 0) balancer_.Enable(now_(), server);
+  return true;
+}
+
+bool ByHand::ApplyZones() {
+  std::map<std::string, ZoneOrder> kept;
+  if (!zones_.Read(kept)) return false;
+  const Micros now = now_();
+  for (const auto& [zone, order] : kept) {
+    const int number = drill::IndexOf(names_.zones, zone);
+    if (number < 0) continue;  // of other settings
+    const auto it = applied_.find(zone);
+    if (it == applied_.end() || it->second != order) balancer_.OrderZone(now, number, order);
+    if (!order.drains && balancer_.ZoneOpen(now, number) >= 1) zones_.Remove(zone);  // it has returned
+  }
+  for (const auto& [zone, order] : applied_)
+    if (kept.count(zone) == 0) balancer_.ForgetZone(drill::IndexOf(names_.zones, zone));
+  applied_ = std::move(kept);
+  return true;
+}
+
+std::string ByHand::Figures() const {
+  std::string out;
+  for (const auto& [zone, order] : applied_) {
+    const int number = drill::IndexOf(names_.zones, zone);
+    const double open = number < 0 ? 1 : balancer_.ZoneOpen(now_(), number);
+    if (open < 1) out += "sidecar.zone." + zone + ".open=" + std::to_string(open) + "\n";
+  }
+  return out;
+}
+
+}  // namespace merlinrun::net
--- /dev/null
+++ b/src/net/by_hand.hpp
@@ -0,0 +1,52 @@
+// What operators say of servers and zones: kept in files, carried to the module, and followed when the other
+// process of an upgrade was told.
+#ifndef MERLINRUN_NET_BY_HAND_HPP_
+#define MERLINRUN_NET_BY_HAND_HPP_
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "admin.hpp"
+#include "bans.hpp"
+#include "merlinrun/balancer.hpp"
+#include "upstream.hpp"
+#include "wire.hpp"
+#include "zone_orders.hpp"
+
+namespace merlinrun::net {
+
+class ByHand {
+ public:
+  // All that it is given outlives it. `now` is Unix time in microseconds, the module's clock.
+  ByHand(asio::io_context& io, const std::string& directory, const drill::WireSettings& names,
+         Balancer& balancer, Upstream& upstream, std::function<Micros()> now);
+
+  // Takes up what is kept, now and again and again.
+  void Follow();
+
+  Admin::Verdict TakeOut(const std::string& server);
+  Admin::Verdict CallBack(const std::string& server);
+  Admin::Verdict OrderZone(const std::string& zone, bool drains, Micros over);
+  // A `name=value` line for each zone that is not wholly open.
+  std::string Figures() const;
+
+ private:
+  bool Known(const std::string& server) const;
+  bool ApplyBans();
+  bool ApplyZones();
+
+  const drill::WireSettings& names_;
+  Balancer& balancer_;
+  Upstream& upstream_;
+  const std::function<Micros()> now_;
+  Bans bans_;
+  ZoneOrders zones_;
+  std::map<std::string, ZoneOrder> applied_;
+  asio::steady_timer timer_;
+};
+
+}  // namespace merlinrun::net
+
+#endif  // MERLINRUN_NET_BY_HAND_HPP_
--- /dev/null
+++ b/src/net/kept_files.cpp
@@ -0,0 +1,95 @@
+#include "kept_files.hpp"
+
+#include <unistd.h>
+
+#include <cerrno>
+#include <charconv>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <optional>
+#include <sstream>
+#include <string_view>
+#include <system_error>
+#include <utility>
+
+namespace merlinrun::net {
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr std::size_t kMostName = 100;  // file names end at 255 bytes
+
+// Ids may hold what file names may not.
+std::string Hex(const std::string& text) {
+  static constexpr char kDigits[] = "0123456789abcdef";
+  std::string out;
+  for (const char c : text) {
+    const auto byte = static_cast<unsigned char>(c);
+    out += kDigits[byte >> 4];
+    out += kDigits[byte & 15];
+  }
+  return out;
+}
+
+std::optional<std::string> FromHex(std::string_view digits) {
+  if (digits.empty() || digits.size() % 2 != 0) return std::nullopt;
+  std::string out;
+  for (std::size_t i = 0; i < digits.size(); i += 2) {
+    unsigned char byte = 0;
+    const char* const end = digits.data() + i + 2;
+    const auto [last, error] = std::from_chars(digits.data() + i, end, byte, 16);
+    if (error != std::errc() || last != end) return std::nullopt;
+    out += static_cast<char>(byte);
+  }
+  return Hex(out) == digits ? std::optional(out) : std::nullopt;  // one name for each server
+}
+
+}  // namespace
+
+bool KeptFiles::MayKeep(const std::string& name) const {
+  return !directory_.empty() && !name.empty() && name.size() <= kMostName;
+}
+
+std::string KeptFiles::Path(const std::string& name) const { return directory_ + "/" + prefix_ + Hex(name); }
+
+// Beside it and then renamed, so that the other process never reads half of it.
+bool KeptFiles::Put(const std::string& name, const std::string& text) {
+  if (!MayKeep(name)) return false;
+  const std::string beside = directory_ + "/." + prefix_ + std::to_string(::getpid());
+  std::ofstream out(beside, std::ios::binary);
+  out << text;
+  out.close();
+  std::error_code error;
+  if (out) fs::rename(beside, Path(name), error);
+  return out && !error;
+}
+
+bool KeptFiles::Remove(const std::string& name) {
+  return MayKeep(name) && (::unlink(Path(name).c_str()) == 0 || errno == ENOENT);
+}
+
+bool KeptFiles::Read(std::map<std::string, std::string>& found) {
+  if (directory_.empty()) return false;
+  std::map<std::string, std::string> out;
+  std::error_code error;
+  for (auto it = fs::directory_iterator(directory_, error); !error && it != fs::directory_iterator();
+       it.increment(error)) {
+    const std::string file = it->path().filename().string();
+    if (file.compare(0, prefix_.size(), prefix_) != 0) continue;
+    std::error_code ignored;
+    const auto name = FromHex(std::string_view(file).substr(prefix_.size()));
+    if (name && it->is_regular_file(ignored)) {
+      std::ostringstream text;
+      if (fs::file_size(it->path(), ignored) > 0) text << std::ifstream(it->path(), std::ios::binary).rdbuf();
+      out[*name] = text.str();
+    } else if (complained_.insert(file).second) {
+      std::fprintf(stderr, "by hand: passed over: %.200s\n", file.c_str());
+    }
+  }
+  if (error) return false;
+  found = std::move(out);
+  return true;
+}
+
+}  // namespace merlinrun::net
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -41,9 +41,6 @@
 // A process that succeeds another has 6 s to take clients; it waits so long for a fresh list. The other one
 // serves meanwhile.
 constexpr Micros kMostAwait = 4 * kSecond;
-// How often a process looks for bans that another one has made: what that one has said yes to binds after the
-// grace, half a second where it is shortest.
-constexpr Micros kBansPeriod = 200 * kMs;
 // Waits before another registry is asked. Lists may be seconds old by design (ask_within); 5,000 sidecars
 // that come within the first half second are 10 a millisecond, what a registry words and writes in that time.
 constexpr Micros kFailoverBase = 500 * kMs;
@@ -147,8 +144,6 @@
       clock_offset_(ClockOffset()),
       budget_(BodyBudget(config_)),
       metrics_(config_.wire.settings.classes),
-      bans_(config_.directory),
-      bans_timer_(io),
       last_list_(config_.keeps_list && !config_.directory.empty()
                      ? std::make_unique<LastList>(io, config_.directory, config_.wire)
                      : nullptr),
@@ -179,11 +174,16 @@
   if (config_.admin) {
     Admin::Events calls;
     calls.ready = events.ready;
-    calls.metrics = [this] { return metrics_.Text(balancer_->membership(Now())); };
-    calls.disable = [this](const std::string& server) { return TakeOut(server); };
-    calls.enable = [this](const std::string& server) { return CallBack(server); };
+    by_hand_ = std::make_unique<ByHand>(io_, config_.directory, config_.wire, *balancer_, upstream_,
+                                        [this] { return Now(); });
+    calls.metrics = [this] { return metrics_.Text(balancer_->membership(Now())) + by_hand_->Figures(); };
+    calls.disable = [this](const std::string& server) { return by_hand_->TakeOut(server); };
+    calls.enable = [this](const std::string& server) { return by_hand_->CallBack(server); };
+    calls.order_zone = [this](const std::string& zone, bool drains, Micros over) {
+      return by_hand_->OrderZone(zone, drains, over);
+    };
     admin_ = std::make_unique<Admin>(io_, *config_.admin, std::move(calls));
-    FollowBans();
+    by_hand_->Follow();
   }
   const bool awaits = Succeeds();
   OnList(ListUpdate::Kind::kStale, Known(), awaits);
@@ -217,44 +217,6 @@
 
 bool Sidecar::Ready() const { return taking_ && drain_end_ == 0 && upstream_.any_server(); }
 
-// ---- Servers taken out by hand ----
-
-Admin::Verdict Sidecar::TakeOut(const std::string& server) {
-  if (!balancer_->EverListed(server) && balancer_->disabled().count(server) == 0)
-    return Admin::Verdict::kNeverListed;
-  return bans_.Add(server) && ApplyBans() ? Admin::Verdict::kDone : Admin::Verdict::kNotKept;
-}
-
-Admin::Verdict Sidecar::CallBack(const std::string& server) {
-  if (!balancer_->EverListed(server) && balancer_->disabled().count(server) == 0)
-    return Admin::Verdict::kNeverListed;
-  return bans_.Remove(server) && ApplyBans() ? Admin::Verdict::kDone : Admin::Verdict::kNotKept;
-}
-
-// The call may have come to the other process of an upgrade.
-void Sidecar::FollowBans() {
-  ApplyBans();
-  bans_timer_.expires_after(std::chrono::microseconds(kBansPeriod));
-  bans_timer_.async_wait([this](ErrorCode error) {
-    if (!error) FollowBans();
-  });
-}
-
-// False if they cannot be read.
-bool Sidecar::ApplyBans() {
-  std::set<std::string> kept;
-  if (!bans_.Read(kept)) return false;
-  const std::set<std::string> before = balancer_->disabled();
-  for (const std::string& server : kept) {
-    if (before.count(server) > 0) continue;
-    balancer_->Disable(Now(), server);
-    upstream_.Retire(server);
-  }
-  for (const std::string& server : before)
-    if (kept.count(server) == 0) balancer_->Enable(Now(), server);
-  return true;
-}
-
 // ---- The clock and the list ----
 
 Micros Sidecar::Now() const {
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "admin.hpp"
-#include "bans.hpp"
+#include "by_hand.hpp"
 #include "config.hpp"
 #include "discovery.hpp"
 #include "inbound.hpp"
@@ -79,10 +79,6 @@
   Tcp::acceptor Listener();
   bool Succeeds() const;
   void TakeClients();
-  Admin::Verdict TakeOut(const std::string& server);
-  Admin::Verdict CallBack(const std::string& server);
-  void FollowBans();
-  bool ApplyBans();
   bool Ready() const;
   std::function<bool(const nlohmann::json&, std::string&)> TakesLists();
   EndpointList Known();
@@ -114,13 +110,12 @@
   const std::shared_ptr<Budget> budget_;  // of all bodies
   std::unique_ptr<Balancer> balancer_;
   Metrics metrics_;
-  Bans bans_;
-  asio::steady_timer bans_timer_;
   std::unique_ptr<LastList> last_list_;  // null where none is kept
   Upstream upstream_;
   Discovery discovery_;
   std::unique_ptr<Inbound> inbound_;
-  std::unique_ptr<Admin> admin_;  // null without a second address
+  std::unique_ptr<ByHand> by_hand_;  // null without a second address
+  std::unique_ptr<Admin> admin_;     // null without a second address
   Calls calls_;
   std::int64_t generation_ = 0;
   bool taking_ = false;             // clients
--- /dev/null
+++ b/src/net/zone_orders.hpp
@@ -0,0 +1,37 @@
+// What operators want of zones, kept over upgrades and restarts: an order a file, with its begin in Unix
+// time.
+#ifndef MERLINRUN_NET_ZONE_ORDERS_HPP_
+#define MERLINRUN_NET_ZONE_ORDERS_HPP_
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include "kept_files.hpp"
+#include "merlinrun/balancer.hpp"
+
+namespace merlinrun::net {
+
+// "drain 1764628000000000 60000000 0.500000": begin and length in microseconds, and how far it was open.
+std::string ToText(const ZoneOrder& order);
+// Empty if it is no order.
+std::optional<ZoneOrder> ParseOrder(const std::string& text);
+
+class ZoneOrders {
+ public:
+  explicit ZoneOrders(std::string directory) : files_(std::move(directory), "fennelhollow-zone-") {}
+
+  bool Put(const std::string& zone, const ZoneOrder& order) { return files_.Put(zone, ToText(order)); }
+  bool Remove(const std::string& zone) { return files_.Remove(zone); }
+  // By zone. False, and `orders` is as it was, if the directory cannot be read; a file that holds no order is
+  // one line in the log, once.
+  bool Read(std::map<std::string, ZoneOrder>& orders);
+
+ private:
+  KeptFiles files_;
+  std::map<std::string, std::string> complained_;  // the text by zone
+};
+
+}  // namespace merlinrun::net
+
+#endif  // MERLINRUN_NET_ZONE_ORDERS_HPP_
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,5 +1,5 @@
-// Every decision of merlinrun but admission's, which are in admission.cpp. Interface:
-// include/merlinrun/balancer.hpp.
+// Every decision of merlinrun but admission's (admission.cpp), what outcomes tell of servers (evidence.cpp)
+// and zones (zones.cpp). Interface: include/merlinrun/balancer.hpp.
 //
 // Order of this file: tunables, state, the list of servers and the window, a request's life, discovery.
 #include <algorithm>
@@ -12,9 +12,11 @@
 #include <utility>
 
 #include "admission.hpp"
+#include "evidence.hpp"
 #include "merlinrun/balancer.hpp"
 #include "records.hpp"
 #include "settings.hpp"
+#include "zones.hpp"
 
 namespace merlinrun {
 namespace {
@@ -42,22 +44,14 @@
 constexpr double kLeastOut = 2;
 // Draws from the window before it is searched from end to end: bounds the work of an ordinary choice.
 constexpr int kDraws = 8;
-// Answers over which a class's usual time is remembered, and sends over which the peak of what is out is.
-constexpr double kAnswerMemory = 100;
-// Answers over which a server's slowness is remembered, and the most that one answer may say of it.
-constexpr double kSlowMemory = 8;
-constexpr double kSlowMost = 4;
+// Sends over which the peak of what is out is remembered.
+constexpr double kPeakMemory = 100;
 // A warm server under this slowness, and without strikes, tells what a warm one can serve.
 constexpr double kSound = 2;
 // A server that fails to connect, times out or lets a request outlive its aim is left alone for
 // random(0, min(kRetryCap, base * 2^n)), n being such events in a row: the request's own wait, applied to a
 // server.
 constexpr Micros kServerBase = 500 * kMillisecond;
-// Answers over which a server's turning away of a class, or its failing, is remembered: quick to believe,
-// slow to forget. It is never quite believed, so that an attempt now and then finds the end of it.
-constexpr double kRefusalMemory = 3;
-constexpr double kServedMemory = 10;
-constexpr double kRefusalMost = 0.95;
 // An open request has no deadline until its last byte has come; what sends it sees to its progress.
 constexpr Micros kNoDeadline = 3600 * kSecond;
 // At most this part of the window is left alone at once: a slowdown that all share must not empty it.
@@ -146,6 +140,17 @@
   const std::set<std::string>& disabled() const { return disabled_; }
   bool EverListed(const std::string& id) const { return ever_listed_.count(id) > 0; }
 
+  // ---- Zones taken out by hand ----
+
+  void OrderZone(int zone, const ZoneOrder& order) { zones_.Order(zone, order); }
+  void ForgetZone(int zone) { zones_.Forget(zone); }
+  double ZoneOpen(int zone) const { return zones_.Open(zone, now_); }
+  bool AnyElsewhere(int zone) const {
+    return std::any_of(servers_.begin(), servers_.end(), [&](const auto& entry) {
+      return entry.second.info.zone != zone && Usable(entry.first, entry.second);
+    });
+  }
+
   Membership GetMembership() const {
     Membership out;
     for (const auto& [id, server] : servers_) {
@@ -273,7 +278,8 @@
   const RequestClass& ClassOf(const Held& held) const { return set_.classes[held.request_class]; }
 
   bool Usable(const std::string& id, const Server& server) const {
-    return server.listed && server.info.state == ServerInfo::State::kHealthy && disabled_.count(id) == 0;
+    return server.listed && server.info.state == ServerInfo::State::kHealthy && disabled_.count(id) == 0 &&
+           zones_.Open(server.info.zone, now_) > 0;
   }
 
   void BuildRings() {
@@ -300,6 +306,7 @@
 
   void SendOrWait(HeldIt it) {
     Held& held = it->second;
+    if (zones_.Turned(now_)) BuildRings();
     held.timer = 0;  // a turn may come before the alarm that was set for its failing to come
     if (!HasTurn(it)) return Alarm(it, std::max<Micros>(held.deadline - now_ - 2 * set_.tick, 0));
     Server* server = held.deadline > now_ ? Choose(held) : nullptr;
@@ -309,7 +316,7 @@
     server->young_credit = std::max(server->young_credit - 1, 0.0);  // spent by a send, not by a draw
     Pool& pool = pools_[server->pool];
     pool.out += !held.open;
-    pool.out_peak = std::max(static_cast<double>(pool.out), pool.out_peak * (1 - 1 / kAnswerMemory));
+    pool.out_peak = std::max(static_cast<double>(pool.out), pool.out_peak * (1 - 1 / kPeakMemory));
     held.attempts.push_back({server, server->info.zone, server->info.cell, now_, /*out=*/true, held.open});
     sink_.Send(it->first, server->info.id, TimeOut(held));
     if (const Micros late = held.arrived + ClassOf(held).aim - now_; late > 0 && !held.open) Alarm(it, late);
@@ -363,35 +370,8 @@
 
   // What an outcome tells of the server.
   void Judge(const Held& held, Server& server, const Outcome& outcome) {
-    ClassTimes& times = times_[held.request_class];
-    const double elapsed = static_cast<double>(outcome.elapsed);
-    double slow = kSlowMost;  // timed out or unreachable
-    if (outcome.result == Result::kSuccess) {
-      if (times.answer <= 0) times.answer = elapsed;
-      times.answer += (elapsed - times.answer) / kAnswerMemory;
-      slow = std::min(elapsed / std::max(times.answer, 1.0), kSlowMost);
-    } else if (outcome.result == Result::kError) {
-      server.fails += (kRefusalMost - server.fails) / kRefusalMemory;
-      return;
-    } else if (outcome.result == Result::kReset || outcome.result == Result::kCancelled ||
-               outcome.result == Result::kNeverSent) {
-      // A reset tells of a connection. Were servers left alone for it, a path that breaks now and then would
-      // keep half the window idle; one whose process has died cannot be reached next, and that counts.
-      return;
-    }
-    server.refuses.resize(times_.size());
-    double& refuses = server.refuses[held.request_class];
-    if (outcome.result == Result::kRefused) refuses += (kRefusalMost - refuses) / kRefusalMemory;
-    if (outcome.result == Result::kSuccess) {
-      refuses -= refuses / kServedMemory;
-      server.fails -= server.fails / kServedMemory;
-    }
-    if (outcome.result != Result::kRefused) server.slow += (slow - server.slow) / kSlowMemory;
-    if (outcome.result == Result::kSuccess) {
-      if (outcome.elapsed < ClassOf(held).aim) server.strikes = 0;
-    } else if (outcome.result != Result::kRefused) {
-      Strike(server);
-    }
+    const std::size_t own = held.request_class;
+    if (Learn(server, times_[own], own, times_.size(), ClassOf(held).aim, outcome)) Strike(server);
   }
 
   // Outlier ejection: leaves a server alone for a while. Guards against dead, stuck and choking servers. A
@@ -446,7 +426,7 @@
     for (int draw = 0; draw < kDraws && found < 2; ++draw) {
       Server& server = pool.InWindow(random_.Below(width));
       if (Full(server) || Away(server) || Refuses(held, server) || !MayUse(held, server) ||
-          !AcceptYoung(server))
+          !zones_.Takes(server.info.zone, now_, random_) || !AcceptYoung(server))
         continue;
       ++found;
       if (best == nullptr || server.Busy() < best->Busy()) best = &server;
@@ -605,6 +585,7 @@
   std::unordered_map<std::string, std::deque<std::string>>
       lines_;  // request ids by key; looked up, never walked
   Admission admission_;
+  Zones zones_;
   std::vector<ClassTimes> times_;  // by class
   std::int64_t served_warm_ = 0;   // attempts that succeeded at warm servers
   int asks_failed_ = 0;
@@ -667,6 +648,16 @@
 }
 const std::set<std::string>& Balancer::disabled() const { return state_->disabled(); }
 bool Balancer::EverListed(const std::string& server) const { return state_->EverListed(server); }
+void Balancer::OrderZone(Micros now, int zone, const ZoneOrder& order) {
+  state_->Advance(now);
+  state_->OrderZone(zone, order);
+}
+void Balancer::ForgetZone(int zone) { state_->ForgetZone(zone); }
+double Balancer::ZoneOpen(Micros now, int zone) {
+  state_->Advance(now);
+  return state_->ZoneOpen(zone);
+}
+bool Balancer::AnyElsewhere(int zone) const { return state_->AnyElsewhere(zone); }
 Membership Balancer::membership(Micros now) {
   state_->Advance(now);
   return state_->GetMembership();
--- a/tests/net/admin_test.cpp
+++ b/tests/net/admin_test.cpp
@@ -20,6 +20,10 @@
                [this](const std::string& server) {
                  back = server;
                  return verdict;
+               },
+               [this](const std::string& zone, bool drains, Micros over) {
+                 ordered = (drains ? "drain " : "return ") + zone + " " + std::to_string(over);
+                 return verdict;
                }}) {}
 
   static std::string Post(const std::string& path, const std::string& body) {
@@ -41,10 +45,28 @@
   Admin::Verdict verdict = Admin::Verdict::kDone;
   std::string out;
   std::string back;
+  std::string ordered;
   asio::io_context io;
   Admin admin;
 };
 
+TEST_F(AdminTest, TakesOrdersForZones) {
+  EXPECT_EQ(Call(Post("/zones/drain", R"({"zone":"east","over_s":1.5})")), "200");
+  EXPECT_EQ(ordered, "drain east 1500000");
+  EXPECT_EQ(Call(Post("/zones/return", R"({"zone":"east"})")), "200");
+  EXPECT_EQ(ordered, "return east 0");
+  verdict = Admin::Verdict::kLast;
+  EXPECT_EQ(Call(Post("/zones/drain", R"({"zone":"east"})")), "409");
+  verdict = Admin::Verdict::kNeverListed;
+  EXPECT_EQ(Call(Post("/zones/drain", R"({"zone":"moon"})")), "404");
+  ordered.clear();
+  for (const char* bad : {"{}", R"({"zone":7})", R"({"zone":"east","over_s":-1})",
+                          R"({"zone":"east","over_s":"1"})", R"({"zone":"east","over_s":1e9})", "east"})
+    EXPECT_EQ(Call(Post("/zones/drain", bad)), "400") << bad;
+  EXPECT_EQ(Call("GET /zones/drain HTTP/1.1\r\n\r\n"), "405");
+  EXPECT_EQ(ordered, "");
+}
+
 TEST_F(AdminTest, AnswersOneCallToAConnection) {
   EXPECT_EQ(Call("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n"), "200");
   EXPECT_EQ(Call("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n", 1), "200");
--- /dev/null
+++ b/tests/zones_test.cpp
@@ -0,0 +1,156 @@
+// Zones taken out by hand: how far they are open, and what the module sends there.
+#include "../src/zones.hpp"
+
+#include <gtest/gtest.h>
+
+#include "harness.hpp"
+
+namespace merlinrun {
+namespace {
+
+using testing::kSec;
+using Kind = testing::Action::Kind;
+
+TEST(Zones, ADrainGoesDownEvenlyAndAReturnUpInSteps) {
+  Zones zones;
+  EXPECT_EQ(zones.Open(1, 0), 1);
+  zones.Order(1, {true, 10 * kSec, 8 * kSec, 1});
+  EXPECT_DOUBLE_EQ(zones.Open(1, 10 * kSec), 1);
+  EXPECT_DOUBLE_EQ(zones.Open(1, 12 * kSec), 0.75);
+  EXPECT_DOUBLE_EQ(zones.Open(1, 18 * kSec), 0);
+  EXPECT_DOUBLE_EQ(zones.Open(1, 99 * kSec), 0);
+  EXPECT_EQ(zones.Open(0, 18 * kSec), 1);
+  zones.Order(1, {false, 20 * kSec, 8 * kSec, 0.5});  // taken back half way
+  EXPECT_DOUBLE_EQ(zones.Open(1, 20 * kSec), 0.5625);
+  EXPECT_DOUBLE_EQ(zones.Open(1, 21 * kSec - 1), 0.5625);
+  EXPECT_DOUBLE_EQ(zones.Open(1, 21 * kSec), 0.625);
+  EXPECT_DOUBLE_EQ(zones.Open(1, 28 * kSec), 1);
+  zones.Order(1, {true, 30 * kSec, 0, 1});
+  EXPECT_EQ(zones.Open(1, 30 * kSec), 0);
+  zones.Order(1, {false, 31 * kSec, 0, 0});
+  EXPECT_EQ(zones.Open(1, 31 * kSec), 1);
+}
+
+TEST(Zones, TellsWhenAZoneHasClosedOrOpenedAndForgetsAReturnThatIsOver) {
+  Zones zones;
+  EXPECT_FALSE(zones.Turned(0));
+  zones.Order(1, {true, 0, 8 * kSec, 1});
+  zones.Turned(0);
+  EXPECT_FALSE(zones.Turned(7 * kSec));
+  EXPECT_TRUE(zones.Turned(8 * kSec));
+  EXPECT_FALSE(zones.Turned(9 * kSec));
+  zones.Order(1, {false, 10 * kSec, 8 * kSec, 0});
+  EXPECT_TRUE(zones.Turned(10 * kSec));
+  EXPECT_FALSE(zones.Turned(18 * kSec));
+  Random random(1);
+  const std::uint64_t next = Random(1).Next();
+  EXPECT_TRUE(zones.Takes(1, 18 * kSec, random));
+  EXPECT_EQ(random.Next(), next);  // no order is left: the ordinary path draws nothing
+  zones.Order(1, {true, 20 * kSec, 0, 1});
+  zones.Turned(20 * kSec);
+  zones.Forget(1);
+  EXPECT_TRUE(zones.Turned(21 * kSec));
+  EXPECT_EQ(zones.Open(1, 21 * kSec), 1);
+}
+
+class ZoneDrainTest : public ::testing::Test {
+ protected:
+  void Start(int servers) {
+    std::string error;
+    balancer = Balancer::Create(testing::MakeSettings(), 7, now, sink, error);
+    ASSERT_NE(balancer, nullptr) << error;
+    balancer->OnServers(now, {ListUpdate::Kind::kFull, 1, testing::MakeServers(servers)});
+    sink.Take();
+  }
+  // The share of so many requests, each served at once, that went to zone 1.
+  double ShareOfZoneOne(int requests) {
+    int there = 0;
+    for (int i = 0; i < requests; ++i) {
+      Request request;
+      const std::string id = "r" + std::to_string(number++);
+      request.id = id;
+      request.budget = 5 * kSec;
+      balancer->OnRequest(now, request);
+      for (const auto& action : sink.Take())
+        if (action.kind == Kind::kSend) there += (action.server.back() - '0') % 2;  // MakeServers: by turns
+      balancer->OnOutcome(now, {id, 0, Result::kSuccess, 10'000, true});
+    }
+    return static_cast<double>(there) / requests;
+  }
+
+  Micros now = 1000 * kSec;
+  testing::Recorder sink;
+  std::unique_ptr<Balancer> balancer;
+  int number = 0;
+};
+
+TEST_F(ZoneDrainTest, TrafficGoesDownWithTheOrderAndTheWindowTakesOthersInWhenTheZoneIsClosed) {
+  Start(8);  // the window holds three of them: s00, s01, s02
+  const double before = ShareOfZoneOne(3000);
+  EXPECT_NEAR(before, 1.0 / 3, 0.05);
+  balancer->OrderZone(now, 1, {true, now, 10 * kSec, 1});
+  now += 5 * kSec;
+  const double half = ShareOfZoneOne(3000);
+  EXPECT_GT(half, 0.1);
+  EXPECT_LT(half, 0.25);
+  now += 5 * kSec;
+  EXPECT_EQ(ShareOfZoneOne(3000), 0);
+  EXPECT_EQ(balancer->membership(now).unavailable, 4U);
+  std::set<std::string> used;
+  for (int i = 0; i < 200; ++i) {
+    Request request;
+    const std::string id = "w" + std::to_string(i);
+    request.id = id;
+    request.budget = 5 * kSec;
+    balancer->OnRequest(now, request);
+    for (const auto& action : sink.Take())
+      if (action.kind == Kind::kSend) used.insert(action.server);
+    balancer->OnOutcome(now, {id, 0, Result::kSuccess, 10'000, true});
+  }
+  EXPECT_EQ(used, (std::set<std::string>{"s00", "s02", "s04"}));
+  balancer->OrderZone(now, 1, {false, now, 8 * kSec, 0});
+  const double first = ShareOfZoneOne(3000);
+  EXPECT_GT(first, 0.01);
+  EXPECT_LT(first, 0.12);
+  now += 8 * kSec;
+  EXPECT_NEAR(ShareOfZoneOne(3000), before, 0.05);
+  EXPECT_EQ(balancer->membership(now).unavailable, 0U);
+}
+
+TEST_F(ZoneDrainTest, WithAllOutByHandARequestIsAnsweredAtOnce) {
+  Start(2);
+  EXPECT_TRUE(balancer->AnyElsewhere(1));
+  balancer->OrderZone(now, 1, {true, now, 0, 1});
+  EXPECT_FALSE(balancer->AnyElsewhere(0));
+  EXPECT_EQ(ShareOfZoneOne(10), 0);
+  balancer->OrderZone(now, 0, {true, now, 0, 1});
+  Request request;
+  request.id = "last";
+  request.budget = 5 * kSec;
+  balancer->OnRequest(now, request);
+  const auto actions = sink.Take();
+  ASSERT_EQ(actions.size(), 1U);
+  EXPECT_EQ(actions[0].kind, Kind::kRefuse);
+}
+
+TEST_F(ZoneDrainTest, WhatIsOutInTheZoneFinishesAndIsRepeatedElsewhere) {
+  Start(2);
+  balancer->OrderZone(now, 0, {true, now, 0, 1});
+  Request request;
+  request.id = "r";
+  request.budget = 5 * kSec;
+  balancer->OnRequest(now, request);
+  auto actions = sink.Take();
+  ASSERT_EQ(actions[0].server, "s01");
+  balancer->OrderZone(now, 0, {false, now, 0, 0});
+  balancer->OrderZone(now, 1, {true, now, 0, 1});
+  balancer->OnOutcome(now, {"r", 0, Result::kRefused, 10'000, false});
+  actions = sink.Take();
+  ASSERT_EQ(actions[0].kind, Kind::kTimer);
+  now += actions[0].time;
+  balancer->OnTimer(now, actions[0].token);
+  EXPECT_EQ(sink.Take()[0].server, "s00");
+}
+
+}  // namespace
+}  // namespace merlinrun
