--- a/src/cli/http_call.cpp
+++ b/src/cli/http_call.cpp
@@ -11,6 +11,8 @@
 #include <optional>
 #include <stdexcept>
 
+#include "common/http_client.hpp"
+
 namespace violetwing::cli {
 namespace {
 
@@ -23,15 +25,9 @@
 constexpr std::uint64_t kMostAnswer = std::uint64_t{64} * 1024 * 1024;
 
 asio::ip::tcp::endpoint Address(const std::string& text) {
-  const std::size_t colon = text.rfind(':');
-  ErrorCode error;
-  const auto host = asio::ip::make_address_v4(text.substr(0, colon), error);
-  const std::string digits = colon == std::string::npos ? "" : text.substr(colon + 1);
-  const bool number =
-      !digits.empty() && digits.size() <= 5 && digits.find_first_not_of("0123456789") == std::string::npos;
-  if (error || !number || std::stoi(digits) > 65535)
-    throw std::runtime_error("'" + text + "': no address with a port");
-  return {host, static_cast<unsigned short>(std::stoi(digits))};
+  const auto address = ParseEndpoint(text);
+  if (!address) throw std::runtime_error("'" + text + "': no address with a port");
+  return *address;
 }
 
 // A connection whose waits end after the patience: Beast's time-outs work on asynchronous calls alone.
--- a/src/cli/registry_command.cpp
+++ b/src/cli/registry_command.cpp
@@ -66,8 +66,7 @@
   signals.async_wait([&io](const boost::system::error_code& error, int) {
     if (!error) io.stop();
   });
-  const std::string address =
-      service.address().address().to_string() + ":" + std::to_string(service.address().port());
+  const std::string address = ToText(service.address());
   std::printf("serving at %s, generation %lld\n", address.c_str(),
               static_cast<long long>(service.core().generation()));
   std::fflush(stdout);
