Close a resting client connection only when its read, called off, brings no request

Seen by reading: Inbound::CloseOneIdle and CloseIdle went by the buffer and the kernel's count of bytes. A read that has ended with its handler still queued has taken the bytes from both, so a connection with a whole request looked idle. The order happens when the last place is taken by a client whose request came with its connection: the request was read by the accept's handler, and the connection was closed for its own place with no answer.

Change: such a connection is retired. Its read is called off, and what it comes back with decides: bytes keep it, nothing closes it, and then another is tried. So is one that has said nothing in its first 2.5 s.

--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -26,6 +26,8 @@
 // anyone may connect, and those who say nothing, or only half, must not keep a client's place. Clients take
 // up to 2 s beside what a body needs at 64 kB/s, and the others are owed an end within 3 s.
 constexpr auto kMostReading = std::chrono::milliseconds(2500);
+// For a first request of which bytes came in the very moment in which that time was over.
+constexpr auto kLateFirst = std::chrono::milliseconds(400);
 constexpr std::size_t kLeastRate = 32;  // bytes of a body in a millisecond: half of what clients keep to
 
 using Clock = std::chrono::steady_clock;
@@ -64,11 +66,19 @@
     Read();
   }
 
-  // Between requests, with nothing of the next one waiting to be read: closing it loses nothing.
-  bool Idle() const {
-    ErrorCode error;
-    return state_ == State::kReading && buffer_.size() == 0 && !parser_->begun &&
-           socket_.available(error) == 0;
+  // Between requests, as far as has been looked at.
+  bool Resting() const {
+    return state_ == State::kReading && buffer_.size() == 0 && !parser_->begun && !retiring_;
+  }
+  bool retiring() const { return retiring_; }
+
+  // Closes a resting connection, unless a request is on its way in. The read that is out may have taken its
+  // bytes already while its handler has yet to run, so nothing but its end can tell: it is called off, and
+  // what it comes back with decides.
+  void Retire() {
+    retiring_ = true;
+    ErrorCode ignored;
+    socket_.cancel(ignored);
   }
 
   void Respond(ResponseHead head, BodyPtr body, std::function<void(bool)> done) {
@@ -140,6 +150,7 @@
 
   void OnExpired() {
     if (state_ == State::kClosed) return;
+    if (Resting()) return Retire();
     if (state_ == State::kReading && parser_->begun)
       return Reject(http::status::request_timeout, "request not whole in time\n");
     Leave();
@@ -179,6 +190,8 @@
 
   void OnRead(ErrorCode error, std::size_t n) {
     if (state_ == State::kClosed) return;
+    if (std::exchange(retiring_, false) && !StaysAfter(error)) return Close();
+    if (error == asio::error::operation_aborted) return Read();
     if (error) return Leave();
     if (state_ != State::kLingering)
       buffer_.commit(asio::buffer_copy(buffer_.prepare(n), asio::buffer(input_, n)));
@@ -186,6 +199,15 @@
     Read();
   }
 
+  // Whether a connection that was to be closed stays, as a request came before its read could be called off.
+  bool StaysAfter(ErrorCode read) {
+    ErrorCode error;
+    if (read && (read != asio::error::operation_aborted || socket_.available(error) == 0)) return false;
+    if (deadline_.expiry() <= Clock::now()) ExpireAfter(kLateFirst);
+    owner_.Accept();  // its place is not to be had: another's may be
+    return true;
+  }
+
   // Reads on in a request whose body has room again.
   void OnRoom() {
     if ((state_ != State::kReading && state_ != State::kBusy) || !BodyComes()) return;
@@ -350,6 +372,7 @@
   unsigned version_ = 11;
   bool head_only_ = false;  // the request was HEAD
   bool reading_ = false;
+  bool retiring_ = false;  // it is closed unless a request has come
   bool keep_alive_ = true;
   bool heard_ = false;  // its first head has come whole
 };
@@ -381,7 +404,7 @@
 
 void Inbound::Accept() {
   if (accepting_ || !acceptor_.is_open()) return;
-  if (sessions_.size() >= most_sessions_ && !CloseOneIdle()) return;  // the next that ends goes on
+  if (sessions_.size() >= most_sessions_) return RetireOne();  // the next that ends goes on
   accepting_ = true;
   acceptor_.async_accept([this](ErrorCode error, Tcp::socket socket) {
     accepting_ = false;
@@ -397,7 +420,7 @@
   }
   if (error == asio::error::operation_aborted || !acceptor_.is_open()) return;
   if (error == asio::error::connection_aborted) return Accept();
-  CloseOneIdle();
+  RetireOne();
   pause_.expires_after(kAcceptPause);
   pause_.async_wait([this](ErrorCode stopped) {
     if (!stopped) Accept();
@@ -410,14 +433,14 @@
   session->Start();
 }
 
-bool Inbound::CloseOneIdle() {
-  for (const SessionPtr& session : sessions_)
-    if (session->Idle()) {
-      const SessionPtr kept = session;
-      kept->Close();
-      return true;
-    }
-  return false;
+// One at a time: whether it goes shows in a moment, and that makes room or asks for another.
+void Inbound::RetireOne() {
+  if (std::any_of(sessions_.begin(), sessions_.end(),
+                  [](const auto& session) { return session->retiring(); }))
+    return;
+  const auto resting = std::find_if(sessions_.begin(), sessions_.end(),
+                                    [](const auto& session) { return session->Resting(); });
+  if (resting != sessions_.end()) (*resting)->Retire();
 }
 
 void Inbound::Remove(const Session& session) {
@@ -448,8 +471,8 @@
 }
 
 void Inbound::CloseIdle() {
-  for (const SessionPtr& session : std::vector<SessionPtr>(sessions_.begin(), sessions_.end()))
-    if (session->Idle()) session->Close();
+  for (const SessionPtr& session : sessions_)
+    if (session->Resting()) session->Retire();
 }
 
 }  // namespace merlinrun::net
--- a/src/net/inbound.hpp
+++ b/src/net/inbound.hpp
@@ -54,7 +54,7 @@
  private:
   void OnAccepted(ErrorCode error, Tcp::socket socket);
   void Add(Tcp::socket socket);
-  bool CloseOneIdle();
+  void RetireOne();
   void Remove(const Session& session);
 
   asio::io_context& io_;
