End no request by a deadline that was met in the turn in which it passed

Seen by reading: Session's deadline was cancelled when a request's last byte had come. Where its wait had ended in the same turn of the loop, the handler still ran, found an expiry in the past and took the client for gone: the request was lost, and its client got no answer at all.

Change: the deadline is moved out of reach, not cancelled, so that a handler that still runs finds nothing due.

Result: a test holds the loop over the deadline and writes the last bytes then, of a whole and of a half request. With the cancel put back it fails for both (no answer in 20 s), with the change both are answered.

--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -84,7 +84,7 @@
   void Respond(ResponseHead head, BodyPtr body, std::function<void(bool)> done) {
     if (state_ != State::kBusy) return;
     state_ = State::kWriting;
-    deadline_.cancel();
+    StopClock();
     done_ = std::move(done);
     answer_ = std::move(body);
     answer_->Release();
@@ -110,7 +110,7 @@
   void Close() {
     if (state_ == State::kClosed) return;
     Abandon();
-    deadline_.cancel();
+    StopClock();
     owner_.Remove(*this);
     Tell(/*whole=*/false);
     if (answer_ != nullptr) std::exchange(answer_, nullptr)->Abandon();
@@ -135,9 +135,13 @@
     body_ = nullptr;
     if (buffer_.size() == 0) buffer_.shrink_to_fit();  // it may be long before the next
     paused_ = std::nullopt;
-    deadline_.cancel();  // between requests a client may rest
+    StopClock();  // between requests a client may rest
   }
 
+  // Moves the deadline out of reach. A cancel would leave it in the past where the wait for it has ended with
+  // its handler still to run, and that handler would end what has just come in time.
+  void StopClock() { deadline_.expires_at(Clock::time_point::max()); }
+
   void ExpireAfter(Clock::duration time) { ExpireAt(Clock::now() + time); }
 
   void ExpireAt(Clock::time_point time) {
@@ -185,7 +189,7 @@
   void Pause() {
     if (paused_ || (state_ != State::kReading && state_ != State::kBusy)) return;
     paused_ = Clock::now();
-    deadline_.cancel();
+    StopClock();
   }
 
   void OnRead(ErrorCode error, std::size_t n) {
@@ -291,7 +295,7 @@
     const bool done = parser_->parser.is_done();
     body_->Append(std::exchange(piece, {}));
     if (done) {
-      deadline_.cancel();
+      StopClock();
       body_->End();
     } else {
       ExpectMore();
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -62,5 +62,32 @@
   EXPECT_EQ(taken, std::vector<std::string>{"r1"});
 }
 
+// Holds the loop until `when`, so that what comes due by then and what is written by then meet in one turn.
+void HoldUntil(std::chrono::steady_clock::time_point when) {
+  while (std::chrono::steady_clock::now() < when) {
+  }
+}
+
+// Who connects has 2.5 s for a request (kMostReading), whatever it sends of it.
+constexpr auto kTimeToSend = 2500ms;
+
+// The deadline's handler is in the queue behind the one that reads the request's last byte.
+TEST_F(EndingsTest, ARequestWhoseLastByteComesWithItsDeadlineIsAnswered) {
+  ScriptedServer server(io, Serves("ok"));
+  Start({Entry("s1", server.address)});
+  const std::string text = Get("r1");
+  for (const std::size_t early : {std::size_t{0}, text.size() / 2}) {
+    const auto begin = std::chrono::steady_clock::now();
+    const auto client = Client(text.substr(0, early));
+    RunUntil(io, [&] { return std::chrono::steady_clock::now() > begin + kTimeToSend - 300ms; });
+    asio::post(io, [&] {
+      HoldUntil(begin + kTimeToSend + 100ms);
+      client->Write(text.substr(early));
+    });
+    const std::string status = Status(*client);
+    EXPECT_TRUE(status == "200" || (early > 0 && status == "408")) << early << " '" << status << "'";
+  }
+}
+
 }  // namespace
 }  // namespace merlinrun::net
