See a client's close also while nothing of it is read

Cause: reading stops while a long body waits for room, and when unparsed requests fill the buffer (Session::Read). The close lies behind what is not read. Change: while nothing is read the connection is polled for the peer's close every 50 ms.

--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -1,5 +1,7 @@
 #include "inbound.hpp"
 
+#include <poll.h>
+
 #include <algorithm>
 #include <array>
 #include <boost/asio/io_context.hpp>
@@ -22,6 +24,9 @@
 // How long a connection that is closed with an answer still reads: closing it with input unread would reset
 // it, and the answer might be lost with that.
 constexpr auto kLinger = std::chrono::seconds(1);
+// How often a client of which nothing is read is looked at: nothing may be sent on for one that has gone by
+// more than 0.1 s.
+constexpr auto kLookOut = std::chrono::milliseconds(50);
 // How long a peer may take to send a request, from its connection or from the first byte of a later one:
 // anyone may connect, and those who say nothing, or only half, must not keep a client's place. Clients take
 // up to 2 s beside what a body needs at 64 kB/s, and the others are owed an end within 3 s.
@@ -55,7 +60,11 @@
 class Inbound::Session : public std::enable_shared_from_this<Session> {
  public:
   Session(Inbound& owner, Tcp::socket socket)
-      : owner_(owner), socket_(std::move(socket)), deadline_(owner.io_), writer_(socket_) {}
+      : owner_(owner),
+        socket_(std::move(socket)),
+        deadline_(owner.io_),
+        look_out_(owner.io_),
+        writer_(socket_) {}
 
   void Start() {
     ErrorCode ignored;
@@ -119,6 +128,7 @@
   // Closes without a word to the owner, which is going: what is still to be called back finds it closed.
   void Abandon() {
     state_ = State::kClosed;
+    look_out_.cancel();
     writer_.Stop();
     ErrorCode ignored;
     socket_.close(ignored);
@@ -175,8 +185,12 @@
   // Stays posted while a request is held, so that a client that leaves is noticed. Stops only when a client
   // that does not wait for its answers has filled the buffer, or when a long body waits for room.
   void Read() {
-    if (reading_ || state_ == State::kClosed || buffer_.size() + kReadSize > buffer_.max_size()) return;
-    if (state_ != State::kLingering && BodyComes() && !body_->HasRoom()) return Pause();
+    if (reading_ || state_ == State::kClosed) return;
+    if (buffer_.size() + kReadSize > buffer_.max_size()) return LookOut();
+    if (state_ != State::kLingering && BodyComes() && !body_->HasRoom()) {
+      Pause();
+      return LookOut();
+    }
     reading_ = true;
     socket_.async_read_some(asio::buffer(input_),
                             [self = shared_from_this()](ErrorCode error, std::size_t n) {
@@ -185,6 +199,23 @@
                             });
   }
 
+  // Looks now and then whether the client has closed while nothing is read: its close is behind what it sent.
+  void LookOut() {
+    if (std::exchange(looking_out_, true)) return;
+    look_out_.expires_after(kLookOut);
+    look_out_.async_wait([self = shared_from_this()](ErrorCode stopped) {
+      self->looking_out_ = false;
+      if (stopped || self->reading_ || self->state_ == State::kClosed) return;
+      if (self->PeerHasClosed()) return self->Leave();
+      self->LookOut();
+    });
+  }
+
+  bool PeerHasClosed() {
+    pollfd one{socket_.native_handle(), POLLRDHUP, 0};
+    return ::poll(&one, 1, 0) > 0 && (one.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+  }
+
   // The peer is not to blame while its body waits for room.
   void Pause() {
     if (paused_ || (state_ != State::kReading && state_ != State::kBusy)) return;
@@ -364,6 +395,7 @@
   Inbound& owner_;
   Tcp::socket socket_;
   asio::steady_timer deadline_;          // of what the state waits for from the peer
+  asio::steady_timer look_out_;          // for its close, while nothing is read
   std::array<char, kReadSize> input_{};  // of its own: the buffer may move what it holds while a read is out
   beast::flat_buffer buffer_{2 * kMostUnparsed};
   std::optional<Incoming> parser_;
@@ -376,6 +408,7 @@
   unsigned version_ = 11;
   bool head_only_ = false;  // the request was HEAD
   bool reading_ = false;
+  bool looking_out_ = false;
   bool retiring_ = false;  // it is closed unless a request has come
   bool keep_alive_ = true;
   bool heard_ = false;  // its first head has come whole
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -89,5 +89,43 @@
   }
 }
 
+// A long body is not read on while its request waits for another try, and its client's close lies behind it.
+TEST_F(EndingsTest, AClientThatLeavesBehindALongBodyIsNotSentOnFor) {
+  ScriptedServer server(
+      io, [](Peer& peer) { peer.Write(Reply("503 Service Unavailable", "", "Srv-Declined: 1\r\n")); });
+  Start({Entry("s1", server.address)});
+  const std::string head =
+      "POST /api HTTP/1.1\r\nReq-Id: r1\r\nReq-Kind: look\r\nReq-Deadline: 5.0\r\nContent-Length: "
+      "300000\r\n\r\n";
+  const auto client = Client(head + std::string(90'000, 'x'));
+  ASSERT_TRUE(RunUntil(io, [&] { return server.requests() == 1; }));
+  Tell(List(2, false, {Entry("s1", server.address, "draining")}));  // it waits, and nobody can be tried
+  client->Close();
+  ASSERT_TRUE(RunUntil(io, [&] { return sidecar->requests_held() == 0; }));
+  EXPECT_EQ(Figure("downstream_requests.look.rejected"), "0");  // it was not held until its waits were over
+  EXPECT_EQ(Figure("downstream_requests.look.failed"), "0");
+}
+
+// Nothing is read either of a client that has sent more requests than are held for it.
+TEST_F(EndingsTest, AClientThatLeavesBehindManyRequestsIsNotSentOnFor) {
+  for (const bool reset : {false, true}) {
+    ScriptedServer server(io);
+    Start({Entry("s1", server.address)});
+    std::string text;
+    for (int i = 0; i < 600; ++i) text += Get("r" + std::to_string(i));
+    const auto client = std::make_shared<Peer>(Tcp::socket(io));
+    client->socket.connect(sidecar->address());
+    client->Write(text);
+    ASSERT_TRUE(RunUntil(io, [&] { return server.requests() == 1; }));
+    RunFor(io, 10ms);  // more is there than is read; whether it all is does not matter
+    reset ? client->Reset() : client->Close();
+    ASSERT_TRUE(RunUntil(io, [&] { return server.peers[0]->ended; }));
+    ASSERT_TRUE(RunUntil(io, [&] { return sidecar->requests_held() == 0; }));
+    EXPECT_EQ(server.requests(), 1);
+    sidecar.reset();
+    watching = nullptr;
+  }
+}
+
 }  // namespace
 }  // namespace merlinrun::net
