Let no timer of an attempt act on the next attempt on its connection

Seen by reading: a connection's timer was cancelled at the end of an attempt. Where its wait had ended in that turn of the loop its handler still ran, and met the next attempt if the connection had one by then: the wait for an answer without a length passed on an answer of which no head had come (a null body), the one for progress timed an attempt out at its start.

Change: a wait belongs to the attempt that set it.

Result: a test holds the loop over the 150 ms of such a wait, ends the first answer there and sends the second request from its outcome; without the change an answer begins that nobody gave, with it both attempts succeed.

--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -131,8 +131,10 @@
   template <typename Duration, typename Then>
   void ExpireAfter(Duration time, Then then) {
     timer_.expires_after(time);
-    timer_.async_wait([self = shared_from_this(), then](ErrorCode stopped) {
-      if (!stopped && !self->closed_ && self->job_ && self->timer_.expiry() <= Clock::now()) then();
+    timer_.async_wait([self = shared_from_this(), then, attempt = job_->id](ErrorCode stopped) {
+      // The wait may have ended in the very turn of the loop in which its attempt did, and another has begun.
+      const bool same = !self->closed_ && self->job_ && self->job_->id == attempt;
+      if (!stopped && same && self->timer_.expiry() <= Clock::now()) then();
     });
   }
 
--- a/tests/net/upstream_test.cpp
+++ b/tests/net/upstream_test.cpp
@@ -373,6 +373,41 @@
   EXPECT_EQ(upstream().open_connections(), 1U);
 }
 
+// Holds the loop until `when`, so that what comes due by then and what is written by then meet in one turn.
+void HoldUntil(std::chrono::steady_clock::time_point when) {
+  while (std::chrono::steady_clock::now() < when) {
+  }
+}
+
+// The wait after which an answer is passed on as it comes (150 ms) ends in the turn in which its last byte
+// comes, and the next request is on the connection before the wait's handler runs.
+TEST_F(UpstreamTest, ATimerOfOneAttemptSaysNothingOfTheNextOnItsConnection) {
+  ScriptedServer server(io, [](Peer& peer) {
+    if (peer.requests() > 1) return peer.Write(Reply("200 OK", "second"));
+    peer.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n");
+  });
+  Tell(server.address);
+  Upstream::Events events;
+  events.done = [&](UpstreamAnswer answer) {
+    answers.push_back(std::move(answer));
+    if (answers.size() == 1) Send();
+  };
+  events.begun = [&](const ResponseHead&, const BodyPtr& answer) { begun.push_back(answer); };
+  upstream().Send("s1", RequestHead(http::verb::get, "/api", 11), Body::Whole(""), 0, events);
+  ASSERT_TRUE(RunUntil(io, [&] { return server.requests() == 1; }));
+  io.restart();
+  while (io.poll() > 0) {  // what the server has written is read, and the wait begins
+  }
+  asio::post(io, [&, read = std::chrono::steady_clock::now()] {
+    HoldUntil(read + 200ms);
+    server.peers[0]->Write("0\r\n\r\n");
+  });
+  ASSERT_TRUE(RunUntil(io, [&] { return answers.size() == 2; }));
+  EXPECT_TRUE(begun.empty());
+  EXPECT_EQ(server.peers.size(), 1U);  // both on one connection, else nothing was put to the test
+  EXPECT_EQ(answers[1].result, Result::kSuccess);
+}
+
 TEST_F(UpstreamTest, ClosesConnectionsThatStayIdle) {
   limits.keep_idle = 60'000;
   ScriptedServer server(io, Serves("ok"));
