Take nothing for an answer that was read before its request was written

Seen by reading: when an answer is whole its connection reads on at once, and what is there is taken by that read while its handler waits in the queue. A request that goes out on the connection in between (Upstream::TakeIdle looks at the kernel, which is empty) was then answered with it: a server's second answer, of an earlier request, went to another client.

Change: what was read before a request was written ends that attempt as a reset; it may have run. A handler posted with the request marks the instant, as handlers run in the order in which they were queued.

Result: a test writes a second answer in the instant in which the first is whole and sends the next request from its outcome; without the change that request is served 'not yours', with it it is reset and no body goes on.

--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -87,6 +87,10 @@
 
   void Start(Job job) {
     job_.emplace(std::move(job));
+    // A read may have ended before this, with its handler still in the queue: that handler runs before this
+    // one.
+    earlier_ = true;
+    asio::post(pool_.io_, [self = shared_from_this()] { self->earlier_ = false; });
     Write();
   }
 
@@ -206,6 +210,9 @@
     if (error) return OnEnd(error);
     buffer_.commit(n);
     if (!job_) return Close();  // nobody asked
+    // What came before the request was written is no answer to it, and what follows could be mistaken for
+    // one.
+    if (earlier_) return Finish(Result::kReset, /*reuse=*/false);
     Advance();
   }
 
@@ -377,8 +384,9 @@
   bool reading_ = false;
   bool dialing_ = false;
   bool writing_ = false;
-  bool whole_ = false;   // the request's last byte has been written
-  bool broken_ = false;  // the peer ended while it was being written
+  bool earlier_ = false;  // what is read came before the request
+  bool whole_ = false;    // the request's last byte has been written
+  bool broken_ = false;   // the peer ended while it was being written
   bool closed_ = false;
 };
 
--- a/tests/net/upstream_test.cpp
+++ b/tests/net/upstream_test.cpp
@@ -408,6 +408,35 @@
   EXPECT_EQ(answers[1].result, Result::kSuccess);
 }
 
+// A server's second answer, read in the instant in which the first one is whole, with its handler still to
+// run when the connection has the next request: it is no answer to that.
+TEST_F(UpstreamTest, WhatWasReadBeforeARequestWasWrittenIsNoAnswerToIt) {
+  const std::string body(kMostHeld + 1, 'x');  // so long that it is passed on as it comes
+  ScriptedServer server(io, [&](Peer& peer) {
+    if (peer.requests() == 1) peer.Write(Reply("200 OK", body));
+  });
+  Tell(server.address);
+  Upstream::Events events;
+  events.done = [&](UpstreamAnswer answer) {
+    answers.push_back(std::move(answer));
+    if (answers.size() == 1) Send();
+  };
+  events.begun = [&](const ResponseHead&, const BodyPtr& answer) {
+    begun.push_back(answer);
+    answer->Release();
+    answer->on_data = [&, taken = answer.get()] {
+      taken->Taken(taken->size());
+      if (taken->ended()) server.peers[0]->Write(Reply("200 OK", "not yours"));
+    };
+  };
+  upstream().Send("s1", RequestHead(http::verb::get, "/api", 11), Body::Whole(""), 0, events);
+  ASSERT_TRUE(RunUntil(io, [&] { return answers.size() == 2; }));
+  begun[0]->on_data = nullptr;
+  EXPECT_EQ(server.peers.size(), 1U);            // on one connection, else nothing was put to the test
+  EXPECT_EQ(answers[1].result, Result::kReset);  // it may have run
+  EXPECT_EQ(answers[1].body, nullptr);
+}
+
 TEST_F(UpstreamTest, ClosesConnectionsThatStayIdle) {
   limits.keep_idle = 60'000;
   ScriptedServer server(io, Serves("ok"));
