Withdraw a dial whose client has left, also where attempts may not be called off

Cause: a client's leaving reached an attempt by the module's Cancel alone (Balancer::State::CancelRest), which a deployment may forbid. An attempt whose connection had yet to come up then wrote its request when it did.

Change: Sidecar::OnClientGone withdraws what is still dialing, whatever the settings say: nothing of it has been written.

Result: a test holds a dial in a full queue, lets the client leave and opens the queue then; without the change the request arrives, with it none does.

--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -332,6 +332,10 @@
   const std::string id = it->first;
   it->second.session = nullptr;
   metrics_.ClientLeft();
+  // Where attempts may not be called off they go on; but one that still waits for its connection never began.
+  for (std::size_t i = 0; i < it->second.attempts.size(); ++i)
+    if (it->second.attempts[i].out && upstream_.Withdraw(it->second.attempts[i].upstream))
+      asio::post(io_, [this, id, number = static_cast<int>(i)] { Conclude(id, number, Result::kNeverSent); });
   balancer_->OnClientGone(Now(), id);
   EraseIfOver(id);
 }
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -121,6 +121,8 @@
     return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
   }
 
+  // Nothing of the attempt has been written, so it cannot have run.
+  bool Dialing() const { return dialing_; }
   bool Current() const { return server_->Up() && server_->life == life_; }
   Server& server() { return *server_; }
   Clock::time_point idle_since;
@@ -482,6 +484,13 @@
   if (connection != nullptr) connection->Close();
 }
 
+bool Upstream::Withdraw(AttemptId attempt) {
+  const auto it = attempts_.find(attempt);
+  if (it == attempts_.end() || it->second == nullptr || !it->second->Dialing()) return false;
+  GiveUp(attempt);
+  return true;
+}
+
 Upstream::ConnectionPtr Upstream::TakeIdle(Server& server) {
   while (!server.idle.empty()) {
     ConnectionPtr connection = server.idle.back();
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -60,6 +60,8 @@
                  Events events);
   // Ends an attempt by closing its connection; its `done` is not called any more.
   void GiveUp(AttemptId attempt);
+  // Gives up an attempt of which nothing has been written; false if it has.
+  bool Withdraw(AttemptId attempt);
 
   bool any_server() const { return !servers_.empty(); }
   std::size_t open_connections() const { return open_; }
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -1,6 +1,9 @@
 // What is still owed at the instant in which something ends. Each test holds a byte, a FIN, a reset or an
 // accept back until the sidecar has reached a known state, and lets go then: the bad order happens each time.
 // docs/endings.md lists the ends and which test forces which.
+#include <poll.h>
+
+#include <list>
 #include <string>
 #include <vector>
 
@@ -127,5 +130,67 @@
   }
 }
 
+// A listener whose queue is full: who connects gets no word until it is opened, and then within a second or
+// so.
+class LateServer {
+ public:
+  explicit LateServer(asio::io_context& io) : acceptor_(io, Tcp::v4()) {
+    acceptor_.bind(Loopback());
+    acceptor_.listen(0);
+    // How many a queue of none holds is the system's to say.
+    for (bool up = true; up && fillers_.size() < 16;) {
+      Tcp::socket& filler = fillers_.emplace_back(io, Tcp::v4());
+      filler.native_non_blocking(true);
+      const Tcp::endpoint to = acceptor_.local_endpoint();
+      ::connect(filler.native_handle(), to.data(), static_cast<socklen_t>(to.size()));
+      pollfd one{filler.native_handle(), POLLOUT, 0};
+      up = ::poll(&one, 1, 50) > 0;
+    }
+  }
+  Tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+  void Open() {
+    acceptor_.async_accept([this](ErrorCode error, Tcp::socket socket) {
+      if (error) return;
+      peers.push_back(std::make_shared<Peer>(std::move(socket)));
+      peers.back()->Read();
+      Open();
+    });
+  }
+  int requests() const {
+    int count = 0;
+    for (const auto& peer : peers) count += peer->requests();
+    return count;
+  }
+  std::vector<std::shared_ptr<Peer>> peers;
+
+ private:
+  Tcp::acceptor acceptor_;
+  std::list<Tcp::socket> fillers_;
+};
+
+void LongDials(nlohmann::json& json) { json["settings"]["allowed"]["dial_timeout_us"] = 10'000'000; }
+
+// Whether attempts may be called off or not: one of which nothing is written has not begun.
+class DialTest : public EndingsTest, public ::testing::WithParamInterface<bool> {};
+
+TEST_P(DialTest, WritesNothingForAClientThatHasLeft) {
+  LateServer server(io);
+  Start({Entry("s1", server.address())}, [](nlohmann::json& json) {
+    LongDials(json);
+    json["settings"]["allowed"]["cancel"] = GetParam();
+  });
+  const auto client = Client(Post("port", "r1"));
+  ASSERT_TRUE(RunUntil(io, [&] { return sidecar->upstream_connections() == 1; }));
+  client->Close();
+  ASSERT_TRUE(RunUntil(io, [&] { return Figure("pending") == "0"; }));  // it knows
+  ASSERT_EQ(Figure("upstream_requests"), "0") << "the dial was to wait";
+  server.Open();
+  ASSERT_TRUE(RunUntil(io, [&] { return sidecar->upstream_connections() == 0 || server.requests() > 0; }));
+  EXPECT_EQ(server.requests(), 0);
+  EXPECT_TRUE(RunUntil(io, [&] { return sidecar->requests_held() == 0; }));
+}
+
+INSTANTIATE_TEST_SUITE_P(MayCancel, DialTest, ::testing::Bool());
+
 }  // namespace
 }  // namespace merlinrun::net
