Tell a server what is left of a request's time when it is written

Seen by reading: the time that an attempt tells its server was written into its head when the module decided.

Change: Upstream::Send takes an order with the time left, and writes it anew when a dial is up.

--- a/src/net/protocol.hpp
+++ b/src/net/protocol.hpp
@@ -9,9 +9,12 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <cstddef>
+#include <cstdio>
 #include <string>
 #include <utility>
 
+#include "merlinrun/balancer.hpp"
+
 namespace merlinrun::net {
 
 namespace asio = boost::asio;
@@ -42,6 +45,15 @@
 inline constexpr const char* kKeyParameter = "obj";
 inline constexpr const char* kReadyPath = "/ready";
 
+inline constexpr Micros kSecond = 1'000'000;
+
+// As the protocol's times are written.
+inline std::string InSeconds(Micros time) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.3f", static_cast<double>(time) / static_cast<double>(kSecond));
+  return text;
+}
+
 // An answer of the sidecar's own.
 inline HttpResponse Plain(http::status status, std::string text) {
   HttpResponse response(status, 11);
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -17,7 +17,6 @@
 namespace {
 
 constexpr Micros kMs = 1000;
-constexpr Micros kSecond = 1000 * kMs;
 
 // Descriptors for all but clients and servers: standard streams, epoll and its helpers, listener, watch.
 constexpr std::size_t kOtherSockets = 24;
@@ -62,12 +61,6 @@
 
 std::string_view View(beast::string_view text) { return {text.data(), text.size()}; }
 
-std::string Seconds(Micros time) {
-  char text[32];
-  std::snprintf(text, sizeof text, "%.3f", static_cast<double>(time) / static_cast<double>(kSecond));
-  return text;
-}
-
 // The query parameter that says what a request is about; empty if it has none.
 std::string_view KeyOf(std::string_view target) {
   const std::string name = std::string(kKeyParameter) + "=";
@@ -432,13 +425,12 @@
   CheckFinished();
 }
 
-RequestHead Sidecar::Forwarded(const Call& call, Micros left) {
+RequestHead Sidecar::Forwarded(const Call& call) {
   RequestHead out = call.head;
   for (const char* hop : {"Connection", "Keep-Alive", "Proxy-Connection", "TE", "Trailer",
                           "Transfer-Encoding", "Upgrade", "Expect", "Content-Length"})
     out.erase(hop);
   out.version(11);
-  out.set(kDeadlineHeader, Seconds(left));
   return out;
 }
 
@@ -483,7 +475,7 @@
   };
   const Micros left = call.body->ended() ? attempt.expires - now : call.budget;
   attempt.upstream =
-      upstream_.Send(server, Forwarded(call, left), call.body, begin_within, std::move(events));
+      upstream_.Send(server, {Forwarded(call), call.body, left, begin_within}, std::move(events));
   call.attempts.push_back(attempt);
   if (attempt.expires < call.deadline) Watch(id, call);
 }
@@ -501,7 +493,7 @@
   const auto it = calls_.find(std::string(request));
   if (it == calls_.end() || it->second.session == nullptr) return;
   HttpResponse response = Plain(http::status::service_unavailable, "refused\n");
-  if (retry_after > 0) response.set(http::field::retry_after, Seconds(retry_after));
+  if (retry_after > 0) response.set(http::field::retry_after, InSeconds(retry_after));
   Answer(it->second, std::move(response));
   EraseLater(it->first);
 }
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -98,7 +98,7 @@
   void OnDue(const std::string& id);
   void EraseIfOver(const std::string& id);
   void EraseLater(const std::string& id);
-  static RequestHead Forwarded(const Call& call, Micros left);
+  static RequestHead Forwarded(const Call& call);
   int ClassIndex(std::string_view name) const;
   int TenantIndex(std::string_view name) const;
   void FinishDrain();
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -58,6 +58,7 @@
     BodyPtr body;
     Events events;
     std::optional<Clock::time_point> begin_by;
+    std::optional<Clock::time_point> expires;  // its time runs already, and its server is told what is left
   };
 
   Connection(Upstream& pool, std::shared_ptr<Server> server)
@@ -152,10 +153,17 @@
     // drain, is gone, or has restarted and is cold. Nothing is written, so it never ran.
     if (error || !Current()) return Finish(Result::kUnreachable, /*reuse=*/false);
     if (job_->begin_by && Clock::now() >= *job_->begin_by) return Finish(Result::kNeverSent, /*reuse=*/false);
+    if (job_->expires) TellWhatIsLeft();
     Read();
     Write();
   }
 
+  // The dial has taken a part of what there was when the attempt was decided.
+  void TellWhatIsLeft() {
+    const auto left = std::chrono::duration_cast<std::chrono::microseconds>(*job_->expires - Clock::now());
+    job_->head.set(kDeadlineHeader, InSeconds(std::max<Micros>(left.count(), 0)));
+  }
+
   void Write() {
     RenewParser();
     head_only_ = job_->head.method() == http::verb::head;
@@ -444,20 +452,24 @@
   }
 }
 
-Upstream::AttemptId Upstream::Send(const std::string& id, RequestHead head, BodyPtr body, Micros begin_within,
-                                   Events events) {
+Upstream::AttemptId Upstream::Send(const std::string& id, Order order, Events events) {
   const auto found = servers_.find(id);
   if (found == servers_.end() || !found->second->Up()) return FailLater(std::move(events));
   const std::shared_ptr<Server> server = found->second;
   ConnectionPtr connection = TakeIdle(*server);
   const AttemptId attempt = ++last_attempt_;
-  Connection::Job job{attempt, std::move(head), std::move(body), std::move(events), std::nullopt};
-  if (begin_within > 0) job.begin_by = Clock::now() + std::chrono::microseconds(begin_within);
+  const bool runs = order.left > 0 && order.body->ended();
+  if (order.left > 0) order.head.set(kDeadlineHeader, InSeconds(order.left));
+  Connection::Job job{attempt,           std::move(order.head), std::move(order.body),
+                      std::move(events), std::nullopt,          std::nullopt};
   if (connection != nullptr) {
     attempts_[attempt] = connection;
     connection->Start(std::move(job));
     return attempt;
   }
+  const auto now = Clock::now();
+  if (order.begin_within > 0) job.begin_by = now + std::chrono::microseconds(order.begin_within);
+  if (runs) job.expires = now + std::chrono::microseconds(order.left);
   if (open_ >= limits_.connections && !MakeRoom()) return FailLater(std::move(job.events));
   connection = std::make_shared<Connection>(*this, server);
   ++open_;
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -39,6 +39,16 @@
     std::size_t connections = 512;
   };
 
+  // What an attempt sends. A body that is still coming is passed on as it comes.
+  struct Order {
+    RequestHead head;
+    BodyPtr body;
+    Micros left = 0;  // the server is told so much, less what a dial takes of it; 0 = not told
+    // A connection that comes up later than this is closed with nothing written, and the attempt is
+    // kNeverSent; 0 = whenever.
+    Micros begin_within = 0;
+  };
+
   // `written` is called when an attempt has been written whole.
   Upstream(asio::io_context& io, Limits limits, std::shared_ptr<Budget> budget,
            std::function<void()> written = {});
@@ -54,10 +64,8 @@
   // way finishes.
   void Retire(const std::string& server);
 
-  // Starts an attempt. A body that is still coming is passed on as it comes. A connection that comes up later
-  // than `begin_within` is closed with nothing written, and the attempt is kNeverSent; 0 = whenever.
-  AttemptId Send(const std::string& server, RequestHead head, BodyPtr body, Micros begin_within,
-                 Events events);
+  // Starts an attempt.
+  AttemptId Send(const std::string& server, Order order, Events events);
   // Ends an attempt by closing its connection; its `done` is not called any more.
   void GiveUp(AttemptId attempt);
   // Gives up an attempt of which nothing has been written; false if it has.
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -192,5 +192,22 @@
 
 INSTANTIATE_TEST_SUITE_P(MayCancel, DialTest, ::testing::Bool());
 
+// What a server is told counts from the moment in which it is written, not in which it was decided.
+TEST_F(EndingsTest, AfterALateDialTheServerIsToldWhatIsLeft) {
+  LateServer server(io);
+  Start({Entry("s1", server.address())}, LongDials);
+  const auto begin = std::chrono::steady_clock::now();
+  const auto client = Client(Post("port", "r1"));  // 5 s
+  ASSERT_TRUE(RunUntil(io, [&] { return sidecar->upstream_connections() == 1; }));
+  ASSERT_TRUE(RunUntil(io, [&] { return std::chrono::steady_clock::now() > begin + 400ms; }));
+  ASSERT_EQ(Figure("upstream_requests"), "0") << "the dial was to wait";
+  server.Open();
+  ASSERT_TRUE(RunUntil(io, [&] { return server.requests() == 1; }));
+  const std::string& sent = server.peers.back()->received;
+  const std::size_t at = sent.find("Req-Deadline: ");
+  ASSERT_NE(at, std::string::npos) << sent;
+  EXPECT_LT(std::stod(sent.substr(at + 14)), 4.6);
+}
+
 }  // namespace
 }  // namespace merlinrun::net
--- a/tests/net/upstream_test.cpp
+++ b/tests/net/upstream_test.cpp
@@ -28,7 +28,7 @@
     Upstream::Events events;
     events.done = [this](UpstreamAnswer answer) { answers.push_back(std::move(answer)); };
     events.begun = [this](const ResponseHead&, const BodyPtr& answer) { begun.push_back(answer); };
-    return upstream().Send(id, head, Body::Whole(std::string(body, 'x')), begin_within, events);
+    return upstream().Send(id, {head, Body::Whole(std::string(body, 'x')), 0, begin_within}, events);
   }
   // The result of one attempt.
   Result Try(const std::string& id = "s1", std::size_t body = 0) {
@@ -146,7 +146,7 @@
     take(*answer);
     ended_meanwhile = done;
   };
-  upstream().Send("s1", RequestHead(http::verb::get, "/api", 11), Body::Whole(""), 0, events);
+  upstream().Send("s1", {RequestHead(http::verb::get, "/api", 11), Body::Whole("")}, events);
   ASSERT_TRUE(RunUntil(io, [&] {
     if (!begun.empty()) take(*begun[0]);
     return done;
@@ -393,7 +393,7 @@
     if (answers.size() == 1) Send();
   };
   events.begun = [&](const ResponseHead&, const BodyPtr& answer) { begun.push_back(answer); };
-  upstream().Send("s1", RequestHead(http::verb::get, "/api", 11), Body::Whole(""), 0, events);
+  upstream().Send("s1", {RequestHead(http::verb::get, "/api", 11), Body::Whole("")}, events);
   ASSERT_TRUE(RunUntil(io, [&] { return server.requests() == 1; }));
   io.restart();
   while (io.poll() > 0) {  // what the server has written is read, and the wait begins
@@ -429,7 +429,7 @@
       if (taken->ended()) server.peers[0]->Write(Reply("200 OK", "not yours"));
     };
   };
-  upstream().Send("s1", RequestHead(http::verb::get, "/api", 11), Body::Whole(""), 0, events);
+  upstream().Send("s1", {RequestHead(http::verb::get, "/api", 11), Body::Whole("")}, events);
   ASSERT_TRUE(RunUntil(io, [&] { return answers.size() == 2; }));
   begun[0]->on_data = nullptr;
   EXPECT_EQ(server.peers.size(), 1U);            // on one connection, else nothing was put to the test
