Count a pipelined request's time from its last byte, not from its turn

Seen by reading: a request that comes behind another on its connection is parsed when that one has its answer, and its time began then. Behind one that times out it had up to a whole deadline more than its client gave it, its server was told so, and its answer came when the client had left.

Change: a connection keeps when the bytes came that wait in its buffer (coalesced by the millisecond, dropped with them), and hands a request on with the time that it has waited. Reads that nothing waits for take no time of the clock.

--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
+#include <deque>
 #include <optional>
 #include <string_view>
 #include <utility>
@@ -137,6 +138,10 @@
   std::list<SessionPtr>::iterator place;
 
  private:
+  struct ReadAt {
+    std::uint64_t upto;  // bytes of the connection
+    Clock::time_point at;
+  };
   enum class State { kReading, kBusy, kWriting, kLingering, kClosed };
 
   void NextRequest() {
@@ -230,10 +235,31 @@
     if (error) return Leave();
     if (state_ != State::kLingering)
       buffer_.commit(asio::buffer_copy(buffer_.prepare(n), asio::buffer(input_, n)));
+    read_ += n;
     if (state_ == State::kReading || state_ == State::kBusy) Parse();
+    NoteWaiting();
     Read();
   }
 
+  // Keeps when bytes came that wait for the requests before them. Those that came within a millisecond count
+  // as one, the first of them: the bookkeeping must not outgrow what it is about.
+  void NoteWaiting() {
+    if (buffer_.size() == 0) return waiting_.clear();
+    const auto now = Clock::now();
+    if (!waiting_.empty() && now - waiting_.back().at < std::chrono::milliseconds(1)) {
+      waiting_.back().upto = read_;
+    } else {
+      waiting_.push_back({read_, now});
+    }
+  }
+
+  // Since when the last byte taken has been here.
+  Clock::duration Waited() {
+    const std::uint64_t taken = read_ - buffer_.size();
+    while (!waiting_.empty() && waiting_.front().upto < taken) waiting_.pop_front();
+    return waiting_.empty() ? Clock::duration::zero() : Clock::now() - waiting_.front().at;
+  }
+
   // Whether a connection that was to be closed stays, as a request came before its read could be called off.
   bool StaysAfter(ErrorCode read) {
     ErrorCode error;
@@ -357,7 +383,9 @@
                               Plain(ready ? http::status::ok : http::status::service_unavailable,
                                     ready ? "ready\n" : "not yet\n"));
     }
-    owner_.events_.on_request(shared_from_this(), std::move(head), body_);
+    const auto waited = body_->ended() ? Waited() : Clock::duration::zero();
+    owner_.events_.on_request(shared_from_this(), std::move(head), body_,
+                              std::chrono::duration_cast<std::chrono::microseconds>(waited).count());
   }
 
   void Tell(bool whole) {
@@ -398,6 +426,8 @@
   asio::steady_timer look_out_;          // for its close, while nothing is read
   std::array<char, kReadSize> input_{};  // of its own: the buffer may move what it holds while a read is out
   beast::flat_buffer buffer_{2 * kMostUnparsed};
+  std::uint64_t read_ = 0;      // bytes so far
+  std::deque<ReadAt> waiting_;  // when those came that are in the buffer behind other requests
   std::optional<Incoming> parser_;
   BodyPtr body_;                             // of the request, once its head has come
   std::optional<Clock::time_point> paused_;  // since when it waits for room
--- a/src/net/inbound.hpp
+++ b/src/net/inbound.hpp
@@ -19,8 +19,9 @@
   using SessionPtr = std::shared_ptr<Session>;
 
   struct Events {
-    // The request is answered by one call of Respond, from in here or later. A long body is still coming.
-    std::function<void(const SessionPtr&, RequestHead, BodyPtr)> on_request;
+    // The request is answered by one call of Respond, from in here or later. A long body is still coming. One
+    // that came behind others has waited so long for them since its last byte.
+    std::function<void(const SessionPtr&, RequestHead, BodyPtr, Micros waited)> on_request;
     std::function<void(const SessionPtr&)> on_gone;  // the client left during its request
     std::function<bool()> ready;
   };
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -158,9 +158,8 @@
 
 void Sidecar::Start() {
   Inbound::Events events;
-  events.on_request = [this](const Inbound::SessionPtr& session, RequestHead head, const BodyPtr& body) {
-    OnRequest(session, std::move(head), body);
-  };
+  events.on_request = [this](const Inbound::SessionPtr& session, RequestHead head, const BodyPtr& body,
+                             Micros waited) { OnRequest(session, std::move(head), body, waited); };
   events.on_gone = [this](const Inbound::SessionPtr& session) { OnClientGone(session); };
   events.ready = [this] { return Ready(); };
   inbound_ = std::make_unique<Inbound>(io_, Listener(), DescriptorShares(config_).clients, budget_, events);
@@ -248,7 +247,8 @@
 
 // ---- A request's life ----
 
-void Sidecar::OnRequest(const Inbound::SessionPtr& session, RequestHead head, const BodyPtr& body) {
+void Sidecar::OnRequest(const Inbound::SessionPtr& session, RequestHead head, const BodyPtr& body,
+                        Micros waited) {
   const Settings& settings = config_.wire.settings;
   const std::string id(View(head[kIdHeader]));
   const int request_class = ClassIndex(View(head[kClassHeader]));
@@ -266,6 +266,7 @@
   }
   const Micros now = Now();
   budget -= std::min(kAnswerMargin, static_cast<Micros>(kMostMarginShare * static_cast<double>(budget)));
+  budget = std::max<Micros>(budget - waited, 0);
   if (drain_end_ > 0) budget = std::clamp<Micros>(drain_end_ - now, 0, budget);
 
   Call& call = calls_[id];
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -85,7 +85,7 @@
   EndpointList Known();
   void OnList(ListUpdate::Kind kind, const EndpointList& list, bool awaits = false);
   void OnDiscoveryFailed();
-  void OnRequest(const Inbound::SessionPtr& session, RequestHead head, const BodyPtr& body);
+  void OnRequest(const Inbound::SessionPtr& session, RequestHead head, const BodyPtr& body, Micros waited);
   void FollowBody(const std::string& id, Body& body);
   void OnRequestEnded(const std::string& id);
   void OnClientGone(const Inbound::SessionPtr& session);
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -47,7 +47,8 @@
 TEST_F(EndingsTest, ARequestReadAsRestingConnectionsAreClosedIsServed) {
   std::vector<std::string> taken;
   Inbound::Events events;
-  events.on_request = [&](const Inbound::SessionPtr& session, const RequestHead& head, const BodyPtr&) {
+  events.on_request = [&](const Inbound::SessionPtr& session, const RequestHead& head, const BodyPtr&,
+                          Micros) {
     taken.emplace_back(head[kIdHeader]);
     Inbound::Respond(session, Plain(http::status::ok, "ok"));
   };
@@ -209,5 +210,21 @@
   EXPECT_LT(std::stod(sent.substr(at + 14)), 4.6);
 }
 
+// A request that came behind another one waits for that one's end, and its time has run since it came.
+TEST_F(EndingsTest, ARequestBehindOneThatTimesOutHasWhatIsLeftOfItsTime) {
+  ScriptedServer server(io);
+  Start({Entry("s1", server.address)});
+  const auto begin = std::chrono::steady_clock::now();
+  const auto client = Client(Post("port", "r1", "0.6") + Post("port", "r2", "3.0"));
+  EXPECT_EQ(Status(*client), "502");  // a fifth at most is kept for the answer: not before 0.48 s
+  ASSERT_TRUE(RunUntil(io, [&] { return server.requests() == 2; }));
+  const std::string& sent = server.peers.back()->received;
+  const std::size_t at = sent.find("Req-Deadline: ", sent.find("Req-Id: r2"));
+  ASSERT_NE(at, std::string::npos) << sent;
+  EXPECT_LT(std::stod(sent.substr(at + 14)), 3.0 - 0.48);
+  EXPECT_EQ(Status(*client, 2), "502");
+  EXPECT_GT(std::chrono::steady_clock::now(), begin + 2400ms);  // no less than it had either
+}
+
 }  // namespace
 }  // namespace merlinrun::net
