Take lists that come indented, over several lines

A watch was read line by line, so the first line of such a list was no JSON, the watch was given up and asked for again, and the list never came.

Change: a line of one bracket begins an indented list, which is over with the line that closes it; an empty line in it means that it was broken off. What a line alone says is read as before.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -46,6 +46,29 @@
   return out;
 }
 
+std::string_view Trimmed(std::string_view line) {
+  const std::size_t first = line.find_first_not_of(" \t\r");
+  return first == std::string_view::npos ? ""
+                                         : line.substr(first, line.find_last_not_of(" \t\r") + 1 - first);
+}
+
+// Brackets of a line of JSON that are opened and not closed in it; no string goes over a line's end.
+int Opened(std::string_view line) {
+  int open = 0;
+  bool quoted = false;
+  for (std::size_t i = 0; i < line.size(); ++i) {
+    const char c = line[i];
+    if (quoted && c == '\\') {
+      ++i;
+    } else if (c == '"') {
+      quoted = !quoted;
+    } else if (!quoted) {
+      open += (c == '{' || c == '[') - (c == '}' || c == ']');
+    }
+  }
+  return open;
+}
+
 }  // namespace
 
 std::optional<Tcp::endpoint> ParseAddress(std::string_view text) {
@@ -140,16 +163,30 @@
     line_.append(piece_.data(), piece_.size() - parser_.get().body().size);
     std::size_t begin = 0;
     for (std::size_t end = line_.find('\n'); end != std::string::npos; end = line_.find('\n', begin)) {
-      const std::string line = line_.substr(begin, end - begin);
-      begin = end + 1;
-      if (owner_ != nullptr && line.find_first_not_of(" \r") != std::string::npos) owner_->OnLine(line);
+      TakeLine(std::string_view(line_).substr(begin, end - begin));
       if (owner_ == nullptr) return;
+      begin = end + 1;
     }
     line_.erase(0, begin);
-    if (line_.size() > kMostLine) return End("a line without end", true);
+    if (line_.size() + indented_.size() > kMostLine) return End("a line without end", true);
     ReadBody();
   }
 
+  // One list, or one line of an indented list: that begins with a line of one bracket, holds no empty line,
+  // and is over with the line that closes it.
+  void TakeLine(std::string_view line) {
+    const std::string_view text = Trimmed(line);
+    if (indented_.empty() && text != "{") {
+      if (!text.empty()) owner_->OnLine(std::string(line));
+      return;
+    }
+    indented_.append(line);
+    opened_ += Opened(text);
+    if (opened_ > 0 && !text.empty()) return;
+    opened_ = 0;
+    owner_->OnLine(std::exchange(indented_, {}));
+  }
+
   void End(const std::string& reason, bool bad_input = false) {
     if (owner_ == nullptr) return;
     Discovery* const owner = std::exchange(owner_, nullptr);
@@ -163,7 +200,9 @@
   http::request<http::empty_body> request_;
   http::response_parser<http::buffer_body> parser_;
   std::array<char, kReadSize> piece_{};
-  std::string line_;
+  std::string line_;      // that has not come whole
+  std::string indented_;  // lines of a list that has not
+  int opened_ = 0;        // its brackets that are open
 };
 
 Discovery::Discovery(asio::io_context& io, std::vector<Tcp::endpoint> addresses,
--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -59,6 +59,26 @@
   EXPECT_EQ(failures, 0);
 }
 
+TEST_F(DiscoveryTest, TakesIndentedLists) {
+  // With brackets and quotes in a string, in pieces of one byte, and one that is broken off by an empty line.
+  const std::string list =
+      List(42, false, {Entry("s\"]}", {asio::ip::make_address("127.0.0.1"), 80})}).dump(2) + "\n";
+  std::string pieces;
+  for (const char c : list) pieces += Chunk(std::string(1, c));
+  const std::string broken = list.substr(0, list.size() / 2);
+  ::testing::internal::CaptureStderr();
+  Start({pieces + Chunk("\n" + Line(43, "s-b")) + Chunk(broken.substr(0, broken.rfind('\n') + 1) + "\n"),
+         Chunk(Line(44, "s-c"))});
+  const bool whole = RunUntil(io, [&] { return lists.size() == 3; });
+  const std::string said = ::testing::internal::GetCapturedStderr();
+  ASSERT_TRUE(whole);
+  EXPECT_EQ(lists[0].endpoints[0].info.id, "s\"]}");
+  EXPECT_EQ(lists[1].generation, 43);
+  EXPECT_EQ(lists[2].generation, 44);
+  EXPECT_EQ(failures, 1);
+  EXPECT_EQ(std::count(said.begin(), said.end(), '\n'), 1) << said;
+}
+
 TEST_F(DiscoveryTest, ReopensAWatchThatEndsFromWhereItWas) {
   Start({Chunk(Line(42, "s-a")) + "0\r\n\r\n", Chunk(Line(43, "s-b"))});
   ASSERT_TRUE(RunUntil(io, [&] { return lists.size() == 2; }));
