Ask discovery again within 5 s of the last call's beginning, and the agent within the grace

Need: a change counts as told 6 s after discovery had it and could be reached, whatever became of the calls before, and what an agent that pushes lists gets at its return counts at once.

Change: a wait after a failed call is no longer than until 5 s after that call began, and a second at least; a silent watch is given up after 4 s, not 4.5; where lists are pushed the wait before a watch is opened again is a quarter of the grace at most. Discovery::TimingOf holds all that, out of sidecar.cpp. Full jitter and doubling stay.

Result: 200 failed calls each that are refused at once, after a second and after 4 s: the longest from one's beginning to the next's was 40 s in the test's settings without the change, and is 5 s.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -19,6 +19,11 @@
 constexpr std::size_t kMostLine = std::size_t{4} * 1024 * 1024;  // some 20,000 servers
 constexpr std::int64_t kMostUnixMs = std::int64_t{1} << 49;      // the module takes times under 2^60 us
 
+// Waits before another registry is asked. Lists may be seconds old by design (ask_within); 5,000 sidecars
+// that come within the first half second are 10 a millisecond, what a registry words and writes in that time.
+constexpr Micros kFailoverBase = 500'000;
+constexpr Micros kMostFailover = 8'000'000;  // within the time for asking, 10 s
+
 std::optional<ServerInfo::State> ParseLifecycle(const std::string& word) {
   if (word == "up") return ServerInfo::State::kHealthy;
   if (word == "draining") return ServerInfo::State::kDraining;
@@ -100,6 +105,20 @@
   return std::nullopt;
 }
 
+Discovery::Timing Discovery::TimingOf(const Settings& settings, std::size_t addresses) {
+  Timing timing;
+  timing.reopens = !settings.must_subscribe;
+  // Where lists are pushed, all that the agent gets while it cannot be reached counts as told when it is
+  // back: the grace is all there is for the wait and for the answer.
+  if (timing.reopens && settings.drain_grace > 0) {
+    timing.backoff_most = std::min(timing.backoff_most, settings.drain_grace / 4);
+    timing.backoff_base = std::min(timing.backoff_base, timing.backoff_most);
+  }
+  // Those who lose one of several registries come to the others within seconds, not all in the same instant.
+  if (addresses > 1) timing.backoff_base = kFailoverBase, timing.backoff_most = kMostFailover;
+  return timing;
+}
+
 // One watch, from its connection to its end. Reports its end once, unless it is stopped first.
 class Discovery::Stream : public std::enable_shared_from_this<Stream> {
  public:
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -41,12 +41,17 @@
 class Discovery {
  public:
   struct Timing {
-    Micros silence = 4'500'000;       // an empty line comes every 2 s; what is told counts as told after 6 s
+    // An empty line comes every 2 s; what a silent watch missed counts as told 6 s after it fell silent. That
+    // leaves a second each for the wait before the next call, and for its answer.
+    Micros silence = 4'000'000;
     Micros backoff_base = 200'000;    // the wait before the n-th reopening is random(0, base * 2^n) ...
     Micros backoff_most = 1'000'000;  // ... and no longer than this
     Micros stale_stay = 10'000'000;   // and up to twice so long, where all addresses are stale or gone
     bool reopens = true;              // false: somebody else decides when to ask again
   };
+  // As a deployment's settings have it.
+  static Timing TimingOf(const Settings& settings, std::size_t addresses);
+
   struct Events {
     // A list before it is taken, as it was read; false if it must not be taken, with the reason. May be
     // empty.
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -40,10 +40,6 @@
 // A process that succeeds another has 6 s to take clients; it waits so long for a fresh list. The other one
 // serves meanwhile.
 constexpr Micros kMostAwait = 4 * kSecond;
-// Waits before another registry is asked. Lists may be seconds old by design (ask_within); 5,000 sidecars
-// that come within the first half second are 10 a millisecond, what a registry words and writes in that time.
-constexpr Micros kFailoverBase = 500 * kMs;
-constexpr Micros kMostFailover = 8 * kSecond;  // within the time for asking, 10 s
 // The part of the memory that bodies may hold; half of it where two processes share it for a while.
 // Connections need about as much again for what they read and write, and half of the memory stays free.
 constexpr std::size_t kBudgetShare = 8;
@@ -108,14 +104,6 @@
   return limits;
 }
 
-Discovery::Timing DiscoveryTiming(const Config& config) {
-  Discovery::Timing timing;
-  // Those who lose one of several registries come to the others within seconds, not all in the same instant.
-  if (config.discovery.size() > 1) timing.backoff_base = kFailoverBase, timing.backoff_most = kMostFailover;
-  timing.reopens = !config.wire.settings.must_subscribe;
-  return timing;
-}
-
 // Unix time and the steady clock compared once: the steady one alone moves afterwards. Were the difference
 // taken anew for each list, one start would be mapped to ever new times, and the module takes a new time for
 // a new start, with a cold server.
@@ -141,7 +129,8 @@
                      ? std::make_unique<LastList>(io, config_.directory, config_.wire)
                      : nullptr),
       upstream_(io, UpstreamLimits(config_), budget_, [this] { metrics_.AttemptWritten(); }),
-      discovery_(io, config_.discovery, config_.wire, DiscoveryTiming(config_), config_.seed,
+      discovery_(io, config_.discovery, config_.wire,
+                 Discovery::TimingOf(config_.wire.settings, config_.discovery.size()), config_.seed,
                  {TakesLists(),
                   [this](const EndpointList& list) {
                     OnList(list.whole ? ListUpdate::Kind::kFull : ListUpdate::Kind::kDelta, list);
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -40,6 +40,9 @@
 constexpr double kCrossingPriced = 0.05;
 // Asking discovery again after a failure waits random(0, min(ask_within, base * 2^n)).
 constexpr Micros kAskBase = kSecond;
+// But a call begins at most so long after the one before it began: whatever becomes of calls, a change counts
+// as told 6 s after discovery had it and could be reached, and the last of those is for the answer.
+constexpr Micros kAskAgain = 5 * kSecond;
 // A sidecar that waits for a list before it serves asks within this time: soon, and still not all at once.
 constexpr Micros kAskAwaited = kSecond;
 
@@ -63,7 +66,9 @@
   void OnServers(const ListUpdate& update) {
     if (update.awaited) admission_.Succeed();
     if (update.kind == ListUpdate::Kind::kFailed) {
-      AskLater(update.awaited ? kAskAwaited : Doubled(kAskBase, asks_failed_++, set_.ask_within));
+      const Micros most = std::max(asked_at_ + kAskAgain - now_, kAskBase);
+      const Micros wait = std::min(Doubled(kAskBase, asks_failed_++, set_.ask_within), most);
+      AskLater(update.awaited ? kAskAwaited : wait);
       return;
     }
     if (update.kind == ListUpdate::Kind::kStale) {
@@ -219,6 +224,7 @@
   void OnTimer(std::uint64_t token) {
     if (token == kAskToken) {
       ask_pending_ = false;
+      asked_at_ = now_;
       sink_.Subscribe();
       return;
     }
@@ -533,6 +539,7 @@
   Zones zones_;
   std::vector<ClassTimes> times_;  // by class
   int asks_failed_ = 0;
+  Micros asked_at_ = 0;
   bool ask_pending_ = false;
 };
 
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -1235,6 +1235,32 @@
   EXPECT_EQ(balancer_->membership(now_).unavailable, 0u);
 }
 
+// Discovery may be back in the instant after a call began; what it has then counts as told 6 s later.
+TEST_F(BalancerTest, ACallToDiscoveryBeginsSoonAfterTheOneBeforeHoweverThatEnds) {
+  Settings settings = MakeSettings();
+  settings.must_subscribe = true;
+  settings.ask_within = 40 * kSec;
+  std::string error;
+  for (const Micros lasts : {0 * kSec, 1 * kSec, 4 * kSec}) {  // refused at once, after a wait, given up
+    balancer_ = Balancer::Create(settings, 7, now_, sink_, error);
+    List(ListUpdate::Kind::kStale, MakeServers(4));
+    auto actions = sink_.Take();
+    Micros longest = 0;
+    for (int i = 0; i < 200; ++i) {
+      ASSERT_EQ(actions.size(), 1u);
+      Fire(actions[0]);
+      const Micros began = now_;
+      now_ += lasts;
+      List(ListUpdate::Kind::kFailed, {});
+      actions = sink_.Take();
+      ASSERT_EQ(actions.size(), 1u);
+      longest = std::max(longest, now_ + actions[0].time - began);
+    }
+    EXPECT_LE(longest, 5 * kSec) << lasts;
+    EXPECT_GT(longest, 4 * kSec) << lasts;  // and spread: not all sidecars at once
+  }
+}
+
 TEST_F(BalancerTest, AsksSoonForAListThatIsAwaited) {
   Settings settings = MakeSettings();
   settings.must_subscribe = true;
--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -93,6 +93,22 @@
   EXPECT_TRUE(RunUntil(io, [&] { return lists.size() >= 2; }));
 }
 
+// Of 6 s in which a silent watch's news counts as told, a second is for the module's wait and one for the
+// answer.
+TEST(DiscoveryTiming, LeavesTimeToBeToldIn) {
+  Settings settings;
+  settings.must_subscribe = true;
+  settings.drain_grace = 400'000;
+  EXPECT_LE(Discovery::TimingOf(settings, 1).silence, 4'000'000);
+  EXPECT_GT(Discovery::TimingOf(settings, 1).silence, 2'000'000 + 1'000'000);  // a line may be late
+  EXPECT_FALSE(Discovery::TimingOf(settings, 1).reopens);
+  settings.must_subscribe =
+      false;  // pushed: told at once when the agent is back, and the grace is what is left
+  EXPECT_TRUE(Discovery::TimingOf(settings, 1).reopens);
+  EXPECT_LE(Discovery::TimingOf(settings, 1).backoff_most, settings.drain_grace / 2);
+  EXPECT_LE(Discovery::TimingOf(settings, 1).backoff_base, settings.drain_grace / 2);
+}
+
 TEST_F(DiscoveryTest, KeepsTheOldListOnBadInputAndAsksAgain) {
   const nlohmann::json sideways = {{"instanceId", "s"}, {"lifecycle", "sideways"}};
   const nlohmann::json nowhere = {{"instanceId", "s"}, {"lifecycle", "up"}, {"hostPort", "there"}};
