Give the drain one owner, whose next step stays due while it waits for the last connection

Seen by reading: the steps of a drain lay in sidecar.cpp on one timer. Once nothing was held, the poll for the last open connection took that timer over, and the step that answers all requests before the kill never came. A long request that began then on an open connection has no deadline until its last byte: it was held past the kill and lost.

Change: src/net/drain.cpp owns the states, their times (counted from one beginning) and the timer; the sidecar takes the steps.

--- /dev/null
+++ b/src/net/drain.hpp
@@ -0,0 +1,66 @@
+// The end of a sidecar, from SIGTERM on (graceful shutdown): which step is due when. Owns the state and its
+// one timer; the sidecar takes the steps. Each time is counted from the beginning, which is taken once.
+//
+//   kServing -> kAccepting -> kSettling -> kFinishing -> kHurrying -> kOver
+//
+// kAccepting: connections still come, and each answer closes its own. kSettling: what was accepted last may
+// speak. kFinishing: resting connections are closed, requests go on. kHurrying: requests are answered now.
+// kOver is also reached from kFinishing on, as soon as no request is held and no connection open. A process
+// whose listener another one has too accepts nothing from the beginning on and goes from kAccepting to
+// kFinishing.
+#ifndef MERLINRUN_NET_DRAIN_HPP_
+#define MERLINRUN_NET_DRAIN_HPP_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <functional>
+
+#include "merlinrun/balancer.hpp"
+#include "protocol.hpp"
+
+namespace merlinrun::net {
+
+class Drain {
+ public:
+  struct Steps {
+    std::function<void()> stop_accepting;  // what has connected is taken first
+    std::function<void()> leave_queue;     // accept no more: another process has the listener too
+    std::function<void()> close_resting;
+    std::function<void()> hurry;  // each request that is held gets an answer now
+    std::function<bool()> holds_requests;
+    std::function<bool()> holds_connections;
+  };
+
+  Drain(asio::io_context& io, const Settings& settings, bool passes_listener);
+  Drain(const Drain&) = delete;
+  Drain& operator=(const Drain&) = delete;
+
+  // Once; later calls change nothing. `finished` is called when the process may go.
+  void Begin(Steps steps, std::function<void()> finished);
+  bool begun() const { return state_ != State::kServing; }
+  // When the requests that are still held are to be answered: in how long.
+  Micros Left() const;
+  // A request is over: it may have been the last.
+  void OnSettled();
+
+ private:
+  enum class State { kServing, kAccepting, kSettling, kFinishing, kHurrying, kOver };
+
+  void Enter(State state);
+  void EnterAt(Micros after, State state);
+  void FinishIfDone();
+  Micros Passed() const;
+
+  const bool passes_listener_;
+  const Micros hurry_after_;
+  asio::steady_timer timer_;
+  State state_ = State::kServing;
+  std::chrono::steady_clock::time_point begun_;
+  Steps steps_;
+  std::function<void()> finished_;
+};
+
+}  // namespace merlinrun::net
+
+#endif  // MERLINRUN_NET_DRAIN_HPP_
--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -516,7 +516,7 @@
   if (was_full) Accept();
 }
 
-void Inbound::Drain() { draining_ = true; }
+void Inbound::CloseAfterAnswers() { draining_ = true; }
 
 void Inbound::StopAccepting() {
   // What has connected may have sent its request: closing the listener on it would reset it unanswered.
@@ -537,7 +537,7 @@
   acceptor_.close(ignored);
 }
 
-void Inbound::CloseIdle() {
+void Inbound::CloseResting() {
   for (const SessionPtr& session : sessions_)
     if (session->Resting()) session->Retire();
 }
--- a/src/net/inbound.hpp
+++ b/src/net/inbound.hpp
@@ -41,13 +41,13 @@
 
   void Accept();
   // From now on each answer closes its connection.
-  void Drain();
+  void CloseAfterAnswers();
   // Accepts what has connected already, then no more.
   void StopAccepting();
   // Accepts no more: the queue is another process's, which has the same listener.
   void LeaveQueue();
   // Closes the connections that are between requests.
-  void CloseIdle();
+  void CloseResting();
 
   std::size_t sessions() const { return sessions_.size(); }
   Tcp::endpoint address() const { return address_; }
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -28,15 +28,6 @@
 // loop is late; a short budget gives up no more than this part of itself.
 constexpr Micros kAnswerMargin = 40 * kMs;
 constexpr double kMostMarginShare = 0.2;
-// After SIGTERM: connections still come for up to 0.4 s, and the kill comes so long after the longest
-// deadline, or after 3 s where that is longer.
-constexpr Micros kAcceptAfterDrain = 550 * kMs;
-constexpr Micros kIdleAfterDrain = 150 * kMs;  // and then so long for what was accepted last to speak
-constexpr Micros kKillAfterDeadline = 700 * kMs;
-constexpr Micros kMostDeadline = 3 * kSecond;
-constexpr Micros kLastWords = 100 * kMs;  // for the answers given at the end to be read
-constexpr Micros kEndMargin = 400 * kMs;  // and for a busy loop, before the kill
-constexpr Micros kDrainPoll = 20 * kMs;
 // A process that succeeds another has 6 s to take clients; it waits so long for a fresh list. The other one
 // serves meanwhile.
 constexpr Micros kMostAwait = 4 * kSecond;
@@ -83,13 +74,6 @@
   return {free / 2, free / 5};
 }
 
-// From SIGTERM to the end.
-Micros MostDrain(const Settings& settings) {
-  Micros longest = 0;
-  for (const RequestClass& c : settings.classes) longest = std::max(longest, c.deadline);
-  return std::min(longest, kMostDeadline) + kKillAfterDeadline - kLastWords - kEndMargin;
-}
-
 std::shared_ptr<Budget> BodyBudget(const Config& config) {
   const std::size_t share = config.passed_socket ? 2 * kBudgetShare : kBudgetShare;
   return std::make_shared<Budget>(config.memory_mb * 1024 * 1024 / share);
@@ -137,7 +121,7 @@
                   },
                   [this] { OnDiscoveryFailed(); }}),
       start_timer_(io),
-      drain_timer_(io) {
+      drain_(io, config_.wire.settings, config_.passed_socket.has_value()) {
   std::string error;
   balancer_ = Balancer::Create(config_.wire.settings, config_.seed, Now(), *this, error);
   if (balancer_ == nullptr) throw ConfigError("settings: " + error);
@@ -189,14 +173,14 @@
 }
 
 void Sidecar::TakeClients() {
-  if (drain_end_ > 0 || std::exchange(taking_, true)) return;
+  if (drain_.begun() || std::exchange(taking_, true)) return;
   start_timer_.cancel();
   inbound_->Accept();
   if (config_.passed_socket && !config_.directory.empty())
     std::ofstream(std::filesystem::path(config_.directory) / kServedMark);
 }
 
-bool Sidecar::Ready() const { return taking_ && drain_end_ == 0 && upstream_.any_server(); }
+bool Sidecar::Ready() const { return taking_ && !drain_.begun() && upstream_.any_server(); }
 
 // ---- The clock and the list ----
 
@@ -256,7 +240,7 @@
   const Micros now = Now();
   budget -= std::min(kAnswerMargin, static_cast<Micros>(kMostMarginShare * static_cast<double>(budget)));
   budget = std::max<Micros>(budget - waited, 0);
-  if (drain_end_ > 0) budget = std::clamp<Micros>(drain_end_ - now, 0, budget);
+  if (drain_.begun()) budget = std::min(budget, drain_.Left());
 
   Call& call = calls_[id];
   metrics_.Taken();
@@ -299,7 +283,7 @@
   Call& call = it->second;
   const Micros now = Now();
   call.deadline = now + call.budget;
-  if (drain_end_ > 0) call.deadline = std::min(call.deadline, drain_end_);
+  if (drain_.begun()) call.deadline = std::min(call.deadline, now + drain_.Left());
   for (Attempt& attempt : call.attempts) {
     attempt.sent = now;
     attempt.expires = call.deadline;
@@ -412,7 +396,7 @@
   const auto it = calls_.find(id);
   if (it == calls_.end() || it->second.session != nullptr || it->second.AnyOut()) return;
   calls_.erase(it);
-  CheckFinished();
+  if (calls_.empty()) drain_.OnSettled();
 }
 
 RequestHead Sidecar::Forwarded(const Call& call) {
@@ -523,60 +507,27 @@
 // ---- The end ----
 
 void Sidecar::Drain(std::function<void()> finished) {
-  if (drain_end_ > 0) return;
-  finished_ = std::move(finished);
-  drain_end_ = Now() + MostDrain(config_.wire.settings);
-  inbound_->Drain();
-  if (config_.passed_socket) {
-    // The clients that wait are the next process's. Those that are here go there with the answer that closes
-    // their connection; one that is closed between requests may cross one, so few are, and late.
-    inbound_->LeaveQueue();
-    drain_timer_.expires_after(std::chrono::microseconds((drain_end_ - Now()) / 2));
-    return drain_timer_.async_wait([this](ErrorCode error) {
-      if (!error) FinishDrain();
-    });
-  }
-  drain_timer_.expires_after(std::chrono::microseconds(kAcceptAfterDrain));
-  drain_timer_.async_wait([this](ErrorCode error) {
-    if (error) return;
-    inbound_->StopAccepting();
-    drain_timer_.expires_after(std::chrono::microseconds(kIdleAfterDrain));
-    drain_timer_.async_wait([this](ErrorCode stopped) {
-      if (!stopped) FinishDrain();
-    });
-  });
-}
-
-void Sidecar::FinishDrain() {
-  closing_ = true;
-  inbound_->CloseIdle();
-  drain_timer_.expires_after(std::chrono::microseconds(std::max<Micros>(drain_end_ - Now(), 0)));
-  drain_timer_.async_wait([this](ErrorCode error) {
-    if (!error) HurryCalls();
-  });
-  CheckFinished();
+  net::Drain::Steps steps;
+  steps.stop_accepting = [this] { inbound_->StopAccepting(); };
+  steps.leave_queue = [this] { inbound_->LeaveQueue(); };
+  steps.close_resting = [this] { inbound_->CloseResting(); };
+  steps.hurry = [this] { HurryCalls(); };
+  steps.holds_requests = [this] { return !calls_.empty(); };
+  steps.holds_connections = [this] { return inbound_->sessions() > 0; };
+  inbound_->CloseAfterAnswers();
+  drain_.Begin(std::move(steps), std::move(finished));
 }
 
 // Ends what would outlast the time before the kill: an answer now, if only a failure, is better than none.
 void Sidecar::HurryCalls() {
+  const Micros now = Now();
   std::vector<std::string> ids;
   for (auto& [id, call] : calls_) {
-    call.deadline = drain_end_;
-    for (Attempt& attempt : call.attempts) attempt.expires = std::min(attempt.expires, drain_end_);
+    call.deadline = std::min(call.deadline, now);
+    for (Attempt& attempt : call.attempts) attempt.expires = std::min(attempt.expires, now);
     ids.push_back(id);
   }
   for (const std::string& id : ids) OnDue(id);
 }
 
-// Guards against ending with answers still unsent: each session goes when its client has read its answer.
-void Sidecar::CheckFinished() {
-  if (!closing_ || !calls_.empty() || !finished_) return;
-  if (inbound_->sessions() == 0 || Now() >= drain_end_ + kLastWords)
-    return std::exchange(finished_, nullptr)();
-  drain_timer_.expires_after(std::chrono::microseconds(kDrainPoll));
-  drain_timer_.async_wait([this](ErrorCode error) {
-    if (!error) CheckFinished();
-  });
-}
-
 }  // namespace merlinrun::net
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -15,6 +15,7 @@
 #include "by_hand.hpp"
 #include "config.hpp"
 #include "discovery.hpp"
+#include "drain.hpp"
 #include "inbound.hpp"
 #include "last_list.hpp"
 #include "merlinrun/balancer.hpp"
@@ -101,9 +102,7 @@
   static RequestHead Forwarded(const Call& call);
   int ClassIndex(std::string_view name) const;
   int TenantIndex(std::string_view name) const;
-  void FinishDrain();
   void HurryCalls();
-  void CheckFinished();
 
   asio::io_context& io_;
   const Config config_;
@@ -121,10 +120,7 @@
   std::int64_t generation_ = 0;
   bool taking_ = false;             // clients
   asio::steady_timer start_timer_;  // while it waits for a list before it takes them
-  asio::steady_timer drain_timer_;
-  std::function<void()> finished_;
-  Micros drain_end_ = 0;  // 0 while it does not drain
-  bool closing_ = false;
+  net::Drain drain_;
 };
 
 }  // namespace merlinrun::net
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -59,7 +59,7 @@
   const auto asking = Connect(io, inbound.address());
   asking->Write(Get("r1"));
   inbound.StopAccepting();  // takes both, and reads what the second has sent
-  inbound.CloseIdle();
+  inbound.CloseResting();
   EXPECT_EQ(Status(*asking), "200");
   EXPECT_TRUE(RunUntil(io, [&] { return resting->ended; }));
   EXPECT_EQ(resting->received, "");
@@ -226,5 +226,82 @@
   EXPECT_GT(std::chrono::steady_clock::now(), begin + 2400ms);  // no less than it had either
 }
 
+// ---- SIGTERM ----
+
+TEST_F(EndingsTest, WhatComesInTheTurnOfTheDrainIsServed) {
+  ScriptedServer server(io);
+  Start({Entry("s1", server.address)});
+  const auto asked = Client(Get("asked"));
+  ASSERT_TRUE(RunUntil(io, [&] { return server.requests() == 1; }));
+  const auto half = Client("GET /api?obj=k1 HTTP/1.1\r\nHost: ori");
+  io.restart();
+  while (io.poll() > 0) {  // half a line is read
+  }
+  const auto comes = Client(Get("comes"));            // connected and written, not accepted
+  server.peers[0]->Write("HTTP/1.1 200 OK\r\nCont");  // an answer's first bytes, not read
+  bool finished = false;
+  sidecar->Drain([&] { finished = true; });
+  server.on_data = Serves("ok");
+  server.peers[0]->Write("ent-Length: 4\r\n\r\nlast");
+  half->Write("gin.svc\r\nReq-Id: half\r\nReq-Kind: look\r\nReq-Deadline: 5.0\r\n\r\n");
+  for (const auto& client : {asked, comes, half}) {
+    EXPECT_EQ(Status(*client), "200");
+    EXPECT_NE(client->received.find("Connection: close\r\n"), std::string::npos);
+  }
+  EXPECT_NE(asked->received.find("\r\n\r\nlast"), std::string::npos);
+  for (const auto& client : {asked, comes, half}) client->Close();
+  EXPECT_TRUE(RunUntil(io, [&] { return finished; }));
+}
+
+// A client that does not read yet has sent more than is read when its answer closes the connection: a close
+// over unread bytes would reset it, and take the answer along. What came behind is not sent on.
+TEST_F(EndingsTest, AnAnswerThatClosesItsConnectionArrivesBeforeUnreadBytes) {
+  ScriptedServer server(io);
+  Start({Entry("s1", server.address)});
+  const auto client = std::make_shared<Peer>(Tcp::socket(io));
+  client->socket.connect(sidecar->address());
+  std::string text = Get("r1");
+  for (int i = 0; i < 600; ++i) text += Get("behind" + std::to_string(i));
+  client->Write(text);
+  ASSERT_TRUE(RunUntil(io, [&] { return server.requests() == 1; }));
+  bool finished = false;
+  sidecar->Drain([&] { finished = true; });
+  server.peers[0]->Write(Reply("200 OK", "whole"));
+  ASSERT_TRUE(RunUntil(io, [&] { return finished; }));
+  sidecar.reset();  // its process is gone
+  std::string received;
+  ErrorCode how;
+  for (std::array<char, 4096> piece{}; !how;) {
+    const std::size_t n = client->socket.read_some(asio::buffer(piece), how);
+    received.append(piece.data(), n);
+  }
+  EXPECT_EQ(how, asio::error::eof);
+  EXPECT_EQ(received.substr(9, 3), "200");
+  EXPECT_NE(received.find("\r\n\r\nwhole"), std::string::npos);
+  EXPECT_EQ(server.requests(), 1);
+}
+
+// Nothing is held when resting connections are closed, so the drain waits for the last connection to go. A
+// long request that comes on it then has no deadline until its last byte, and was held past the kill.
+TEST_F(EndingsTest, ALongRequestThatComesLateInTheDrainIsAnswered) {
+  ScriptedServer server(io);
+  Start({Entry("s1", server.address)}, [](nlohmann::json& json) {
+    for (auto& grade : json["settings"]["grades"]) grade["hard_limit_us"] = 1'000'000;
+  });
+  const auto resting = Client("");
+  const auto client = Client("POST /api HTTP/1.1\r\nReq-Id: r1\r\nReq-Kind: po");
+  io.restart();
+  while (io.poll() > 0) {  // both are accepted, and half a head is read
+  }
+  bool finished = false;
+  sidecar->Drain([&] { finished = true; });
+  ASSERT_TRUE(RunUntil(io, [&] { return resting->ended; }));
+  client->Write("rt\r\nContent-Length: 300000\r\n\r\n" + std::string(90'000, 'x'));
+  ASSERT_TRUE(RunUntil(io, [&] { return server.requests() == 1; }));
+  EXPECT_EQ(Status(*client), "502");
+  client->Close();
+  EXPECT_TRUE(RunUntil(io, [&] { return finished; }));
+}
+
 }  // namespace
 }  // namespace merlinrun::net
--- a/tests/net/process_test.cpp
+++ b/tests/net/process_test.cpp
@@ -116,6 +116,34 @@
   child = 0;
 }
 
+// Also if it is told twice: what it has taken is answered before it goes.
+TEST_F(ProcessTest, EndsOnceItsRequestsAreAnsweredHoweverOftenItIsTold) {
+  ScriptedServer discovery(io, Watched());
+  ScriptedServer server(io);
+  nlohmann::json json = ConfigJson(discovery.address, {Entry("s1", server.address)});
+  const Tcp::endpoint address = FreeAddress();
+  json["listen"] = Text(address);
+  WriteConfig(json);
+  Start(discovery.address);
+  ASSERT_TRUE(RunUntil(io, [&] { return discovery.requests() == 1; }));
+  auto client = Connect(io, address);
+  client->Write(Get("r1"));
+  ASSERT_TRUE(RunUntil(io, [&] { return server.requests() == 1; }));
+  ::kill(child, SIGTERM);
+  ASSERT_TRUE(RunUntil(io, [&] { return Ask(address, "GET /ready HTTP/1.1\r\n\r\n") == "503"; }));
+  ::kill(child, SIGTERM);
+  ::kill(child, SIGHUP);  // the file has not changed: it follows discovery as before
+  ASSERT_TRUE(RunUntil(io, [&] { return discovery.requests() == 2; }));
+  EXPECT_TRUE(Running()) << "status " << status;
+  server.peers[0]->Write(Reply("200 OK", "late"));
+  ASSERT_TRUE(RunUntil(io, [&] { return client->ended; }));
+  EXPECT_EQ(client->received.substr(9, 3), "200");
+  client->Close();
+  ASSERT_TRUE(RunUntil(io, [&] { return !Running(); }));
+  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0) << "status " << status;
+  child = 0;
+}
+
 constexpr const char* kReady = "GET /ready HTTP/1.1\r\n\r\n";
 
 // The platform holds the clients' socket; two processes take from its queue in turn.
