--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -93,6 +93,24 @@
   EXPECT_TRUE(RunUntil(io, [&] { return lists.size() >= 2; }));
 }
 
+// Its connection comes up and nothing is ever said on it: no header, or a header and no line.
+TEST_F(DiscoveryTest, ReopensAWatchThatIsSilentFromItsFirstByte) {
+  const std::string header = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string& said : {std::string(), header, header.substr(0, 20)}) {
+    ScriptedServer silent(io, [&](Peer& peer) {
+      if (peer.requests() == 1) peer.Write(silent.peers.size() == 1 ? said : header + Chunk(Line(42, "s-a")));
+    });
+    Discovery::Timing timing;
+    timing.silence = 100'000;
+    timing.backoff_base = timing.backoff_most = 2'000;
+    std::int64_t last = 0;
+    Discovery follows(io, {silent.address}, names, timing, 1,
+                      {{}, [&](const EndpointList& list) { last = list.generation; }, [] {}});
+    follows.Watch(41);
+    EXPECT_TRUE(RunUntil(io, [&] { return last == 42; })) << said;
+  }
+}
+
 // Of 6 s in which a silent watch's news counts as told, a second is for the module's wait and one for the
 // answer.
 TEST(DiscoveryTiming, LeavesTimeToBeToldIn) {
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -93,6 +93,18 @@
   }
 }
 
+// An end of what it sends cannot be told from a close: it has left, and its attempt ends.
+TEST_F(EndingsTest, AClientThatHalfClosesHasLeft) {
+  ScriptedServer server(io);
+  Start({Entry("s1", server.address)});
+  const auto client = Client(Get("r1"));
+  ASSERT_TRUE(RunUntil(io, [&] { return server.requests() == 1; }));
+  client->socket.shutdown(Tcp::socket::shutdown_send);
+  EXPECT_TRUE(RunUntil(io, [&] { return server.peers[0]->ended; }));
+  EXPECT_TRUE(RunUntil(io, [&] { return sidecar->requests_held() == 0 && client->ended; }));
+  EXPECT_EQ(client->received, "");
+}
+
 // A long body is not read on while its request waits for another try, and its client's close lies behind it.
 TEST_F(EndingsTest, AClientThatLeavesBehindALongBodyIsNotSentOnFor) {
   ScriptedServer server(
--- a/tests/net/process_test.cpp
+++ b/tests/net/process_test.cpp
@@ -144,6 +144,33 @@
   child = 0;
 }
 
+// Its calls fail and wait longer and longer: the new address is asked at once all the same.
+TEST_F(ProcessTest, FollowsDiscoveryOnHangupWhileTheOldOneIsDown) {
+  ScriptedServer after(io, Watched());
+  ScriptedServer server(io, Serves("ok"));
+  const Tcp::endpoint down = FreeAddress();
+  for (const char* const mode : {"automatic", "subscribe"}) {
+    const int before = after.requests();
+    nlohmann::json json = ConfigJson(down, {Entry("s1", server.address)});
+    json["settings"]["membership_mode"] = mode;
+    json["settings"]["rules"]["ask_within_us"] = 3600'000'000LL;  // no call of its own in this test's time
+    const Tcp::endpoint address = FreeAddress();
+    json["listen"] = Text(address);
+    WriteConfig(json);
+    Start(down);
+    ASSERT_TRUE(RunUntil(io, [&] { return Ask(address, "GET /ready HTTP/1.1\r\n\r\n") == "200"; }));
+    json["discovery"] = Text(after.address);
+    WriteConfig(json);
+    ::kill(child, SIGHUP);
+    EXPECT_TRUE(RunUntil(io, [&] { return after.requests() == before + 1; })) << mode;
+    EXPECT_EQ(Ask(address, Get("r1")), "200");
+    ::kill(child, SIGTERM);
+    ASSERT_TRUE(RunUntil(io, [&] { return !Running(); }));
+    EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0) << "status " << status;
+    child = 0;
+  }
+}
+
 constexpr const char* kReady = "GET /ready HTTP/1.1\r\n\r\n";
 
 // The platform holds the clients' socket; two processes take from its queue in turn.
