--- a/src/lab/clients/shell.cpp
+++ b/src/lab/clients/shell.cpp
@@ -176,6 +176,7 @@
   record.id = TryId(call->arrival, call->attempt);
   record.arrival = call->arrival;
   record.begun = now;
+  record.gives_up = call->give_up;
   world_.records.tries.push_back(std::move(record));
   call->timer.expires_at(world_.clock.At(call->give_up));
   call->timer.async_wait([this, call](ErrorCode error) {
--- a/src/lab/judge/core.cpp
+++ b/src/lab/judge/core.cpp
@@ -297,13 +297,14 @@
   const Told told(scenario, plan, records);
   CheckAnswers(plan, records, verdict.breaches);
   CheckGone(records, verdict.breaches);
+  CheckTells(records, verdict.breaches);
   CheckRestarts(scenario, records, verdict.breaches);
   CheckRepeats(scenario, plan, records, verdict.breaches);
   CheckDrains(scenario, plan, records, told, verdict.breaches);
   verdict.figures["cold.most_of_bound"] = CheckCold(scenario, plan, records, told, verdict.breaches);
   std::stable_sort(verdict.breaches.begin(), verdict.breaches.end(),
                    [](const Breach& a, const Breach& b) { return a.at != b.at ? a.at < b.at : a.id < b.id; });
-  for (const char* const rule : {"lost", "gone", "doubled", "drained", "pushed", "restart"})
+  for (const char* const rule : {"lost", "gone", "doubled", "drained", "pushed", "told", "restart"})
     verdict.figures[std::string("broken.") + rule] =
         static_cast<double>(std::count_if(verdict.breaches.begin(), verdict.breaches.end(),
                                           [&](const Breach& breach) { return breach.rule == rule; }));
--- a/src/lab/judge/core.hpp
+++ b/src/lab/judge/core.hpp
@@ -20,7 +20,7 @@
 inline constexpr Micros kLate = 5'000;
 
 struct Breach {
-  std::string rule;  // lost, gone, doubled, drained, pushed, restart
+  std::string rule;  // lost, gone, doubled, drained, pushed, told, restart
   Micros at = 0;
   std::string id;  // of the request, or of the server that was pushed over
   std::string what;
--- a/src/lab/judge/rules.cpp
+++ b/src/lab/judge/rules.cpp
@@ -20,6 +20,10 @@
 // are put down to chance.
 constexpr Micros kGoneSlack = 100'000;
 constexpr std::size_t kGoneByChance = 2;
+// The time that an attempt tells its server may be so much more than what is left to its client; of the
+// further attempts one in so many may tell more.
+constexpr Micros kTellsSlack = 150'000;
+constexpr std::size_t kOneTellsMore = 5;
 // Of the processes that are started anew, one in so many may not be ready within so long, or within the
 // shorter time where the run ends sooner.
 constexpr std::size_t kOneNotReady = 10;
@@ -99,6 +103,31 @@
                      " ms and so after their clients had left"});
 }
 
+void CheckTells(const Records& records, std::vector<Breach>& out) {
+  std::unordered_map<std::string, const TryRecord*> tries;
+  for (const TryRecord& one : records.tries) tries[one.id] = &one;
+  std::unordered_map<std::string, std::vector<const AttemptRecord*>> by_id;
+  for (const AttemptRecord& attempt : records.attempts) by_id[attempt.id].push_back(&attempt);
+  std::size_t further = 0;
+  std::vector<const AttemptRecord*> too_long;
+  for (auto& [id, attempts] : by_id) {
+    const auto it = tries.find(id);
+    if (it == tries.end() || it->second->gives_up == kNever) continue;
+    std::stable_sort(attempts.begin(), attempts.end(),
+                     [](const AttemptRecord* a, const AttemptRecord* b) { return a->sent < b->sent; });
+    further += attempts.size() - 1;
+    for (std::size_t i = 1; i < attempts.size(); ++i)
+      if (attempts[i]->sent + attempts[i]->tells > it->second->gives_up + kTellsSlack + kSocketSlack)
+        too_long.push_back(attempts[i]);
+  }
+  if (too_long.size() * kOneTellsMore <= further) return;
+  const auto first = *std::min_element(too_long.begin(), too_long.end(),
+                                       [](const auto* a, const auto* b) { return a->sent < b->sent; });
+  out.push_back({"told", first->sent, first->id,
+                 "one of " + std::to_string(too_long.size()) + " of " + std::to_string(further) +
+                     " further attempts that told their servers more time than was left"});
+}
+
 void CheckRestarts(const Scenario& scenario, const Records& records, std::vector<Breach>& out) {
   std::set<int> known;  // sidecars of which a process has been seen
   std::size_t restarted = 0;
--- a/src/lab/judge/rules.hpp
+++ b/src/lab/judge/rules.hpp
@@ -12,6 +12,8 @@
 void CheckAnswers(const Plan& plan, const Records& records, std::vector<Breach>& out);
 // Work is not sent on for clients that have gone.
 void CheckGone(const Records& records, std::vector<Breach>& out);
+// Servers are told of a further attempt no more time than is left.
+void CheckTells(const Records& records, std::vector<Breach>& out);
 // Processes that are started anew are ready soon.
 void CheckRestarts(const Scenario& scenario, const Records& records, std::vector<Breach>& out);
 // Nothing that may have run goes out again, unless its class allows that.
--- a/src/lab/records.hpp
+++ b/src/lab/records.hpp
@@ -30,6 +30,7 @@
   Micros begun = kNever;  // the client would send
   Micros sent = kNever;   // the last byte was written
   Micros ended = kNever;
+  Micros gives_up = kNever;  // its time, as the sidecar is told, is over then
   TryEnd end = TryEnd::kOpen;
   int status = 0;
   bool first_on_connection = false;
@@ -49,6 +50,7 @@
   Micros ended = kNever;
   Outcome outcome = Outcome::kRunning;
   double work_us = 0;
+  Micros tells = 0;  // the time that the sidecar says it will wait
   bool first_on_connection = false;
 };
 
--- a/src/lab/server/shell.cpp
+++ b/src/lab/server/shell.cpp
@@ -106,6 +106,7 @@
     attempt.sent = begun_;
     attempt.arrived = now;
     attempt.first_on_connection = std::exchange(first_, false);
+    attempt.tells = static_cast<Micros>(Seconds(request["Req-Deadline"]) * 1e6);
     attempt.work_us = AttemptWork(server.world_.scenario, server.world_.plan, id, server.number_);
     records.attempts.push_back(attempt);
     if (ParseTryId(id).arrival >= server.world_.plan.arrivals.size())
@@ -113,7 +114,7 @@
     if (!counted_) return Answer(ServerCore::Answer::kDeclinedFull, record);
     const std::string key(request["Idempotency-Key"]);
     if (!key.empty() && server.pod_->Seen(now, key)) return Answer(ServerCore::Answer::kRepeat, record);
-    const auto expires = now + static_cast<Micros>(Seconds(request["Req-Deadline"]) * 1e6);
+    const Micros expires = now + records.attempts[record].tells;
     const double rate = std::max(server.errors_, server.spec_.error_rate);
     const bool fails = AttemptFails(server.world_.plan, id, server.number_, rate);
     const auto answer = server.core_.Offer(now, record, attempt.work_us, expires, fails);
--- a/tests/lab/judge_test.cpp
+++ b/tests/lab/judge_test.cpp
@@ -242,6 +242,27 @@
   EXPECT_TRUE(Judged().breaches.empty());
 }
 
+TEST_F(JudgeTest, FurtherAttemptsThatTellMoreTimeThanIsLeftAreCaught) {
+  std::vector<AttemptRecord> further;
+  for (std::size_t i = 0; i < 5; ++i) {  // of requests whose first attempt was turned away
+    records.tries[i].gives_up = records.tries[i].sent + kSecond;
+    AttemptRecord& first = records.attempts[i];
+    first.tells = 5 * kSecond;  // first attempts are not looked at
+    first.outcome = Outcome::kDeclined;
+    further.push_back(first);
+    further.back().outcome = Outcome::kServed;
+    further.back().sent = further.back().arrived = first.ended;
+    further.back().tells = records.tries[i].gives_up - first.ended + 150 * kMs + kSocketSlack;
+  }
+  records.attempts.insert(records.attempts.end(), further.begin(), further.end());
+  EXPECT_TRUE(Judged().breaches.empty());
+  AttemptRecord* const last = &records.attempts.back();
+  ++last->tells;  // one in five
+  EXPECT_TRUE(Judged().breaches.empty());
+  ++(last - 1)->tells;
+  EXPECT_TRUE(Caught(Judged(), "told"));
+}
+
 TEST_F(JudgeTest, NineInTenRestartedProcessesAreReadyInTime) {
   const auto process = [&](int sidecar, Micros started, Micros ready) {
     ProcessRecord one;
