Ask discovery within 2 s of a fresh start, not within half the time for asking

Cause: with a log line for each call, 41 sidecars that die with their zone have no list between 8.41 s, when discovery knew, and 14.37 s: they start again at some 10.5 s, and a fresh start asked within half of ask_within, 5 s here. What changed while a process was down counts as told 6 s after the change. Ruled out: calls that failed (none in their logs), late answers (10 ms).

Change: a fresh start asks within 2 s.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -43,6 +43,10 @@
 // But a call begins at most so long after the one before it began: whatever becomes of calls, a change counts
 // as told 6 s after discovery had it and could be reached, and the last of those is for the answer.
 constexpr Micros kAskAgain = 5 * kSecond;
+// A fresh start asks within this time, spread as all sidecars may have started together. Its list is as old
+// as the process before it is dead, and of the 6 s from which a change counts as told a second is for the
+// answer: it may have been down for 3 s.
+constexpr Micros kAskStart = 2 * kSecond;
 // A sidecar that waits for a list before it serves asks within this time: soon, and still not all at once.
 constexpr Micros kAskAwaited = kSecond;
 
@@ -72,9 +76,7 @@
       return;
     }
     if (update.kind == ListUpdate::Kind::kStale) {
-      AskLater(update.awaited ? kAskAwaited
-                              : set_.ask_within /
-                                    2);  // a fresh start: spread, as all sidecars may have started together
+      AskLater(update.awaited ? kAskAwaited : std::min(kAskStart, set_.ask_within / 2));
     } else {
       asks_failed_ = 0;
     }
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -1235,6 +1235,27 @@
   EXPECT_EQ(balancer_->membership(now_).unavailable, 0u);
 }
 
+// What changed while no process ran counts as told 6 s after the change, not after the start.
+TEST_F(BalancerTest, AFreshStartAsksSoonAndNotAllAtOnce) {
+  Settings settings = MakeSettings();
+  settings.must_subscribe = true;
+  settings.ask_within = 40 * kSec;
+  std::string error;
+  Micros least = settings.ask_within;
+  Micros most = 0;
+  for (std::uint64_t seed = 0; seed < 100; ++seed) {
+    balancer_ = Balancer::Create(settings, seed, now_, sink_, error);
+    List(ListUpdate::Kind::kStale, MakeServers(4));
+    const auto actions = sink_.Take();
+    ASSERT_EQ(actions.size(), 1u);
+    least = std::min(least, actions[0].time);
+    most = std::max(most, actions[0].time);
+  }
+  EXPECT_LE(most, 2 * kSec);
+  EXPECT_LT(least, kSec / 2);
+  EXPECT_GT(most, 3 * kSec / 2);
+}
+
 // Discovery may be back in the instant after a call began; what it has then counts as told 6 s later.
 TEST_F(BalancerTest, ACallToDiscoveryBeginsSoonAfterTheOneBeforeHoweverThatEnds) {
   Settings settings = MakeSettings();
