--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -66,12 +66,6 @@
   EXPECT_EQ(taken, std::vector<std::string>{"r1"});
 }
 
-// Holds the loop until `when`, so that what comes due by then and what is written by then meet in one turn.
-void HoldUntil(std::chrono::steady_clock::time_point when) {
-  while (std::chrono::steady_clock::now() < when) {
-  }
-}
-
 // Who connects has 2.5 s for a request (kMostReading), whatever it sends of it.
 constexpr auto kTimeToSend = 2500ms;
 
--- a/tests/net/loopback.hpp
+++ b/tests/net/loopback.hpp
@@ -41,6 +41,12 @@
   RunUntil(io, [&] { return std::chrono::steady_clock::now() >= end; });
 }
 
+// Holds the loop until `when`, so that what comes due by then and what is written by then meet in one turn.
+inline void HoldUntil(std::chrono::steady_clock::time_point when) {
+  while (std::chrono::steady_clock::now() < when) {
+  }
+}
+
 inline Tcp::endpoint Loopback() { return {asio::ip::make_address("127.0.0.1"), 0}; }
 
 inline std::string Text(const Tcp::endpoint& address) {
--- a/tests/net/upstream_test.cpp
+++ b/tests/net/upstream_test.cpp
@@ -373,12 +373,6 @@
   EXPECT_EQ(upstream().open_connections(), 1U);
 }
 
-// Holds the loop until `when`, so that what comes due by then and what is written by then meet in one turn.
-void HoldUntil(std::chrono::steady_clock::time_point when) {
-  while (std::chrono::steady_clock::now() < when) {
-  }
-}
-
 // The wait after which an answer is passed on as it comes (150 ms) ends in the turn in which its last byte
 // comes, and the next request is on the connection before the wait's handler runs.
 TEST_F(UpstreamTest, ATimerOfOneAttemptSaysNothingOfTheNextOnItsConnection) {
