Take what the watch holds before a decision, so that no late list is passed over

A sidecar that stood still for 3 s finds in its kernel first the requests, then the list that came after them, handles them in that order and sends one to a server that drains.

Ruled out: the watch itself (its list was in the socket when the process went on, it was read some milliseconds later), late answers of discovery. At fault: Sidecar::OnRequest, OnDue, Conclude and the timers decided with whatever list had been handled, and Upstream's OnDialed wrote on a connection that came up in front of the list.

Change: the watch's answer is read at once whenever its socket has something (no read that is out owns the parser), so it can be read to its end before a decision. A silence whose end is met with an unread word is none.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -5,7 +5,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
 #include <chrono>
@@ -119,17 +118,19 @@
   return timing;
 }
 
-// One watch, from its connection to its end. Reports its end once, unless it is stopped first.
+// One watch, from its connection to its end. Reports its end once, unless it is stopped first. Its answer is
+// read at once whenever there is something, and never by a read that is out: so all of it can be had before a
+// decision (TakeWhatHasCome).
 class Discovery::Stream : public std::enable_shared_from_this<Stream> {
  public:
-  explicit Stream(Discovery& owner) : owner_(&owner), tcp_(owner.io_) {}
+  explicit Stream(Discovery& owner) : owner_(&owner), socket_(owner.io_), silence_(owner.io_) {}
 
   void Open() {
     request_.method(http::verb::get);
     request_.target("/v1/endpoints?stream=1&index=" + std::to_string(owner_->generation_));
     request_.set(http::field::host, "discovery");
     ExpectProgress();
-    tcp_.async_connect(owner_->address(), [self = shared_from_this()](ErrorCode error) {
+    socket_.async_connect(owner_->address(), [self = shared_from_this()](ErrorCode error) {
       if (error) return self->End(error.message());
       self->Ask();
     });
@@ -137,45 +138,77 @@
 
   void Stop() {
     owner_ = nullptr;
-    tcp_.close();
+    Close();
+  }
+
+  // Reads what is there, until there is no more.
+  void TakeWhatHasCome() {
+    const auto kept = shared_from_this();
+    while (asked_ && owner_ != nullptr && ReadSome()) {
+    }
   }
 
  private:
   // Guards against a discovery that is cut off: such a connection stays open and silent for ever.
-  void ExpectProgress() { tcp_.expires_after(std::chrono::microseconds(owner_->timing_.silence)); }
+  void ExpectProgress() {
+    silence_.expires_after(std::chrono::microseconds(owner_->timing_.silence));
+    silence_.async_wait([self = shared_from_this()](ErrorCode moved) {
+      if (moved || self->owner_ == nullptr) return;
+      // What has come before the process got to this is no silence, and moves its end.
+      self->TakeWhatHasCome();
+      const bool silent = self->silence_.expiry() <= std::chrono::steady_clock::now();
+      if (self->owner_ != nullptr && silent) self->End("it fell silent");
+    });
+  }
 
   void Ask() {
-    http::async_write(tcp_, request_, [self = shared_from_this()](ErrorCode error, std::size_t) {
+    if (owner_ == nullptr) return;
+    http::async_write(socket_, request_, [self = shared_from_this()](ErrorCode error, std::size_t) {
       if (error) return self->End(error.message());
-      self->ReadHeader();
+      if (self->owner_ == nullptr) return;
+      ErrorCode failed;
+      self->socket_.non_blocking(true, failed);
+      if (failed) return self->End(failed.message());
+      self->parser_.body_limit(boost::none);
+      self->asked_ = true;
+      self->AwaitMore();
     });
   }
 
-  void ReadHeader() {
-    if (owner_ == nullptr) return;
-    parser_.body_limit(boost::none);
-    http::async_read_header(tcp_, buffer_, parser_,
-                            [self = shared_from_this()](ErrorCode error, std::size_t) {
-                              if (error) return self->End(error.message());
-                              if (self->parser_.get().result() != http::status::ok)
-                                return self->End("not answered with 200");
-                              self->ReadBody();
-                            });
+  void AwaitMore() {
+    socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](ErrorCode error) {
+      if (error) return self->End(error.message());
+      self->TakeWhatHasCome();
+      if (self->owner_ != nullptr) self->AwaitMore();
+    });
   }
 
-  void ReadBody() {
-    if (owner_ == nullptr) return;
-    if (parser_.is_done()) return End("the watch ended");
-    ExpectProgress();
+  // False if there is nothing more now.
+  bool ReadSome() {
+    if (parser_.is_done()) {
+      End("the watch ended");
+      return false;
+    }
+    const bool had_header = parser_.is_header_done();
     auto& body = parser_.get().body();
     body.data = piece_.data();
     body.size = piece_.size();
     body.more = true;
-    http::async_read_some(tcp_, buffer_, parser_, [self = shared_from_this()](ErrorCode error, std::size_t) {
-      if (error == http::error::need_buffer) error = {};
-      if (error) return self->End(error.message());
-      self->TakePiece();
-    });
+    ErrorCode error;
+    http::read_some(socket_, buffer_, parser_, error);
+    if (error == asio::error::would_block) return false;
+    if (error == http::error::need_buffer) error = {};
+    if (error) {
+      End(error.message());
+      return false;
+    }
+    ExpectProgress();
+    if (!had_header && parser_.is_header_done() && parser_.get().result() != http::status::ok) {
+      End("not answered with 200");
+      return false;
+    }
+    TakePiece();
+    return true;
   }
 
   void TakePiece() {
@@ -187,8 +220,7 @@
       begin = end + 1;
     }
     line_.erase(0, begin);
-    if (line_.size() + indented_.size() > kMostLine) return End("a line without end", true);
-    ReadBody();
+    if (line_.size() + indented_.size() > kMostLine) End("a line without end", true);
   }
 
   // One list, or one line of an indented list: that begins with a line of one bracket, holds no empty line,
@@ -209,12 +241,19 @@
   void End(const std::string& reason, bool bad_input = false) {
     if (owner_ == nullptr) return;
     Discovery* const owner = std::exchange(owner_, nullptr);
-    tcp_.close();
+    Close();
     owner->OnEnd(reason, bad_input);
   }
 
+  void Close() {
+    silence_.cancel();
+    ErrorCode ignored;
+    socket_.close(ignored);
+  }
+
   Discovery* owner_;  // null once the watch is over
-  beast::tcp_stream tcp_;
+  Tcp::socket socket_;
+  asio::steady_timer silence_;
   beast::flat_buffer buffer_{kMostUnparsed};
   http::request<http::empty_body> request_;
   http::response_parser<http::buffer_body> parser_;
@@ -222,6 +261,7 @@
   std::string line_;      // that has not come whole
   std::string indented_;  // lines of a list that has not
   int opened_ = 0;        // its brackets that are open
+  bool asked_ = false;    // the call has been written
 };
 
 Discovery::Discovery(asio::io_context& io, std::vector<Tcp::endpoint> addresses,
@@ -244,6 +284,10 @@
   Open();
 }
 
+void Discovery::TakeWhatHasCome() {
+  if (const auto stream = stream_) stream->TakeWhatHasCome();
+}
+
 void Discovery::Move(std::vector<Tcp::endpoint> addresses, std::int64_t generation) {
   addresses_ = std::move(addresses);
   at_ = tried_ = 0;
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -69,6 +69,8 @@
 
   // Opens the watch, to be told of what changed after `generation`. Does nothing if it is open already.
   void Watch(std::int64_t generation);
+  // Takes what has come on the watch and not been read yet: before a decision by one who may be late.
+  void TakeWhatHasCome();
   // Follows discovery to other addresses, at once: the watch at the old one is over.
   void Move(std::vector<Tcp::endpoint> addresses, std::int64_t generation);
   const Tcp::endpoint& address() const { return addresses_[at_]; }  // that is watched, or asked next
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -36,6 +36,8 @@
 constexpr std::size_t kBudgetShare = 8;
 // A long body counts no time before its last byte, nor an answer after its first: both go by progress.
 constexpr Micros kNoDeadline = 3600 * kSecond;
+// The watch is read before a decision if it was not within this part of the grace that a drain leaves.
+constexpr Micros kNewsShare = 4;
 // In $TMPDIR once a process takes clients: the next one there succeeds it.
 constexpr const char* kServedMark = "fennelhollow-served";
 
@@ -112,7 +114,8 @@
       last_list_(config_.keeps_list && !config_.directory.empty()
                      ? std::make_unique<LastList>(io, config_.directory, config_.wire)
                      : nullptr),
-      upstream_(io, UpstreamLimits(config_), budget_, [this] { metrics_.AttemptWritten(); }),
+      upstream_(io, UpstreamLimits(config_), budget_,
+                {[this] { metrics_.AttemptWritten(); }, [this] { TakeNews(); }}),
       discovery_(io, config_.discovery, config_.wire,
                  Discovery::TimingOf(config_.wire.settings, config_.discovery.size()), config_.seed,
                  {TakesLists(),
@@ -189,6 +192,21 @@
   return clock_offset_ + std::chrono::duration_cast<std::chrono::microseconds>(steady).count();
 }
 
+// What the watch holds goes before what is decided. A process that stood still, or whose loop is late, finds
+// clients' requests in front of the list that came after them, and would send one of them to a server that
+// has drained long since. Not called from the module's actions, as the module hears of the list in here.
+Micros Sidecar::NowToDecide() {
+  TakeNews();
+  return Now();
+}
+
+void Sidecar::TakeNews() {
+  const Micros now = Now();
+  if (now - news_taken_ < config_.wire.settings.drain_grace / kNewsShare) return;
+  news_taken_ = now;
+  discovery_.TakeWhatHasCome();
+}
+
 std::function<bool(const nlohmann::json&, std::string&)> Sidecar::TakesLists() {
   if (last_list_ == nullptr) return {};
   return [this](const nlohmann::json& list, std::string& reason) { return last_list_->Take(list, reason); };
@@ -237,7 +255,7 @@
       return Inbound::Respond(session, Plain(http::status::bad_request, "Req-Deadline\n"));
     budget = static_cast<Micros>(std::min(*seconds, 86'400.0) * static_cast<double>(kSecond));
   }
-  const Micros now = Now();
+  const Micros now = NowToDecide();
   budget -= std::min(kAnswerMargin, static_cast<Micros>(kMostMarginShare * static_cast<double>(budget)));
   budget = std::max<Micros>(budget - waited, 0);
   if (drain_.begun()) budget = std::min(budget, drain_.Left());
@@ -272,16 +290,18 @@
 
 // What a body tells may come in the middle of an action of the module's, which must not be called then.
 void Sidecar::FollowBody(const std::string& id, Body& body) {
-  body.on_dropped = [this, id] { asio::post(io_, [this, id] { balancer_->OnBodyDropped(Now(), id); }); };
+  body.on_dropped = [this, id] {
+    asio::post(io_, [this, id] { balancer_->OnBodyDropped(NowToDecide(), id); });
+  };
   body.on_end = [this, id] { asio::post(io_, [this, id] { OnRequestEnded(id); }); };
 }
 
 // The last byte of a long request has come: its time begins.
 void Sidecar::OnRequestEnded(const std::string& id) {
+  const Micros now = NowToDecide();
   const auto it = calls_.find(id);
   if (it == calls_.end() || it->second.session == nullptr) return;
   Call& call = it->second;
-  const Micros now = Now();
   call.deadline = now + call.budget;
   if (drain_.begun()) call.deadline = std::min(call.deadline, now + drain_.Left());
   for (Attempt& attempt : call.attempts) {
@@ -293,6 +313,7 @@
 }
 
 void Sidecar::OnClientGone(const Inbound::SessionPtr& session) {
+  TakeNews();
   const auto it = std::find_if(calls_.begin(), calls_.end(),
                                [&](const auto& entry) { return entry.second.session == session; });
   if (it == calls_.end()) return;
@@ -329,11 +350,11 @@
 
 // Tells the module, once, what became of an attempt.
 void Sidecar::Conclude(const std::string& id, int attempt, Result result) {
+  const Micros now = NowToDecide();
   const auto it = calls_.find(id);
   if (it == calls_.end()) return;
   Attempt& ended = it->second.attempts[static_cast<std::size_t>(attempt)];
   if (!std::exchange(ended.out, false)) return;
-  const Micros now = Now();
   Outcome outcome;
   outcome.request = id;
   outcome.attempt = attempt;
@@ -372,9 +393,9 @@
 }
 
 void Sidecar::OnDue(const std::string& id) {
+  const Micros now = NowToDecide();
   auto it = calls_.find(id);
   if (it == calls_.end()) return;
-  const Micros now = Now();
   for (std::size_t i = 0; i < it->second.attempts.size(); ++i) {
     const Attempt& attempt = it->second.attempts[i];
     if (!attempt.out || now < attempt.expires) continue;
@@ -489,7 +510,7 @@
   const auto timer =
       std::make_shared<asio::steady_timer>(io_, std::chrono::microseconds(std::max<Micros>(delay, 0)));
   timer->async_wait([this, timer, token](ErrorCode error) {
-    if (!error) balancer_->OnTimer(Now(), token);
+    if (!error) balancer_->OnTimer(NowToDecide(), token);
   });
 }
 
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -78,6 +78,8 @@
   void Log(std::string_view text) override;
 
   Micros Now() const;
+  Micros NowToDecide();
+  void TakeNews();
   Tcp::acceptor Listener();
   bool Succeeds() const;
   void TakeClients();
@@ -118,6 +120,7 @@
   std::unique_ptr<Admin> admin_;     // null without a second address
   Calls calls_;
   std::int64_t generation_ = 0;
+  Micros news_taken_ = 0;           // when the watch was last read before a decision
   bool taking_ = false;             // clients
   asio::steady_timer start_timer_;  // while it waits for a list before it takes them
   net::Drain drain_;
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -147,6 +147,7 @@
 
   void OnDialed(ErrorCode error) {
     if (closed_) return;
+    if (pool_.hooks_.before_look) pool_.hooks_.before_look();
     dialing_ = false;
     timer_.cancel();
     // A look at the list after the wait: guards against sending to a server that has meanwhile been told to
@@ -190,7 +191,7 @@
     // server's.
     if (error)
       return Finish(job_->body->broken() ? Result::kCancelled : Result::kUnreachable, /*reuse=*/false);
-    if (pool_.written_) pool_.written_();
+    if (pool_.hooks_.written) pool_.hooks_.written();
     if (broken_) Finish(Result::kReset, /*reuse=*/false);
   }
 
@@ -400,9 +401,8 @@
   bool closed_ = false;
 };
 
-Upstream::Upstream(asio::io_context& io, Limits limits, std::shared_ptr<Budget> budget,
-                   std::function<void()> written)
-    : io_(io), limits_(limits), budget_(std::move(budget)), written_(std::move(written)), sweep_(io) {}
+Upstream::Upstream(asio::io_context& io, Limits limits, std::shared_ptr<Budget> budget, Hooks hooks)
+    : io_(io), limits_(limits), budget_(std::move(budget)), hooks_(std::move(hooks)), sweep_(io) {}
 
 Upstream::~Upstream() {
   for (const auto& [id, connection] : attempts_)
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -49,9 +49,16 @@
     Micros begin_within = 0;
   };
 
-  // `written` is called when an attempt has been written whole.
-  Upstream(asio::io_context& io, Limits limits, std::shared_ptr<Budget> budget,
-           std::function<void()> written = {});
+  // Either may be empty.
+  struct Hooks {
+    std::function<void()> written;  // an attempt has been written whole
+    // A connection has come up, and whether its server may still be sent to is looked at next.
+    std::function<void()> before_look;
+  };
+
+  Upstream(asio::io_context& io, Limits limits, std::shared_ptr<Budget> budget, Hooks hooks);
+  Upstream(asio::io_context& io, Limits limits, std::shared_ptr<Budget> budget)
+      : Upstream(io, limits, std::move(budget), Hooks()) {}
   ~Upstream();
   Upstream(const Upstream&) = delete;
   Upstream& operator=(const Upstream&) = delete;
@@ -92,7 +99,7 @@
   asio::io_context& io_;
   const Limits limits_;
   const std::shared_ptr<Budget> budget_;
-  const std::function<void()> written_;
+  const Hooks hooks_;
   asio::steady_timer sweep_;
   bool sweeping_ = false;
   std::size_t open_ = 0;
--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -93,6 +93,20 @@
   EXPECT_TRUE(RunUntil(io, [&] { return lists.size() >= 2; }));
 }
 
+// Its end is met with a word of the watch that nobody has read yet.
+TEST_F(DiscoveryTest, ASilenceThatEndsWithAWordIsNone) {
+  Discovery::Timing timing;
+  timing.silence = 100'000;
+  Start({Chunk(Line(42, "s-a"))}, timing);
+  ASSERT_TRUE(RunUntil(io, [&] { return lists.size() == 1; }));
+  asio::steady_timer word(io, 1ms);
+  word.async_wait([&](ErrorCode) { server->peers[0]->Write(Chunk(Line(43, "s-b"))); });
+  // Both times are over when the loop goes on; the word's is the earlier.
+  asio::post(io, [] { HoldUntil(std::chrono::steady_clock::now() + 150ms); });
+  ASSERT_TRUE(RunUntil(io, [&] { return lists.size() == 2; }));
+  EXPECT_EQ(failures, 0);
+}
+
 // Its connection comes up and nothing is ever said on it: no header, or a header and no line.
 TEST_F(DiscoveryTest, ReopensAWatchThatIsSilentFromItsFirstByte) {
   const std::string header = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
