Tell the module apart a server that cannot be reached and a descriptor that we lack

Where all descriptors for servers are at work, or the system has none, an attempt ended as if its server could not be reached, and the server was left alone for it.

Change: Result::kHeldBack. Nothing was sent, so the request waits and is tried again as before, and the server's standing is as it was.

--- a/include/merlinrun/balancer.hpp
+++ b/include/merlinrun/balancer.hpp
@@ -155,6 +155,7 @@
   kReset,        // the connection broke; may have run
   kCancelled,    // may have run
   kNeverSent,
+  kHeldBack,  // nothing was sent for want of a descriptor of our own, which tells nothing of the server
 };
 
 // What a server says of itself: late and noisy. A value that was not reported is absent, never 0.
--- a/src/evidence.cpp
+++ b/src/evidence.cpp
@@ -30,7 +30,7 @@
     server.fails += (kRefusalMost - server.fails) / kRefusalMemory;
     return false;
   } else if (outcome.result == Result::kReset || outcome.result == Result::kCancelled ||
-             outcome.result == Result::kNeverSent) {
+             outcome.result == Result::kNeverSent || outcome.result == Result::kHeldBack) {
     // A reset tells of a connection. Were servers left alone for it, a path that breaks now and then would
     // keep half the window idle; one whose process has died cannot be reached next, and that counts.
     return false;
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -73,7 +73,7 @@
     job_.emplace(std::move(job));
     ErrorCode error;
     socket_.open(server_->address.protocol(), error);
-    if (error) return FailLater();
+    if (error) return HoldBack();
     socket_.set_option(Tcp::no_delay(true), error);
     if (pool_.limits_.dial_timeout > 0) {
       // The time may run out in the very turn of the loop in which the attempt is given up.
@@ -129,9 +129,10 @@
   Clock::time_point idle_since;
 
  private:
-  void FailLater() {
+  // There is no descriptor for it: the want is ours and says nothing of the server.
+  void HoldBack() {
     asio::post(pool_.io_, [self = shared_from_this()] {
-      if (!self->closed_) self->Finish(Result::kUnreachable, /*reuse=*/false);
+      if (!self->closed_) self->Finish(Result::kHeldBack, /*reuse=*/false);
     });
   }
 
@@ -146,8 +147,8 @@
   }
 
   void OnDialed(ErrorCode error) {
-    if (closed_) return;
     if (pool_.hooks_.before_look) pool_.hooks_.before_look();
+    if (closed_) return;
     dialing_ = false;
     timer_.cancel();
     // A look at the list after the wait: guards against sending to a server that has meanwhile been told to
@@ -454,7 +455,8 @@
 
 Upstream::AttemptId Upstream::Send(const std::string& id, Order order, Events events) {
   const auto found = servers_.find(id);
-  if (found == servers_.end() || !found->second->Up()) return FailLater(std::move(events));
+  if (found == servers_.end() || !found->second->Up())
+    return FailLater(std::move(events), Result::kUnreachable);
   const std::shared_ptr<Server> server = found->second;
   ConnectionPtr connection = TakeIdle(*server);
   const AttemptId attempt = ++last_attempt_;
@@ -470,7 +472,7 @@
   const auto now = Clock::now();
   if (order.begin_within > 0) job.begin_by = now + std::chrono::microseconds(order.begin_within);
   if (runs) job.expires = now + std::chrono::microseconds(order.left);
-  if (open_ >= limits_.connections && !MakeRoom()) return FailLater(std::move(job.events));
+  if (open_ >= limits_.connections && !MakeRoom()) return FailLater(std::move(job.events), Result::kHeldBack);
   connection = std::make_shared<Connection>(*this, server);
   ++open_;
   attempts_[attempt] = connection;
@@ -479,11 +481,11 @@
 }
 
 // The module must not hear of an outcome while it is still saying what to send.
-Upstream::AttemptId Upstream::FailLater(Events events) {
+Upstream::AttemptId Upstream::FailLater(Events events, Result result) {
   const AttemptId attempt = ++last_attempt_;
   attempts_[attempt] = nullptr;
-  asio::post(io_, [this, attempt, done = std::move(events.done)] {
-    if (attempts_.erase(attempt) > 0) done({Result::kUnreachable, {}, nullptr});
+  asio::post(io_, [this, attempt, result, done = std::move(events.done)] {
+    if (attempts_.erase(attempt) > 0) done({result, {}, nullptr});
   });
   return attempt;
 }
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -90,7 +90,7 @@
   static void CloseIdle(Server& server);
   ConnectionPtr TakeIdle(Server& server);
   bool MakeRoom();
-  AttemptId FailLater(Events events);
+  AttemptId FailLater(Events events, Result result);
   void Release(const ConnectionPtr& connection);
   void Forget(const Connection& connection);
   void SweepLater();
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -177,6 +177,7 @@
       case Result::kRefused:
       case Result::kUnreachable:
       case Result::kReset:
+      case Result::kHeldBack:
         return Wait(it);
       case Result::kSuccess:  // unsettled: not legal, and an end is owed all the same
       case Result::kError:
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -15,7 +15,7 @@
 // they had begun: their refusal proves nothing.
 inline bool ProvesNeverRan(Result result, bool refused_may_have_run) {
   return (result == Result::kRefused && !refused_may_have_run) || result == Result::kUnreachable ||
-         result == Result::kNeverSent;
+         result == Result::kNeverSent || result == Result::kHeldBack;
 }
 
 // What may always be out: with one, a single dear request would close a server or a window to all others.
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -165,6 +165,14 @@
       Open();
     });
   }
+  // Makes room without the loop, until the connection that waits for it has come up.
+  void AwaitOne() {
+    fillers_.clear();
+    acceptor_.non_blocking(true);
+    for (ErrorCode error; !error;) acceptor_.accept(error);
+    pollfd one{acceptor_.native_handle(), POLLIN, 0};
+    ASSERT_EQ(::poll(&one, 1, 20'000), 1);
+  }
   int requests() const {
     int count = 0;
     for (const auto& peer : peers) count += peer->requests();
@@ -234,19 +242,51 @@
   EXPECT_GT(std::chrono::steady_clock::now(), begin + 2400ms);  // no less than it had either
 }
 
+// ---- The list ----
+
+// A process that stands still finds what came meanwhile in the order in which it came: a request, or the end
+// of a dial, in front of the list that tells of its server's end. Half of the grace is over when it goes on.
+class StoodStillTest : public EndingsTest {
+ protected:
+  static constexpr auto kStood = 250ms;  // of 500 ms (ConfigJson)
+
+  void StandStillAndHear(const std::string& id, const Tcp::endpoint& drains, const Tcp::endpoint& comes) {
+    Tell(List(2, false, {Entry(id, drains, "draining"), Entry("comes", comes)}));
+    HoldUntil(std::chrono::steady_clock::now() + kStood);
+  }
+};
+
+TEST_F(StoodStillTest, AListGoesBeforeTheRequestsInFrontOfIt) {
+  ScriptedServer server(io, Serves("drains"));
+  ScriptedServer other(io, Serves("ok"));
+  Start({Entry("s1", server.address)});
+  const auto client = Client(Get("r1"));
+  ASSERT_EQ(Status(*client), "200");
+  client->Write(Get("r2"));
+  StandStillAndHear("s1", server.address, other.address);
+  EXPECT_EQ(Status(*client, 2), "200");
+  EXPECT_EQ(server.requests(), 1);
+  EXPECT_EQ(other.requests(), 1);
+}
+
+TEST_F(StoodStillTest, AListGoesBeforeTheDialThatCameUpInFrontOfIt) {
+  LateServer server(io);
+  ScriptedServer other(io, Serves("ok"));
+  Start({Entry("s1", server.address())}, LongDials);
+  const auto client = Client(Get("r1"));
+  ASSERT_TRUE(RunUntil(io, [&] { return sidecar->upstream_connections() == 1; }));
+  server.AwaitOne();
+  StandStillAndHear("s1", server.address(), other.address);
+  server.Open();
+  EXPECT_EQ(Status(*client), "200");
+  EXPECT_EQ(server.requests(), 0);
+}
+
 // ---- SIGTERM ----
 
 TEST_F(EndingsTest, WhatComesInTheTurnOfTheDrainIsServed) {
   ScriptedServer server(io);
   Start({Entry("s1", server.address)});
-  // Makes room without the loop, until the connection that waits for it has come up.
-  void AwaitOne() {
-    fillers_.clear();
-    acceptor_.non_blocking(true);
-    for (ErrorCode error; !error;) acceptor_.accept(error);
-    pollfd one{acceptor_.native_handle(), POLLIN, 0};
-    ASSERT_EQ(::poll(&one, 1, 20'000), 1);
-  }
   const auto asked = Client(Get("asked"));
   ASSERT_TRUE(RunUntil(io, [&] { return server.requests() == 1; }));
   const auto half = Client("GET /api?obj=k1 HTTP/1.1\r\nHost: ori");
@@ -316,46 +356,6 @@
   ASSERT_TRUE(RunUntil(io, [&] { return server.requests() == 1; }));
   EXPECT_EQ(Status(*client), "502");
   client->Close();
-// ---- The list ----
-
-// A process that stands still finds what came meanwhile in the order in which it came: a request, or the end
-// of a dial, in front of the list that tells of its server's end. Half of the grace is over when it goes on.
-class StoodStillTest : public EndingsTest {
- protected:
-  static constexpr auto kStood = 250ms;  // of 500 ms (ConfigJson)
-
-  void StandStillAndHear(const std::string& id, const Tcp::endpoint& drains, const Tcp::endpoint& comes) {
-    Tell(List(2, false, {Entry(id, drains, "draining"), Entry("comes", comes)}));
-    HoldUntil(std::chrono::steady_clock::now() + kStood);
-  }
-};
-
-TEST_F(StoodStillTest, AListGoesBeforeTheRequestsInFrontOfIt) {
-  ScriptedServer server(io, Serves("drains"));
-  ScriptedServer other(io, Serves("ok"));
-  Start({Entry("s1", server.address)});
-  const auto client = Client(Get("r1"));
-  ASSERT_EQ(Status(*client), "200");
-  client->Write(Get("r2"));
-  StandStillAndHear("s1", server.address, other.address);
-  EXPECT_EQ(Status(*client, 2), "200");
-  EXPECT_EQ(server.requests(), 1);
-  EXPECT_EQ(other.requests(), 1);
-}
-
-TEST_F(StoodStillTest, AListGoesBeforeTheDialThatCameUpInFrontOfIt) {
-  LateServer server(io);
-  ScriptedServer other(io, Serves("ok"));
-  Start({Entry("s1", server.address())}, LongDials);
-  const auto client = Client(Get("r1"));
-  ASSERT_TRUE(RunUntil(io, [&] { return sidecar->upstream_connections() == 1; }));
-  server.AwaitOne();
-  StandStillAndHear("s1", server.address(), other.address);
-  server.Open();
-  EXPECT_EQ(Status(*client), "200");
-  EXPECT_EQ(server.requests(), 0);
-}
-
   EXPECT_TRUE(RunUntil(io, [&] { return finished; }));
 }
 
