Ask a connection that keeps its place no second time before its request is taken

Found by a new test that hung. With all places taken, a resting connection is asked for its place: its read is called off. If a request came instead it stays, and another is asked at once, in Session::StaysAfter. Its own bytes were not taken yet, so it still looked at rest, and where no other rested it was asked again with no read left to call off. The mark stayed, and as one is asked at a time nobody else was: with a full house and connections at rest, new clients waited until some connection ended.

Change: the next one is asked after what came has been taken.

Shown: EndingsTest.OneThatKeepsItsPlaceBarsNoOtherFromBeingAsked waits 20 s in vain without the change.

--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -230,15 +230,22 @@
 
   void OnRead(ErrorCode error, std::size_t n) {
     if (state_ == State::kClosed) return;
-    if (std::exchange(retiring_, false) && !StaysAfter(error)) return Close();
-    if (error == asio::error::operation_aborted) return Read();
-    if (error) return Leave();
+    const bool retired = std::exchange(retiring_, false);
+    if (retired && !StaysAfter(error)) return Close();
+    if (error && error != asio::error::operation_aborted) return Leave();
+    if (!error) Take(n);
+    Read();
+    // Its place is not to be had: another's may be. Not before what came is taken: it would look at rest, be
+    // asked for its place again while nothing of it is read, and bar all others from being asked.
+    if (retired) owner_.Accept();
+  }
+
+  void Take(std::size_t n) {
     if (state_ != State::kLingering)
       buffer_.commit(asio::buffer_copy(buffer_.prepare(n), asio::buffer(input_, n)));
     read_ += n;
     if (state_ == State::kReading || state_ == State::kBusy) Parse();
     NoteWaiting();
-    Read();
   }
 
   // Keeps when bytes came that wait for the requests before them. Those that came within a millisecond count
@@ -265,7 +272,6 @@
     ErrorCode error;
     if (read && (read != asio::error::operation_aborted || socket_.available(error) == 0)) return false;
     if (deadline_.expiry() <= Clock::now()) ExpireAfter(kLateFirst);
-    owner_.Accept();  // its place is not to be had: another's may be
     return true;
   }
 
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -31,6 +31,22 @@
   std::vector<std::shared_ptr<Peer>> held;
 };
 
+// One that was asked for its place as its request came keeps it, and the next that rests is asked instead. As
+// it still looked at rest it was asked once more, with nothing of it being read, and barred all others.
+TEST_F(EndingsTest, OneThatKeepsItsPlaceBarsNoOtherFromBeingAsked) {
+  ScriptedServer server(io);
+  Start({Entry("s1", server.address), Entry("s2", server.address)}, FewDescriptors);
+  Fill(server, 0);  // the last one was asked as it came
+  server.peers[0]->Write(Reply("200 OK", "ok"));
+  ASSERT_EQ(Status(*held[0]), "200");  // it rests
+  held[1]->Close();
+  ASSERT_TRUE(RunUntil(io, [&] { return server.peers[1]->ended; }));
+  const auto next = Client(Get("next"));  // has the place that is free, and the last one again
+  const auto waiting = Client(Get("waiting"));
+  EXPECT_TRUE(RunUntil(io, [&] { return server.requests() == kPlaces + 2; }));
+  EXPECT_TRUE(held[0]->ended);
+}
+
 // The last place goes to a connection whose request was read in the instant of its accept. As its handler had
 // not run it looked idle, and was closed for the place.
 TEST_F(EndingsTest, ARequestReadWithItsAcceptIsNotClosedForItsPlace) {
