Give a waiting client the place of the first connection that comes to rest

With all places at work the next client waited in the queue until a connection ended; one that came to rest and was kept alive did not make room.

Change: a connection that comes to rest while all places are taken asks for the next client, and so gives up its place or another's.

Shown: EndingsTest.AClientGetsThePlaceOfOneThatComesToRest waits 20 s in vain without the change.

--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -413,6 +413,7 @@
     NextRequest();
     Parse();
     Read();
+    if (Resting()) owner_.OnRest();
   }
 
   void LingerAndClose() {
@@ -522,6 +523,11 @@
   if (was_full) Accept();
 }
 
+// Where all places were at work, the next client gets this one's.
+void Inbound::OnRest() {
+  if (sessions_.size() >= most_sessions_) Accept();
+}
+
 void Inbound::CloseAfterAnswers() { draining_ = true; }
 
 void Inbound::StopAccepting() {
--- a/src/net/inbound.hpp
+++ b/src/net/inbound.hpp
@@ -56,6 +56,7 @@
   void OnAccepted(ErrorCode error, Tcp::socket socket);
   void Add(Tcp::socket socket);
   void RetireOne();
+  void OnRest();
   void Remove(const Session& session);
 
   asio::io_context& io_;
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -47,6 +47,17 @@
   EXPECT_TRUE(held[0]->ended);
 }
 
+// All places are at work and a client waits for one: it has that of the first that comes to rest.
+TEST_F(EndingsTest, AClientGetsThePlaceOfOneThatComesToRest) {
+  ScriptedServer server(io);
+  Start({Entry("s1", server.address), Entry("s2", server.address)}, FewDescriptors);
+  Fill(server, 0);
+  const auto waiting = Client(Get("waiting"));
+  server.peers[0]->Write(Reply("200 OK", "ok"));  // and its connection is kept
+  EXPECT_TRUE(RunUntil(io, [&] { return server.requests() == kPlaces + 1; }));
+  EXPECT_FALSE(waiting->ended);
+}
+
 // The last place goes to a connection whose request was read in the instant of its accept. As its handler had
 // not run it looked idle, and was closed for the place.
 TEST_F(EndingsTest, ARequestReadWithItsAcceptIsNotClosedForItsPlace) {
