Take who waits in the listener's queue at a drain also when descriptors are short

Need: docs/endings.md, a row that was not settled. At the end of accepting, StopAccepting took an error of accept for the end of the queue: with no descriptor left, or a connection that was aborted in the queue, it closed the listener on all that waited, and reset them.

Change: only an empty queue ends it. A drain that waits for its last connection waits for the queue too, within the same bound.

Shown: EndingsTest.WhoWaitsAsTheListenerClosesIsTakenAsDescriptorsComeFree, with the process's limit lowered to what is open; without the change its three clients get no answer.

--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -494,10 +494,15 @@
   }
   if (error == asio::error::operation_aborted || !acceptor_.is_open()) return;
   if (error == asio::error::connection_aborted) return Accept();
+  AcceptLater();
+}
+
+// No descriptor is left for those that wait: one that rests makes room for the next.
+void Inbound::AcceptLater() {
   RetireOne();
   pause_.expires_after(kAcceptPause);
   pause_.async_wait([this](ErrorCode stopped) {
-    if (!stopped) Accept();
+    if (!stopped) stopping_ ? StopAccepting() : Accept();
   });
 }
 
@@ -532,14 +537,16 @@
 
 void Inbound::StopAccepting() {
   // What has connected may have sent its request: closing the listener on it would reset it unanswered.
+  stopping_ = true;
   ErrorCode error;
   acceptor_.non_blocking(true, error);
-  while (!error) {
+  while (acceptor_.is_open() && (!error || error == asio::error::connection_aborted)) {
     Tcp::socket socket(io_);
     acceptor_.accept(socket, error);
     if (!error) Add(std::move(socket));
   }
-  LeaveQueue();
+  if (!acceptor_.is_open() || error == asio::error::would_block) return LeaveQueue();
+  AcceptLater();
 }
 
 // Never shut down: that would end the listener for all that hold it.
--- a/src/net/inbound.hpp
+++ b/src/net/inbound.hpp
@@ -42,19 +42,21 @@
   void Accept();
   // From now on each answer closes its connection.
   void CloseAfterAnswers();
-  // Accepts what has connected already, then no more.
+  // Accepts what has connected already, then no more; as descriptors come free, if there are too few.
   void StopAccepting();
   // Accepts no more: the queue is another process's, which has the same listener.
   void LeaveQueue();
   // Closes the connections that are between requests.
   void CloseResting();
 
-  std::size_t sessions() const { return sessions_.size(); }
+  // Whether there is a connection, or one may still be accepted.
+  bool holds_connections() const { return !sessions_.empty() || acceptor_.is_open(); }
   Tcp::endpoint address() const { return address_; }
 
  private:
   void OnAccepted(ErrorCode error, Tcp::socket socket);
   void Add(Tcp::socket socket);
+  void AcceptLater();
   void RetireOne();
   void OnRest();
   void Remove(const Session& session);
@@ -67,6 +69,7 @@
   Tcp::endpoint address_;
   asio::steady_timer pause_;
   bool accepting_ = false;
+  bool stopping_ = false;  // to accept: what waits already is still taken
   bool draining_ = false;
   std::list<SessionPtr> sessions_;  // the one whose last answer is oldest first
 };
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -534,7 +534,7 @@
   steps.close_resting = [this] { inbound_->CloseResting(); };
   steps.hurry = [this] { HurryCalls(); };
   steps.holds_requests = [this] { return !calls_.empty(); };
-  steps.holds_connections = [this] { return inbound_->sessions() > 0; };
+  steps.holds_connections = [this] { return inbound_->holds_connections(); };
   inbound_->CloseAfterAnswers();
   drain_.Begin(std::move(steps), std::move(finished));
 }
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -2,6 +2,8 @@
 // accept back until the sidecar has reached a known state, and lets go then: the bad order happens each time.
 // docs/endings.md lists the ends and which test forces which.
 #include <poll.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include <list>
 #include <string>
@@ -93,6 +95,51 @@
   EXPECT_EQ(taken, std::vector<std::string>{"r1"});
 }
 
+// No descriptor can be had from here to the end of its scope, but those that others give back.
+class NoMoreDescriptors {
+ public:
+  NoMoreDescriptors() {
+    ::getrlimit(RLIMIT_NOFILE, &before_);
+    const int lowest = ::dup(STDERR_FILENO);
+    ::close(lowest);
+    rlimit now = before_;
+    now.rlim_cur = static_cast<rlim_t>(lowest);
+    ::setrlimit(RLIMIT_NOFILE, &now);
+  }
+  ~NoMoreDescriptors() { ::setrlimit(RLIMIT_NOFILE, &before_); }
+  NoMoreDescriptors(const NoMoreDescriptors&) = delete;
+  NoMoreDescriptors& operator=(const NoMoreDescriptors&) = delete;
+
+ private:
+  rlimit before_{};
+};
+
+// Clients wait in the listener's queue when it is to close, and no descriptor is left to accept them with.
+TEST_F(EndingsTest, WhoWaitsAsTheListenerClosesIsTakenAsDescriptorsComeFree) {
+  Inbound::Events events;
+  events.on_request = [&](const Inbound::SessionPtr& session, const RequestHead&, const BodyPtr&, Micros) {
+    Inbound::Respond(session, Plain(http::status::ok, "ok"));
+  };
+  events.on_gone = [](const Inbound::SessionPtr&) {};
+  events.ready = [] { return true; };
+  Inbound inbound(io, Tcp::acceptor(io, Loopback()), 8, std::make_shared<Budget>(1024), events);
+  inbound.Accept();
+  const auto resting = Connect(io, inbound.address());
+  resting->Write(Get("r0"));
+  EXPECT_EQ(Status(*resting), "200");
+  std::vector<std::shared_ptr<Peer>> waiting;
+  for (int i = 1; i <= 3; ++i) {
+    waiting.push_back(Connect(io, inbound.address()));
+    waiting.back()->Write(Get("r" + std::to_string(i)));
+  }
+  const NoMoreDescriptors none;
+  inbound.StopAccepting();
+  for (const auto& client : waiting) EXPECT_EQ(Status(*client), "200");
+  EXPECT_TRUE(resting->ended);
+  inbound.CloseResting();
+  EXPECT_TRUE(RunUntil(io, [&] { return !inbound.holds_connections(); }));
+}
+
 // Who connects has 2.5 s for a request (kMostReading), whatever it sends of it.
 constexpr auto kTimeToSend = 2500ms;
 
