Fill all descriptors with idle clients while discovery is down, and see the list come

Change: ProcessTest.HasADescriptorForItsListWhateverIdleClientsHold, with lists pushed and asked for: 128 clients rest at a process that has 64 descriptors and no discovery; once that is back its list is had and followed.

Shown: it holds, and fails with both guards taken out, the descriptors that are set aside and the resting connection that is closed when accept has none. With the first alone gone it still holds: the listener keeps one free.

--- a/tests/net/loopback.hpp
+++ b/tests/net/loopback.hpp
@@ -103,9 +103,17 @@
 // Listens and plays `on_data` on each connection.
 class ScriptedServer {
  public:
-  explicit ScriptedServer(asio::io_context& io, std::function<void(Peer&)> script = {})
-      : on_data(std::move(script)), acceptor_(io, Loopback()) {
+  enum class Begin { kListening, kDown };  // down: its address is its own, and refuses connections
+
+  explicit ScriptedServer(asio::io_context& io, std::function<void(Peer&)> script = {},
+                          Begin begin = Begin::kListening)
+      : on_data(std::move(script)), acceptor_(io, Tcp::v4()) {
+    acceptor_.bind(Loopback());
     address = acceptor_.local_endpoint();
+    if (begin == Begin::kListening) Listen();
+  }
+  void Listen() {
+    acceptor_.listen();
     Accept();
   }
   ~ScriptedServer() {
--- a/tests/net/process_test.cpp
+++ b/tests/net/process_test.cpp
@@ -1,4 +1,5 @@
 // The program itself, started as the platform starts it.
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -14,6 +15,8 @@
 
 using namespace testing;  // NOLINT(google-build-using-namespace)
 
+constexpr const char* kReady = "GET /ready HTTP/1.1\r\n\r\n";
+
 class ProcessTest : public ::testing::Test {
  protected:
   ProcessTest() {
@@ -33,9 +36,13 @@
   }
 
   void WriteConfig(const nlohmann::json& json) const { std::ofstream(config) << json.dump(); }
-  void Start(const Tcp::endpoint& discovery) {
+  void Start(const Tcp::endpoint& discovery, rlim_t descriptors = RLIM_INFINITY) {
     child = ::fork();
     if (child != 0) return;
+    rlimit limit{};
+    ::getrlimit(RLIMIT_NOFILE, &limit);
+    limit.rlim_cur = std::min(limit.rlim_cur, descriptors);
+    ::setrlimit(RLIMIT_NOFILE, &limit);
     Become(discovery);
   }
   // Starts one of two processes that succeed each other on the same listener.
@@ -62,6 +69,13 @@
   }
   // An address that is free again when it is used.
   Tcp::endpoint FreeAddress() { return Tcp::acceptor(io, Loopback()).local_endpoint(); }
+  // A chunk of a watch's answer.
+  static std::string Chunk(const nlohmann::json& list) {
+    const std::string text = list.dump() + "\n";
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+    return size + text + "\r\n";
+  }
   // The status of the answer to what is sent on a new connection; empty if none comes.
   std::string Ask(const Tcp::endpoint& address, const std::string& text) {
     auto peer = std::make_shared<Peer>(Tcp::socket(io));
@@ -130,7 +144,7 @@
   client->Write(Get("r1"));
   ASSERT_TRUE(RunUntil(io, [&] { return server.requests() == 1; }));
   ::kill(child, SIGTERM);
-  ASSERT_TRUE(RunUntil(io, [&] { return Ask(address, "GET /ready HTTP/1.1\r\n\r\n") == "503"; }));
+  ASSERT_TRUE(RunUntil(io, [&] { return Ask(address, kReady) == "503"; }));
   ::kill(child, SIGTERM);
   ::kill(child, SIGHUP);  // the file has not changed: it follows discovery as before
   ASSERT_TRUE(RunUntil(io, [&] { return discovery.requests() == 2; }));
@@ -158,7 +172,7 @@
     json["listen"] = Text(address);
     WriteConfig(json);
     Start(down);
-    ASSERT_TRUE(RunUntil(io, [&] { return Ask(address, "GET /ready HTTP/1.1\r\n\r\n") == "200"; }));
+    ASSERT_TRUE(RunUntil(io, [&] { return Ask(address, kReady) == "200"; }));
     json["discovery"] = Text(after.address);
     WriteConfig(json);
     ::kill(child, SIGHUP);
@@ -171,7 +185,43 @@
   }
 }
 
-constexpr const char* kReady = "GET /ready HTTP/1.1\r\n\r\n";
+// Idle clients hold every place while discovery is down, more of them wait for one, and the process has no
+// descriptor more than its settings say. The list is had all the same once discovery is back, and is
+// followed.
+TEST_F(ProcessTest, HasADescriptorForItsListWhateverIdleClientsHold) {
+  constexpr rlim_t kDescriptors = 64;
+  for (const char* const mode : {"automatic", "subscribe"}) {
+    ScriptedServer discovery(io, Watched(), ScriptedServer::Begin::kDown);
+    ScriptedServer gone(io, Serves("gone"));
+    ScriptedServer server(io, Serves("ok"));
+    nlohmann::json json = ConfigJson(discovery.address, {Entry("s1", gone.address)});
+    json["settings"]["membership_mode"] = mode;
+    json["limits"]["sockets"] = kDescriptors;
+    const Tcp::endpoint address = FreeAddress();
+    json["listen"] = Text(address);
+    WriteConfig(json);
+    Start(discovery.address, kDescriptors);
+    ASSERT_TRUE(RunUntil(io, [&] { return Ask(address, kReady) == "200"; }));
+    std::vector<std::shared_ptr<Peer>> idle;
+    for (rlim_t i = 0; i < 2 * kDescriptors; ++i) {
+      idle.push_back(Connect(io, address));
+      idle.back()->Write(kReady);  // it may rest from its answer on, for as long as it likes
+    }
+    // Those that come when there is no place left are given that of one that rests.
+    const auto answered = [](const std::shared_ptr<Peer>& one) { return one->requests() > 0; };
+    ASSERT_TRUE(RunUntil(io, [&] { return std::all_of(idle.begin(), idle.end(), answered); })) << mode;
+    discovery.Listen();
+    ASSERT_TRUE(RunUntil(io, [&] { return discovery.requests() == 1; })) << mode;
+    discovery.peers[0]->Write(
+        Chunk(List(2, true, {Entry("s1", gone.address, "draining"), Entry("s2", server.address)})));
+    ASSERT_TRUE(RunUntil(io, [&] { return Ask(address, Get("r1")) == "200" && server.requests() > 0; }))
+        << mode;
+    ::kill(child, SIGTERM);
+    ASSERT_TRUE(RunUntil(io, [&] { return !Running(); }));
+    EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0) << "status " << status;
+    child = 0;
+  }
+}
 
 // The platform holds the clients' socket; two processes take from its queue in turn.
 TEST_F(ProcessTest, AnUpgradeOnThePassedSocketMeetsNoClient) {
@@ -198,10 +248,7 @@
   const pid_t next = StartOnPassed(discovery.address, clients.native_handle(), second);
   ASSERT_TRUE(RunUntil(io, [&] { return discovery.requests() == 2; }));
   EXPECT_EQ(Ask(second, kReady), "503");  // it has the list of long ago alone
-  const std::string list = List(2, true, {Entry("s1", server.address)}).dump() + "\n";
-  char size[16];
-  std::snprintf(size, sizeof size, "%zx\r\n", list.size());
-  discovery.peers[1]->Write(size + list + "\r\n");
+  discovery.peers[1]->Write(Chunk(List(2, true, {Entry("s1", server.address)})));
   ASSERT_TRUE(RunUntil(io, [&] { return Ask(second, kReady) == "200"; }));
 
   answers = false;
