Call ejection, slow start and idle connections by the field's words

This changes nothing else.

Change: Strike, Away and strikes are EjectOutlier, Ejected and consecutive_failures; young servers are in slow start or cold; connections between requests are idle, not resting.

--- a/include/merlinrun/balancer.hpp
+++ b/include/merlinrun/balancer.hpp
@@ -185,7 +185,7 @@
 };
 
 // The servers of the list, and those of them that are not sent to at present: by hand, as the list says so,
-// or as they are left alone for a while.
+// or as they are ejected for a while.
 struct Membership {
   std::size_t members = 0;
   std::size_t unavailable = 0;
--- a/src/evidence.cpp
+++ b/src/evidence.cpp
@@ -31,7 +31,7 @@
     return false;
   } else if (outcome.result == Result::kReset || outcome.result == Result::kCancelled ||
              outcome.result == Result::kNeverSent || outcome.result == Result::kHeldBack) {
-    // A reset tells of a connection. Were servers left alone for it, a path that breaks now and then would
+    // A reset tells of a connection. Were servers ejected for it, a path that breaks now and then would
     // keep half the window idle; one whose process has died cannot be reached next, and that counts.
     return false;
   }
@@ -44,7 +44,7 @@
   }
   if (outcome.result != Result::kRefused) server.slow += (slow - server.slow) / kSlowMemory;
   if (outcome.result == Result::kSuccess) {
-    if (outcome.elapsed < aim) server.strikes = 0;
+    if (outcome.elapsed < aim) server.consecutive_failures = 0;
     return false;
   }
   return outcome.result != Result::kRefused;
--- a/src/evidence.hpp
+++ b/src/evidence.hpp
@@ -9,7 +9,7 @@
 namespace merlinrun {
 
 // Takes an outcome of class `own`, of `classes`, into what is known of the server and of the class's usual
-// time. True if it is a strike against the server.
+// time. True if the server is to be ejected for it.
 bool Learn(Server& server, ClassTimes& times, std::size_t own, std::size_t classes, Micros aim,
            const Outcome& outcome);
 
--- a/src/net/drain.cpp
+++ b/src/net/drain.cpp
@@ -59,7 +59,7 @@
       steps_.stop_accepting();
       return EnterAt(kAcceptFor + kSettleFor, State::kFinishing);
     case State::kFinishing:
-      steps_.close_resting();
+      steps_.close_idle();
       return FinishIfDone();
     case State::kHurrying:
       steps_.hurry();
--- a/src/net/drain.hpp
+++ b/src/net/drain.hpp
@@ -4,7 +4,7 @@
 //   kServing -> kAccepting -> kSettling -> kFinishing -> kHurrying -> kOver
 //
 // kAccepting: connections still come, and each answer closes its own. kSettling: what was accepted last may
-// speak. kFinishing: resting connections are closed, requests go on. kHurrying: requests are answered now.
+// speak. kFinishing: idle connections are closed, requests go on. kHurrying: requests are answered now.
 // kOver is also reached from kFinishing on, as soon as no request is held and no connection open. A process
 // whose listener another one has too accepts nothing from the beginning on and goes from kAccepting to
 // kFinishing.
@@ -26,7 +26,7 @@
   struct Steps {
     std::function<void()> stop_accepting;  // what has connected is taken first
     std::function<void()> leave_queue;     // accept no more: another process has the listener too
-    std::function<void()> close_resting;
+    std::function<void()> close_idle;
     std::function<void()> hurry;  // each request that is held gets an answer now
     std::function<bool()> holds_requests;
     std::function<bool()> holds_connections;
--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -77,12 +77,12 @@
   }
 
   // Between requests, as far as has been looked at.
-  bool Resting() const {
+  bool Idle() const {
     return state_ == State::kReading && buffer_.size() == 0 && !parser_->begun && !retiring_;
   }
   bool retiring() const { return retiring_; }
 
-  // Closes a resting connection, unless a request is on its way in. The read that is out may have taken its
+  // Closes an idle connection, unless a request is on its way in. The read that is out may have taken its
   // bytes already while its handler has yet to run, so nothing but its end can tell: it is called off, and
   // what it comes back with decides.
   void Retire() {
@@ -150,7 +150,7 @@
     body_ = nullptr;
     if (buffer_.size() == 0) buffer_.shrink_to_fit();  // it may be long before the next
     paused_ = std::nullopt;
-    StopClock();  // between requests a client may rest
+    StopClock();  // an idle client may stay
   }
 
   // Moves the deadline out of reach. A cancel would leave it in the past where the wait for it has ended with
@@ -169,7 +169,7 @@
 
   void OnExpired() {
     if (state_ == State::kClosed) return;
-    if (Resting()) return Retire();
+    if (Idle()) return Retire();
     if (state_ == State::kReading && parser_->begun)
       return Reject(http::status::request_timeout, "request not whole in time\n");
     Leave();
@@ -235,7 +235,7 @@
     if (error && error != asio::error::operation_aborted) return Leave();
     if (!error) Take(n);
     Read();
-    // Its place is not to be had: another's may be. Not before what came is taken: it would look at rest, be
+    // Its place is not to be had: another's may be. Not before what came is taken: it would look idle, be
     // asked for its place again while nothing of it is read, and bar all others from being asked.
     if (retired) owner_.Accept();
   }
@@ -413,7 +413,7 @@
     NextRequest();
     Parse();
     Read();
-    if (Resting()) owner_.OnRest();
+    if (Idle()) owner_.OnIdle();
   }
 
   void LingerAndClose() {
@@ -478,7 +478,7 @@
 
 void Inbound::Accept() {
   if (accepting_ || !acceptor_.is_open()) return;
-  if (sessions_.size() >= most_sessions_) return RetireOne();  // the next that ends goes on
+  if (sessions_.size() >= most_sessions_) return RetireIdle();  // the next that ends goes on
   accepting_ = true;
   acceptor_.async_accept([this](ErrorCode error, Tcp::socket socket) {
     accepting_ = false;
@@ -497,9 +497,9 @@
   AcceptLater();
 }
 
-// No descriptor is left for those that wait: one that rests makes room for the next.
+// No descriptor is left for those that wait: an idle one makes room for the next.
 void Inbound::AcceptLater() {
-  RetireOne();
+  RetireIdle();
   pause_.expires_after(kAcceptPause);
   pause_.async_wait([this](ErrorCode stopped) {
     if (!stopped) stopping_ ? StopAccepting() : Accept();
@@ -513,13 +513,13 @@
 }
 
 // One at a time: whether it goes shows in a moment, and that makes room or asks for another.
-void Inbound::RetireOne() {
+void Inbound::RetireIdle() {
   if (std::any_of(sessions_.begin(), sessions_.end(),
                   [](const auto& session) { return session->retiring(); }))
     return;
-  const auto resting = std::find_if(sessions_.begin(), sessions_.end(),
-                                    [](const auto& session) { return session->Resting(); });
-  if (resting != sessions_.end()) (*resting)->Retire();
+  const auto idle =
+      std::find_if(sessions_.begin(), sessions_.end(), [](const auto& session) { return session->Idle(); });
+  if (idle != sessions_.end()) (*idle)->Retire();
 }
 
 void Inbound::Remove(const Session& session) {
@@ -529,7 +529,7 @@
 }
 
 // Where all places were at work, the next client gets this one's.
-void Inbound::OnRest() {
+void Inbound::OnIdle() {
   if (sessions_.size() >= most_sessions_) Accept();
 }
 
@@ -556,9 +556,9 @@
   acceptor_.close(ignored);
 }
 
-void Inbound::CloseResting() {
+void Inbound::CloseIdle() {
   for (const SessionPtr& session : sessions_)
-    if (session->Resting()) session->Retire();
+    if (session->Idle()) session->Retire();
 }
 
 }  // namespace merlinrun::net
--- a/src/net/inbound.hpp
+++ b/src/net/inbound.hpp
@@ -47,7 +47,7 @@
   // Accepts no more: the queue is another process's, which has the same listener.
   void LeaveQueue();
   // Closes the connections that are between requests.
-  void CloseResting();
+  void CloseIdle();
 
   // Whether there is a connection, or one may still be accepted.
   bool holds_connections() const { return !sessions_.empty() || acceptor_.is_open(); }
@@ -57,8 +57,8 @@
   void OnAccepted(ErrorCode error, Tcp::socket socket);
   void Add(Tcp::socket socket);
   void AcceptLater();
-  void RetireOne();
-  void OnRest();
+  void RetireIdle();
+  void OnIdle();
   void Remove(const Session& session);
 
   asio::io_context& io_;
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -531,7 +531,7 @@
   net::Drain::Steps steps;
   steps.stop_accepting = [this] { inbound_->StopAccepting(); };
   steps.leave_queue = [this] { inbound_->LeaveQueue(); };
-  steps.close_resting = [this] { inbound_->CloseResting(); };
+  steps.close_idle = [this] { inbound_->CloseIdle(); };
   steps.hurry = [this] { HurryCalls(); };
   steps.holds_requests = [this] { return !calls_.empty(); };
   steps.holds_connections = [this] { return inbound_->holds_connections(); };
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -129,7 +129,7 @@
     for (const auto& [id, server] : servers_) {
       if (!server.listed) continue;
       ++out.members;
-      out.unavailable += !Usable(id, server) || room_.Away(server);
+      out.unavailable += !Usable(id, server) || room_.Ejected(server);
     }
     return out;
   }
@@ -288,7 +288,8 @@
     if (server == nullptr) return Wait(it);
     ++server->out;
     server->idle += held.open;  // no server begins what has not come whole
-    server->young_credit = std::max(server->young_credit - 1, 0.0);  // spent by a send, not by a draw
+    server->slow_start_credit =
+        std::max(server->slow_start_credit - 1, 0.0);  // spent by a send, not by a draw
     Pool& pool = pools_[server->pool];
     pool.out += !held.open;
     pool.out_peak = std::max(static_cast<double>(pool.out), pool.out_peak * (1 - 1 / kPeakMemory));
@@ -350,7 +351,7 @@
     attempt.felt = true;
     --pools_[attempt.server->pool].out;
     Feel(held, *attempt.server, {.request = {}, .result = Result::kTimeout});
-    room_.Strike(*attempt.server, pools_[attempt.server->pool]);
+    room_.EjectOutlier(*attempt.server, pools_[attempt.server->pool]);
   }
 
   // What it waited here for room counts too: else an overload would only move from the servers' queues to
@@ -363,7 +364,7 @@
   void Judge(const Held& held, Server& server, const Outcome& outcome) {
     const std::size_t own = held.request_class;
     if (Learn(server, times_[own], own, times_.size(), ClassOf(held).aim, outcome))
-      room_.Strike(server, pools_[server.pool]);
+      room_.EjectOutlier(server, pools_[server.pool]);
   }
 
   // A server that lately turned away this class, or failed, is passed over as often as it did. Guards against
@@ -396,8 +397,9 @@
     int found = 0;
     for (int draw = 0; draw < kDraws && found < 2; ++draw) {
       Server& server = pool.InWindow(random_.Below(width));
-      if (room_.Full(server, most) || room_.Away(server) || Refuses(held, server) || !MayUse(held, server) ||
-          !zones_.Takes(server.info.zone, now_, random_) || !room_.AcceptYoung(server, pool))
+      if (room_.Full(server, most) || room_.Ejected(server) || Refuses(held, server) ||
+          !MayUse(held, server) || !zones_.Takes(server.info.zone, now_, random_) ||
+          !room_.AcceptInSlowStart(server, pool))
         continue;
       ++found;
       if (best == nullptr || server.Busy() < best->Busy()) best = &server;
@@ -409,7 +411,7 @@
     for (std::size_t i = 0; i < width; ++i) {
       Server& server = pool.InWindow((start + i) % width);
       if (room_.Full(server, most) || !MayUse(held, server)) continue;
-      if (room_.AcceptYoung(server, pool) || (none_warm && random_.Unit() < room_.Warmth(server)))
+      if (room_.AcceptInSlowStart(server, pool) || (none_warm && random_.Unit() < room_.Warmth(server)))
         return &server;
     }
     return held.MayHaveRun() == nullptr ? nullptr : OutsideWindow(held);
@@ -423,8 +425,8 @@
       const double most = room_.MostOut(pool);
       for (std::size_t i = 0; i < pool.ring.size(); ++i) {
         Server& server = *pool.ring[(start + i) % pool.ring.size()];
-        if (!room_.Full(server, most) && !room_.Away(server) && MayUse(held, server) &&
-            room_.AcceptYoung(server, pool))
+        if (!room_.Full(server, most) && !room_.Ejected(server) && MayUse(held, server) &&
+            room_.AcceptInSlowStart(server, pool))
           return &server;
       }
     }
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -30,9 +30,9 @@
   double slow = 1;               // its answer times as a multiple of what is usual for their class
   std::vector<double> refuses;   // by class: share of its requests that were turned away lately
   double fails = 0;              // share of all requests that it answered with an error lately
-  int strikes = 0;               // bad outcomes in a row
-  Micros away_until = 0;         // left alone until then; after that one trial attempt at a time
-  double young_credit = 0;       // sends that a young server may still be given
+  int consecutive_failures = 0;  // bad outcomes in a row
+  Micros ejected_until = 0;      // no attempts until then; after that one trial attempt at a time
+  double slow_start_credit = 0;  // sends that it may still be given in slow start
   std::int64_t served_then = 0;  // what warm ones had served when the credit was last reckoned
 
   int Working() const { return out - idle; }
@@ -46,8 +46,8 @@
     slow = 1;
     refuses.clear();
     fails = 0;
-    strikes = 0;
-    away_until = 0;
+    consecutive_failures = 0;
+    ejected_until = 0;
   }
 };
 
--- a/src/room.hpp
+++ b/src/room.hpp
@@ -1,5 +1,5 @@
-// What one server of a window may be sent now: its part of what may be out, the credit that a young one has
-// earned, and the time for which a bad one is left alone. A part of the decision module.
+// What one server of a window may be sent now: its part of what may be out, the credit that one in slow start
+// has earned, and the time for which an outlier is ejected. A part of the decision module.
 #ifndef MERLINRUN_SRC_ROOM_HPP_
 #define MERLINRUN_SRC_ROOM_HPP_
 
@@ -19,7 +19,7 @@
 // The wait of n failures in a row: base * 2^n, `cap` at most.
 Micros Doubled(Micros base, int n, Micros cap);
 
-// The longest wait between two attempts of a request, and the longest for which a server is left alone.
+// The longest wait between two attempts of a request, and the longest for which a server is ejected.
 inline constexpr Micros kRetryCap = 30'000'000;
 
 class Room {
@@ -39,13 +39,13 @@
   double MostOut(const Pool& pool) const;
   bool Full(const Server& server, double most) const;
   // Whether a server that may still be cold has earned the next attempt.
-  bool AcceptYoung(Server& server, const Pool& pool);
+  bool AcceptInSlowStart(Server& server, const Pool& pool);
 
-  // A bad outcome: the server is left alone for a while, if enough others are left.
-  void Strike(Server& server, const Pool& pool);
+  // A bad outcome: the server is ejected for a while, if enough others are left.
+  void EjectOutlier(Server& server, const Pool& pool);
   // A server in its wait, or with its one trial attempt out.
-  bool Away(const Server& server) const {
-    return now_ < server.away_until || (server.strikes > 0 && server.Working() > 0);
+  bool Ejected(const Server& server) const {
+    return now_ < server.ejected_until || (server.consecutive_failures > 0 && server.Working() > 0);
   }
 
  private:
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -304,31 +304,31 @@
   EXPECT_EQ(used, (std::set<std::string>{"s02", "s03"}));
 }
 
-// Met on an overloaded day: sends far above what servers could do, and a young server's share of them felled
+// Met on an overloaded day: sends far above what servers could do, and a cold server's share of them felled
 // it.
-TEST_F(BalancerTest, AYoungServerGetsItsShareOfWhatOthersServe) {
+TEST_F(BalancerTest, AServerInSlowStartGetsItsShareOfWhatOthersServe) {
   Start(MakeSettings(), 10);
   auto servers = MakeServers(10);
   servers[0].started = now_;
   List(ListUpdate::Kind::kDelta, {servers[0]});
-  int young = 0;
+  int cold = 0;
   int served = 0;
   for (int i = 0; i < 4000; ++i) {
     const std::string id = "r" + std::to_string(i);
     const auto sent = Arrive(id);
     if (sent.empty() || sent[0].kind != Kind::kSend) continue;
-    if (sent[0].server == "s00") ++young;
+    if (sent[0].server == "s00") ++cold;
     const bool serve = i % 4 == 0;  // of four sends one is served
     served += serve && sent[0].server != "s00";
     Resolve(id, 0, serve ? Result::kSuccess : Result::kReset, true);
   }
-  EXPECT_GT(young, 0);
-  EXPECT_LE(young, 1 + served / 2.0 * MakeSettings().cold_share);  // 2: the warm ones in the window
+  EXPECT_GT(cold, 0);
+  EXPECT_LE(cold, 1 + served / 2.0 * MakeSettings().cold_share);  // 2: the warm ones in the window
 }
 
-// Met on days of 100 sidecars, six in ten servers replaced: each young one got its share of an average that
-// the young ones themselves kept low, and idled at 6 requests a second while the warm ones were overdriven.
-TEST_F(BalancerTest, YoungServersDoNotLowerEachOthersShare) {
+// Met on days of 100 sidecars, six in ten servers replaced: each cold one got its share of an average that
+// the cold ones themselves kept low, and idled at 6 requests a second while the warm ones were overdriven.
+TEST_F(BalancerTest, ServersInSlowStartDoNotLowerEachOthersShare) {
   Start(MakeSettings(), 3);
   auto servers = MakeServers(3);
   servers[0].started = servers[1].started = now_;
@@ -342,14 +342,14 @@
     Resolve(id, 0, Result::kSuccess, true);
   }
   const double share = MakeSettings().cold_share * sent["s02"];
-  for (const char* const young : {"s00", "s01"}) {
-    EXPECT_GE(sent[young], 0.75 * share);
-    EXPECT_LE(sent[young], share + 1);
+  for (const char* const cold : {"s00", "s01"}) {
+    EXPECT_GE(sent[cold], 0.75 * share);
+    EXPECT_LE(sent[cold], share + 1);
   }
 }
 
-// Met on the same days: choked servers served next to nothing, and the average over them starved the young.
-TEST_F(BalancerTest, AServerLeftAloneDoesNotLowerAYoungOnesShare) {
+// Met on the same days: choked servers served next to nothing, and the average over them starved the cold.
+TEST_F(BalancerTest, AnEjectedServerDoesNotLowerTheShareOfOneInSlowStart) {
   Start(MakeSettings(), 3);
   auto servers = MakeServers(3);
   servers[0].started = now_;
@@ -368,8 +368,8 @@
   EXPECT_LE(sent["s00"], share + 1);
 }
 
-// Else the credit that warm servers earn never comes, and the young idle beside choked ones.
-TEST_F(BalancerTest, YoungServersServeByWhatIsOutWhereNoWarmOneIsSound) {
+// Else the credit that warm servers earn never comes, and the cold idle beside choked ones.
+TEST_F(BalancerTest, ServersInSlowStartServeByWhatIsOutWhereNoWarmOneIsSound) {
   Start(MakeSettings(), 3);
   auto servers = MakeServers(3);
   servers[0].started = now_;
@@ -392,8 +392,8 @@
   EXPECT_GT(served, 20);
 }
 
-// A sidecar that restarts knows nothing but its last list; many servers may be young in it at once.
-TEST_F(BalancerTest, ARestartedSidecarDoesNotRushAtYoungServers) {
+// A sidecar that restarts knows nothing but its last list; many servers may be in slow start at once.
+TEST_F(BalancerTest, ARestartedSidecarDoesNotRushAtColdServers) {
   auto servers = MakeServers(4);
   servers[0].started = servers[1].started = now_ - 100 * kMs;
   std::string error;
@@ -409,7 +409,7 @@
   EXPECT_EQ(sent["s02"] + sent["s03"], 12);  // their parts of ten and its slack
 }
 
-TEST_F(BalancerTest, AmongYoungServersAloneChanceByShareDecides) {
+TEST_F(BalancerTest, AmongServersInSlowStartAloneChanceByShareDecides) {
   Start(MakeSettings(), 4);
   auto servers = MakeServers(4);
   for (auto& server : servers) server.started = now_;
@@ -548,7 +548,7 @@
 }
 
 // Met after crashes: the list names a dead server for seconds, and each attempt there is lost.
-TEST_F(BalancerTest, ADeadServerIsLeftAloneForAWaitThatDoubles) {
+TEST_F(BalancerTest, ADeadServerIsEjectedForATimeThatDoubles) {
   Start(MakeSettings(), 4);
   int tried = 0;
   for (int i = 0; i < 400; ++i) {
@@ -576,7 +576,7 @@
 }
 
 // Met on days of 100 sidecars: each tried a choked server now and then, and together they never let it rest.
-TEST_F(BalancerTest, TheMoreSidecarsShareAServerTheLongerEachLeavesItAlone) {
+TEST_F(BalancerTest, TheMoreSidecarsShareAServerTheLongerEachEjectsIt) {
   const auto tries = [&](std::uint32_t siblings, std::uint32_t rank) {  // of s30, which is dead, in 10 s
     int count = 0;
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
@@ -600,8 +600,8 @@
   EXPECT_LT(shared, 0.8 * alone);
 }
 
-// Met on days when a zone came back: its servers were left alone for what their dead processes had done.
-TEST_F(BalancerTest, AServerThatHasRestartedIsNotLeftAloneForItsOldProcess) {
+// Met on days when a zone came back: its servers were ejected for what their dead processes had done.
+TEST_F(BalancerTest, AServerThatHasRestartedIsNotEjectedForItsOldProcess) {
   Start(MakeSettings(), 3);
   for (int i = 0; i < 2000; ++i) {
     now_ += 10 * kMs;
@@ -620,8 +620,8 @@
   EXPECT_GT(sent, 5);  // its share is 10
 }
 
-// Met where connections break now and then on all paths: with servers left alone for it, the rest choked.
-TEST_F(BalancerTest, AServerIsNotLeftAloneForAConnectionThatBreaks) {
+// Met where connections break now and then on all paths: with servers ejected for it, the rest choked.
+TEST_F(BalancerTest, AServerIsNotEjectedForAConnectionThatBreaks) {
   Start(MakeSettings(), 4);
   std::map<std::string, int> sent;
   for (int i = 0; i < 400; ++i) {
@@ -635,7 +635,7 @@
 }
 
 // A sidecar that has no descriptor left cannot dial anybody: its servers are as good as before.
-TEST_F(BalancerTest, AServerIsNotLeftAloneForADescriptorThatWeLack) {
+TEST_F(BalancerTest, AServerIsNotEjectedForADescriptorThatWeLack) {
   Start(MakeSettings(), 4);
   int sent = 0;
   for (int i = 0; i < 400; ++i) {
@@ -671,7 +671,7 @@
   EXPECT_GT(sent["s01"], 60);
 }
 
-// Met in a zone's loss: with half the window left alone, the servers that were left took dozens and choked.
+// Met in a zone's loss: with half the window ejected, the servers that were left took dozens and choked.
 TEST_F(BalancerTest, AServerWithManyOutIsFullAndTheRestWaits) {
   Start(MakeSettings(), 4);
   std::map<std::string, int> out;
@@ -970,7 +970,7 @@
 }
 
 // Met on slow and ageing days: a server that answers in the end went on getting its share at once.
-TEST_F(BalancerTest, AServerWhereARequestOutlivesItsAimIsLeftAloneThenTriedOneAtATime) {
+TEST_F(BalancerTest, AServerWhereARequestOutlivesItsAimIsEjectedThenTriedOneAtATime) {
   Settings settings = MakeSettings();
   settings.classes[0].late_worth = 0.5;
   Start(settings, 3);
@@ -1244,7 +1244,7 @@
   EXPECT_EQ(actions[0].kind, Kind::kRefuse);
 }
 
-TEST_F(BalancerTest, AServerCalledBackBearsNoOldStrikes) {
+TEST_F(BalancerTest, AServerCalledBackIsNotEjectedForOldFailures) {
   Start(MakeSettings(), 3);
   const std::string struck = Arrive("r1", 2)[0].server;
   Resolve("r1", 0, Result::kTimeout);
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -33,14 +33,14 @@
   std::vector<std::shared_ptr<Peer>> held;
 };
 
-// One that was asked for its place as its request came keeps it, and the next that rests is asked instead. As
-// it still looked at rest it was asked once more, with nothing of it being read, and barred all others.
+// One that was asked for its place as its request came keeps it, and the next idle one is asked instead. As
+// it still looked idle it was asked once more, with nothing of it being read, and barred all others.
 TEST_F(EndingsTest, OneThatKeepsItsPlaceBarsNoOtherFromBeingAsked) {
   ScriptedServer server(io);
   Start({Entry("s1", server.address), Entry("s2", server.address)}, FewDescriptors);
   Fill(server, 0);  // the last one was asked as it came
   server.peers[0]->Write(Reply("200 OK", "ok"));
-  ASSERT_EQ(Status(*held[0]), "200");  // it rests
+  ASSERT_EQ(Status(*held[0]), "200");  // it is idle
   held[1]->Close();
   ASSERT_TRUE(RunUntil(io, [&] { return server.peers[1]->ended; }));
   const auto next = Client(Get("next"));  // has the place that is free, and the last one again
@@ -49,8 +49,8 @@
   EXPECT_TRUE(held[0]->ended);
 }
 
-// All places are at work and a client waits for one: it has that of the first that comes to rest.
-TEST_F(EndingsTest, AClientGetsThePlaceOfOneThatComesToRest) {
+// All places are at work and a client waits for one: it has that of the first that becomes idle.
+TEST_F(EndingsTest, AClientGetsThePlaceOfOneThatBecomesIdle) {
   ScriptedServer server(io);
   Start({Entry("s1", server.address), Entry("s2", server.address)}, FewDescriptors);
   Fill(server, 0);
@@ -73,7 +73,7 @@
 }
 
 // Two at the end of a drain: one is closed unless a request came, and one was read but has not been handled.
-TEST_F(EndingsTest, ARequestReadAsRestingConnectionsAreClosedIsServed) {
+TEST_F(EndingsTest, ARequestReadAsIdleConnectionsAreClosedIsServed) {
   std::vector<std::string> taken;
   Inbound::Events events;
   events.on_request = [&](const Inbound::SessionPtr& session, const RequestHead& head, const BodyPtr&,
@@ -84,14 +84,14 @@
   events.on_gone = [](const Inbound::SessionPtr&) {};
   events.ready = [] { return true; };
   Inbound inbound(io, Tcp::acceptor(io, Loopback()), 4, std::make_shared<Budget>(1024), events);
-  const auto resting = Connect(io, inbound.address());
+  const auto idle = Connect(io, inbound.address());
   const auto asking = Connect(io, inbound.address());
   asking->Write(Get("r1"));
   inbound.StopAccepting();  // takes both, and reads what the second has sent
-  inbound.CloseResting();
+  inbound.CloseIdle();
   EXPECT_EQ(Status(*asking), "200");
-  EXPECT_TRUE(RunUntil(io, [&] { return resting->ended; }));
-  EXPECT_EQ(resting->received, "");
+  EXPECT_TRUE(RunUntil(io, [&] { return idle->ended; }));
+  EXPECT_EQ(idle->received, "");
   EXPECT_EQ(taken, std::vector<std::string>{"r1"});
 }
 
@@ -124,9 +124,9 @@
   events.ready = [] { return true; };
   Inbound inbound(io, Tcp::acceptor(io, Loopback()), 8, std::make_shared<Budget>(1024), events);
   inbound.Accept();
-  const auto resting = Connect(io, inbound.address());
-  resting->Write(Get("r0"));
-  EXPECT_EQ(Status(*resting), "200");
+  const auto idle = Connect(io, inbound.address());
+  idle->Write(Get("r0"));
+  EXPECT_EQ(Status(*idle), "200");
   std::vector<std::shared_ptr<Peer>> waiting;
   for (int i = 1; i <= 3; ++i) {
     waiting.push_back(Connect(io, inbound.address()));
@@ -135,8 +135,8 @@
   const NoMoreDescriptors none;
   inbound.StopAccepting();
   for (const auto& client : waiting) EXPECT_EQ(Status(*client), "200");
-  EXPECT_TRUE(resting->ended);
-  inbound.CloseResting();
+  EXPECT_TRUE(idle->ended);
+  inbound.CloseIdle();
   EXPECT_TRUE(RunUntil(io, [&] { return !inbound.holds_connections(); }));
 }
 
@@ -411,21 +411,21 @@
   EXPECT_EQ(server.requests(), 1);
 }
 
-// Nothing is held when resting connections are closed, so the drain waits for the last connection to go. A
+// Nothing is held when idle connections are closed, so the drain waits for the last connection to go. A
 // long request that comes on it then has no deadline until its last byte, and was held past the kill.
 TEST_F(EndingsTest, ALongRequestThatComesLateInTheDrainIsAnswered) {
   ScriptedServer server(io);
   Start({Entry("s1", server.address)}, [](nlohmann::json& json) {
     for (auto& grade : json["settings"]["grades"]) grade["hard_limit_us"] = 1'000'000;
   });
-  const auto resting = Client("");
+  const auto idle = Client("");
   const auto client = Client("POST /api HTTP/1.1\r\nReq-Id: r1\r\nReq-Kind: po");
   io.restart();
   while (io.poll() > 0) {  // both are accepted, and half a head is read
   }
   bool finished = false;
   sidecar->Drain([&] { finished = true; });
-  ASSERT_TRUE(RunUntil(io, [&] { return resting->ended; }));
+  ASSERT_TRUE(RunUntil(io, [&] { return idle->ended; }));
   client->Write("rt\r\nContent-Length: 300000\r\n\r\n" + std::string(90'000, 'x'));
   ASSERT_TRUE(RunUntil(io, [&] { return server.requests() == 1; }));
   EXPECT_EQ(Status(*client), "502");
