Cancel no timer as a watch's owner is destroyed

Need: clang-tidy on the watch that is read at once: steady_timer::cancel may throw, and Discovery's destructor called it.

Change: the destructor leaves the watch without cancelling its timer, which finds nobody when it ends; all other ends cancel it.

Shown: clang-tidy clean on the file; 20 tests of the watch, of processes and of standing still pass.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -137,8 +137,15 @@
   }
 
   void Stop() {
+    Abandon();
+    silence_.cancel();
+  }
+
+  // Cancels no timer, as that may throw: for the owner's destructor. What is called back finds nobody.
+  void Abandon() {
     owner_ = nullptr;
-    Close();
+    ErrorCode ignored;
+    socket_.close(ignored);
   }
 
   // Reads what is there, until there is no more.
@@ -240,17 +247,11 @@
 
   void End(const std::string& reason, bool bad_input = false) {
     if (owner_ == nullptr) return;
-    Discovery* const owner = std::exchange(owner_, nullptr);
-    Close();
+    Discovery* const owner = owner_;
+    Stop();
     owner->OnEnd(reason, bad_input);
   }
 
-  void Close() {
-    silence_.cancel();
-    ErrorCode ignored;
-    socket_.close(ignored);
-  }
-
   Discovery* owner_;  // null once the watch is over
   Tcp::socket socket_;
   asio::steady_timer silence_;
@@ -275,7 +276,7 @@
       backoff_(io) {}
 
 Discovery::~Discovery() {
-  if (stream_ != nullptr) stream_->Stop();
+  if (stream_ != nullptr) stream_->Abandon();
 }
 
 void Discovery::Watch(std::int64_t generation) {
