Keep the addresses of process tests bound, so that no other test is given them

Seen: the forced-order tests 208 times, 16 processes at once beside the benches: one failure, ProcessTest.HasADescriptorForItsListWhateverIdleClientsHold, 'cannot listen: Address already in use'. The address had been closed by the test before the process took it, and another test's socket had it in between. A fault of the test, and of all that used FreeAddress.

Change: the test keeps the address bound, not listening, which the process shares and nobody else is given; the process inherits none of the test's own descriptors, which counted in its limit.

Shown: the six process tests 208 times, 16 at once beside a build and a bench: none failed.

--- a/tests/net/process_test.cpp
+++ b/tests/net/process_test.cpp
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <list>
 
 #include "loopback.hpp"
 
@@ -57,6 +58,8 @@
     return 0;
   }
   [[noreturn]] void Become(const Tcp::endpoint& discovery) const {
+    ::close_range(3, 4, 0);  // what is this test's own; 5 may be passed
+    ::close_range(6, ~0U, 0);
     ::setenv("EDGE_CONFIG", config.c_str(), 1);
     ::setenv("EDGE_DISCOVERY", Text(discovery).c_str(), 1);
     ::execl(FENNELHOLLOW, FENNELHOLLOW, nullptr);
@@ -67,8 +70,14 @@
     ASSERT_NE(::mkdtemp(name.data()), nullptr);
     directory = name;
   }
-  // An address that is free again when it is used.
-  Tcp::endpoint FreeAddress() { return Tcp::acceptor(io, Loopback()).local_endpoint(); }
+  // An address that nobody else is given: it is bound here and refuses connections until a process listens
+  // there.
+  Tcp::endpoint FreeAddress() {
+    Tcp::socket& kept = addresses.emplace_back(io, Tcp::v4());
+    kept.set_option(asio::socket_base::reuse_address(true));
+    kept.bind(Loopback());
+    return kept.local_endpoint();
+  }
   // A chunk of a watch's answer.
   static std::string Chunk(const nlohmann::json& list) {
     const std::string text = list.dump() + "\n";
@@ -93,6 +102,7 @@
   bool Running() { return child > 0 && ::waitpid(child, &status, WNOHANG) == 0; }
 
   asio::io_context io;
+  std::list<Tcp::socket> addresses;
   std::filesystem::path config;
   std::filesystem::path directory;
   pid_t child = 0;
