--- a/src/lab/sidecars.cpp
+++ b/src/lab/sidecars.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 constexpr Micros kPollEvery = 20'000;
-constexpr int kStrangersAtOnce = 16;
+constexpr int kStrangersAtOnce = 16;  // 500 in one turn took 28 ms under the sanitizers, so about 1 ms
 // PROTOCOL, "Figures": SIGKILL comes no earlier than the longest deadline, taken as 3 s where it is longer,
 // plus 0.7 s.
 constexpr Micros kKillAfter = 3'700'000;
--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -478,7 +478,7 @@
 
 void Inbound::Accept() {
   if (accepting_ || !acceptor_.is_open()) return;
-  if (sessions_.size() >= most_sessions_) return RetireIdle();  // the next that ends goes on
+  if (sessions_.size() >= most_sessions_) return RetireIdle();  // the next that ends or is idle goes on
   accepting_ = true;
   acceptor_.async_accept([this](ErrorCode error, Tcp::socket socket) {
     accepting_ = false;
