--- /dev/null
+++ b/src/control/configuration/state.cpp
@@ -0,0 +1,121 @@
+#include "state.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+namespace violetwing::configuration {
+namespace {
+
+// Keeps the order of the operator's fields.
+using Json = nlohmann::ordered_json;
+
+std::string Digest(const Change& change) {
+  const std::string text =
+      std::string(change.patch ? "patch " : "put ") + std::to_string(change.base) + "\n" + change.body;
+  const XXH128_hash_t hash = XXH3_128bits(text.data(), text.size());
+  char out[33];
+  std::snprintf(out, sizeof out, "%016llx%016llx", static_cast<unsigned long long>(hash.high64),
+                static_cast<unsigned long long>(hash.low64));
+  return out;
+}
+
+std::string NameOf(const Json& item) {
+  const auto name = item.is_object() ? item.find("name") : item.end();
+  return item.is_object() && name != item.end() && name->is_string() ? name->get<std::string>()
+                                                                     : std::string();
+}
+
+void Upsert(Json& list, const Json& item) {
+  const std::string name = NameOf(item);
+  const auto at =
+      std::find_if(list.begin(), list.end(), [&](const Json& old) { return NameOf(old) == name; });
+  if (at == list.end())
+    list.push_back(item);
+  else
+    *at = item;
+}
+
+// Works a patch into a document. Returns what is wrong with it; empty if nothing is.
+std::string Patch(Json& document, const Json& patch) {
+  if (!patch.is_object()) return "document: is not an object";
+  const Json upsert = patch.value("upsert", Json::object());
+  const Json remove = patch.value("delete", Json::object());
+  if (!upsert.is_object()) return "upsert: is not an object";
+  if (!remove.is_object()) return "delete: is not an object";
+  for (const auto& [key, names] : remove.items()) {
+    if (!names.is_array()) return "delete." + key + ": is not a list";
+    if (!document.contains(key)) continue;
+    if (!document[key].is_array()) return "delete." + key + ": is no list of items";
+    for (const Json& name : names) {
+      if (!name.is_string()) return "delete." + key + ": holds something that is not a name";
+      Json& list = document[key];
+      for (auto item = list.begin(); item != list.end();)
+        item = NameOf(*item) == name.get<std::string>() ? list.erase(item) : std::next(item);
+    }
+  }
+  for (const auto& [key, items] : upsert.items()) {
+    if (!items.is_array()) {
+      document[key] = items;  // not a list of items: replaced whole
+      continue;
+    }
+    Json& list = document[key];
+    if (list.is_null()) list = Json::array();
+    if (!list.is_array()) return "upsert." + key + ": is no list of items";
+    for (const Json& item : items) {
+      if (NameOf(item).empty()) return "upsert." + key + ": an item has no name";
+      Upsert(list, item);
+    }
+  }
+  if (!patch.contains("version")) return "version: is missing";
+  document["version"] = patch["version"];
+  return {};
+}
+
+}  // namespace
+
+Answer State::Apply(const Change& change) {
+  const std::string digest = Digest(change);
+  if (taken_.count(digest) > 0) return {Outcome::kTaken, version_, {}};
+  Json sent = Json::parse(change.body, nullptr, /*allow_exceptions=*/false);
+  if (sent.is_discarded() || !sent.is_object())
+    return {Outcome::kInvalid, version_, "document: cannot be read whole as a JSON object"};
+  if (change.base != version_)
+    return {Outcome::kConflict, version_, "If-Match: version " + std::to_string(version_) + " is in force"};
+  Json document = std::move(sent);
+  if (change.patch) {
+    const Json patch = std::exchange(document, version_ > 0 ? Json::parse(document_) : Json::object());
+    const std::string problem = Patch(document, patch);
+    if (!problem.empty()) return {Outcome::kInvalid, version_, problem};
+  }
+  std::string text = document.dump();
+  ReadResult read = Read(text);
+  if (read.configuration == nullptr) return {Outcome::kInvalid, version_, ToText(read.findings)};
+  if (read.configuration->version <= version_)
+    return {Outcome::kInvalid, version_, "version: must be above " + std::to_string(version_)};
+  Take(std::move(text), std::move(read.configuration));
+  taken_[digest] = version_;
+  return {Outcome::kTaken, version_, {}};
+}
+
+void State::Take(std::string document, std::shared_ptr<const Configuration> configuration) {
+  version_ = configuration->version;
+  document_ = std::move(document);
+  current_ = std::move(configuration);
+}
+
+std::string State::Save() const { return nlohmann::json{{"document", document_}, {"taken", taken_}}.dump(); }
+
+void State::Load(const std::string& saved) {
+  const nlohmann::json in = nlohmann::json::parse(saved);
+  *this = State();
+  in.at("taken").get_to(taken_);
+  std::string document = in.at("document").get<std::string>();
+  if (document.empty()) return;
+  ReadResult read = Read(document);
+  if (read.configuration != nullptr) Take(std::move(document), std::move(read.configuration));
+}
+
+}  // namespace violetwing::configuration
--- /dev/null
+++ b/src/control/configuration/state.hpp
@@ -0,0 +1,55 @@
+// The replicated state of the shard that holds the configuration: its versions one after the other. Commands
+// are applied in the order of the log and decide alike on every replica.
+#ifndef VIOLETWING_CONTROL_CONFIGURATION_STATE_HPP_
+#define VIOLETWING_CONTROL_CONFIGURATION_STATE_HPP_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "reader.hpp"
+
+namespace violetwing::configuration {
+
+enum class Outcome { kTaken, kConflict, kInvalid };
+
+struct Answer {
+  Outcome outcome = Outcome::kInvalid;
+  std::int64_t version = 0;  // the one in force
+  std::string problem;
+};
+
+// A change as the operator sent it.
+struct Change {
+  bool patch = false;     // changes some items; else the whole
+  std::int64_t base = 0;  // the version it builds upon (If-Match)
+  std::string body;
+};
+
+class State {
+ public:
+  // A change that was taken before is taken again, also after later ones.
+  Answer Apply(const Change& change);
+
+  std::int64_t version() const { return version_; }
+  // As the operator sent it, with later patches worked in; empty before the first.
+  const std::string& document() const { return document_; }
+  std::shared_ptr<const Configuration> current() const { return current_; }
+
+  std::string Save() const;
+  void Load(const std::string& saved);
+
+ private:
+  void Take(std::string document, std::shared_ptr<const Configuration> configuration);
+
+  std::int64_t version_ = 0;
+  std::string document_;
+  std::shared_ptr<const Configuration> current_;
+  std::map<std::string, std::int64_t> taken_;  // digest of each change that was taken; its version
+};
+
+}  // namespace violetwing::configuration
+
+#endif  // VIOLETWING_CONTROL_CONFIGURATION_STATE_HPP_
--- /dev/null
+++ b/src/control/consensus/core.hpp
@@ -0,0 +1,240 @@
+// Replicated log of one shard: leader election with pre-votes, replication, commitment by quorum, membership
+// changes one replica at a time, snapshots for replicas that are behind, and a leader lease on the steady
+// clock. After Ongaro, "Consensus: Bridging Theory and Practice" (2014). A replica is a disk: its id is drawn
+// when the disk's store is created, so that a machine whose disk was lost never votes on what the old one had
+// promised.
+//
+// A core: it holds no clock, socket, file or thread. Time comes in with each event, randomness by its seed.
+#ifndef VIOLETWING_CONTROL_CONSENSUS_CORE_HPP_
+#define VIOLETWING_CONTROL_CONSENSUS_CORE_HPP_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "common/random.hpp"
+
+namespace violetwing::consensus {
+
+using Index = std::uint64_t;
+using Term = std::uint64_t;
+using Micros = std::int64_t;  // on the steady clock of the process
+using ReplicaId = std::string;
+
+// A replica of the group and the address at which its process takes internal calls.
+struct Member {
+  ReplicaId id;
+  std::string address;
+  bool operator==(const Member&) const = default;
+};
+using Members = std::vector<Member>;
+
+enum class EntryKind { kCommand, kNoop, kMembers };
+
+struct Entry {
+  Term term = 0;
+  EntryKind kind = EntryKind::kCommand;
+  std::string command;  // of kCommand
+  Members members;      // of kMembers: the whole group from this entry on
+};
+
+// All that the log up to `index` has led to.
+struct Snapshot {
+  Index index = 0;
+  Term term = 0;
+  Members members;
+  std::string state;
+};
+
+// What a vote depends on. It is on disk before the vote leaves.
+struct HardState {
+  Term term = 0;
+  ReplicaId vote;
+  bool operator==(const HardState&) const = default;
+};
+
+enum class MessageKind {
+  kPreVote,
+  kPreVoteReply,
+  kVote,
+  kVoteReply,
+  kHeartbeat,
+  kHeartbeatReply,
+  kAppend,
+  kAppendReply,
+  kSnapshot,
+};
+
+struct Message {
+  MessageKind kind = MessageKind::kHeartbeat;
+  ReplicaId from;
+  ReplicaId to;
+  Term term = 0;
+  Index index = 0;    // kAppend: before the entries; votes: the candidate's last; replies: what is held
+  Term log_term = 0;  // the term of the entry at `index`
+  Index commit = 0;
+  Index leader_commit = 0;  // of heartbeats: all that is committed, held by the receiver or not
+  bool granted = false;     // of replies
+  Micros sent_at = 0;       // by the leader's clock; heartbeat replies return it
+  std::vector<Entry> entries;
+  std::optional<Snapshot> snapshot;
+};
+
+// What was read from disk at the start.
+struct StoredState {
+  HardState hard;
+  Snapshot snapshot;
+  std::vector<Entry> entries;  // from snapshot.index + 1 on
+};
+
+struct Timing {
+  Micros heartbeat = 150'000;
+  Micros election_least = 800'000;  // no vote within this time of a leader's word
+  Micros election_most = 1'300'000;
+  Micros lease = 600'000;  // from the sending of heartbeats that a quorum answered; below election_least
+};
+
+// What the shell has to do after an event, in this order.
+struct Effects {
+  // To be written before `messages_after_write` leave.
+  std::optional<HardState> hard;
+  std::optional<Snapshot> snapshot;  // replaces all entries up to its index
+  bool replaces_log = false;         // the snapshot replaces the later entries too
+  Index first = 0;                   // index of `entries`; what was stored from there on is dropped
+  std::vector<Entry> entries;
+  // Messages that promise nothing, and those that promise what is written above or was before.
+  std::vector<Message> messages;
+  std::vector<Message> messages_after_write;
+  // For the state machine: a snapshot to load, then entries to apply.
+  std::optional<Snapshot> load;
+  std::vector<std::pair<Index, Entry>> committed;
+
+  bool WritesAnything() const { return hard || snapshot || first > 0; }
+};
+
+class Replica {
+ public:
+  // `id` is empty only in tests of messages. `founders` is the group where nothing is stored yet.
+  Replica(ReplicaId id, Members founders, StoredState stored, Timing timing, std::uint64_t seed, Micros now);
+
+  void Step(const Message& message, Micros now);
+  void Tick(Micros now);
+  // Leaders only; the index at which it may come to stand.
+  std::optional<Index> Propose(std::string command);
+  // One replica more or fewer than now. Only a leader that has committed in its term, one change at a time.
+  bool ProposeMembers(Members members);
+  // Sends the log to a replica that has no vote.
+  void AddLearner(const Member& learner, Micros now);
+  // The shell's disk holds entries up to `index`, the last of them of `term`.
+  void Written(Index index, Term term);
+  // All that was committed up to the applied index has led to `state`.
+  void Compact(std::string state);
+
+  Effects TakeEffects();
+
+  bool leader() const { return role_ == Role::kLeader; }
+  // A leader whose word a quorum has confirmed so lately that no other can have been elected.
+  bool HasLease(Micros now) const;
+  // A leader that has applied all that was committed before its term.
+  bool Ready() const { return leader() && TermAt(applied_) == hard_.term; }
+  // Whether this replica has lately held all that was committed. A follower's word is as old as the last
+  // heartbeat whose commit index it had applied.
+  bool InTouch(Micros now) const;
+  const std::optional<Member>& known_leader() const { return known_leader_; }
+  Term term() const { return hard_.term; }
+  const Members& members() const { return members_; }
+  const ReplicaId& id() const { return id_; }
+  bool IsMember(const ReplicaId& id) const;
+  Index applied() const { return applied_; }
+  Index last() const { return snapshot_.index + entries_.size(); }
+  std::size_t entries() const { return entries_.size(); }
+
+  // For the policy on members; leaders only.
+  struct Progress {
+    Member member;
+    bool voter = false;
+    Micros heard_at = 0;
+    bool caught_up = false;
+  };
+  std::vector<Progress> Followers() const;
+
+ private:
+  enum class Role { kFollower, kPreCandidate, kCandidate, kLeader };
+  struct Follower {
+    Member member;
+    Index next = 1;
+    Index match = 0;
+    Micros heard_at = 0;
+    Micros confirmed_at = 0;  // sending time of the last heartbeat that it answered
+    Micros appended_at = 0;   // of the append that is on its way; 0 without one
+  };
+
+  Term TermAt(Index index) const;
+  const Entry& At(Index index) const { return entries_[index - snapshot_.index - 1]; }
+  std::size_t Quorum() const { return members_.size() / 2 + 1; }
+  bool HeardLately(Micros now) const { return now - leader_heard_at_ < timing_.election_least; }
+  bool UpToDate(const Message& candidate) const;
+
+  void BecomeFollower(Term term, std::optional<Member> leader);
+  void Campaign(bool real, Micros now);
+  void CountVotes(Micros now);
+  void BecomeLeader(Micros now);
+  void ResetElection(Micros now);
+
+  void OnVoteRequest(const Message& message, Micros now);
+  void OnVoteReply(const Message& message, Micros now);
+  void OnHeartbeat(const Message& message, Micros now);
+  void OnHeartbeatReply(const Message& message, Micros now);
+  void OnAppend(const Message& message, Micros now);
+  void OnAppendReply(const Message& message, Micros now);
+  void OnSnapshot(const Message& message, Micros now);
+  void HearLeader(const Message& message, Micros now);
+
+  Index Append(Entry entry);
+  void TruncateFrom(Index index);
+  void FindMembers();
+  void SyncFollowers(Micros now);
+  void SendAppend(Follower& follower, Micros now);
+  void Broadcast(Micros now);
+  void SendHeartbeats(Micros now);
+  void AdvanceCommit();
+  void CommitUpTo(Index index);
+  Micros LeaseStart() const;
+  Message Make(MessageKind kind, const ReplicaId& to) const;
+
+  const ReplicaId id_;
+  const Timing timing_;
+  Random random_;
+  HardState hard_;
+  Snapshot snapshot_;
+  std::vector<Entry> entries_;
+  Members founders_;
+  Members members_;
+  Index members_index_ = 0;  // of the entry that set them
+  Index commit_ = 0;
+  Index applied_ = 0;
+  Index written_ = 0;  // of its own log, as leader
+
+  Role role_ = Role::kFollower;
+  std::optional<Member> known_leader_;
+  Micros now_ = 0;
+  Micros leader_heard_at_ = 0;
+  Index leader_commit_ = 0;  // by the last heartbeat
+  Micros current_at_ = 0;    // when a heartbeat last came of which all is applied; 0 if none has
+  Micros heartbeat_heard_at_ = 0;
+  Micros election_at_ = 0;
+  Micros heartbeat_at_ = 0;
+  Micros led_since_ = 0;
+  std::set<ReplicaId> votes_;
+  std::map<ReplicaId, Follower> followers_;
+  std::map<ReplicaId, Member> learners_;
+
+  Effects effects_;
+};
+
+}  // namespace violetwing::consensus
+
+#endif  // VIOLETWING_CONTROL_CONSENSUS_CORE_HPP_
--- /dev/null
+++ b/src/control/consensus/member_policy.hpp
@@ -0,0 +1,22 @@
+// Which replicas a shard's group should have: decided by its leader, one change at a time.
+#ifndef VIOLETWING_CONTROL_CONSENSUS_MEMBER_POLICY_HPP_
+#define VIOLETWING_CONTROL_CONSENSUS_MEMBER_POLICY_HPP_
+
+#include <optional>
+
+#include "core.hpp"
+
+namespace violetwing::consensus {
+
+struct MemberPolicy {
+  std::size_t wanted = 3;             // replicas with a vote
+  Micros replaced_after = 6'000'000;  // silence by which one is given up, if another can take its place
+  Micros present_within = 1'000'000;  // silence of those that may be taken in
+};
+
+// The group after the next change; empty if none is due.
+std::optional<Members> NextMembers(const Replica& leader, const MemberPolicy& policy, Micros now);
+
+}  // namespace violetwing::consensus
+
+#endif  // VIOLETWING_CONTROL_CONSENSUS_MEMBER_POLICY_HPP_
--- /dev/null
+++ b/src/control/group.cpp
@@ -0,0 +1,136 @@
+#include "group.hpp"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+#include <vector>
+
+namespace violetwing {
+namespace {
+
+using consensus::EntryKind;
+using nlohmann::json;
+
+// Entries after the snapshot from which a new one is taken.
+constexpr std::size_t kCompactAfter = 128;
+// A command that was not applied by then is offered again: the leader or the way to it may be gone.
+constexpr Group::Micros kOfferAgain = 500'000;
+
+}  // namespace
+
+Group::Group(int shard, consensus::Replica replica, StateMachine& machine, Outputs outputs)
+    : shard_(shard), replica_(std::move(replica)), machine_(machine), outputs_(std::move(outputs)) {
+  Flush();
+}
+
+void Group::Step(const consensus::Message& message, Micros now) {
+  replica_.Step(message, now);
+  Flush();
+}
+
+void Group::Tick(Micros now) {
+  replica_.Tick(now);
+  std::vector<Done> late;
+  for (auto it = waiting_.begin(); it != waiting_.end();) {
+    if (now >= it->second.deadline) {
+      late.push_back(std::move(it->second.done));
+      it = waiting_.erase(it);
+      continue;
+    }
+    Offer(it->second, now);
+    ++it;
+  }
+  Flush();
+  for (const Done& done : late) done(std::nullopt);
+}
+
+void Group::TakeForwarded(const std::string& command, Micros now) {
+  (void)now;
+  replica_.Propose(command);
+  Flush();
+}
+
+void Group::Call(const std::string& command, Micros now, Micros within, Done done) {
+  const std::string request = replica_.id() + "/" + std::to_string(now) + "/" + std::to_string(++calls_);
+  Waiting waiting;
+  waiting.command = json{{"request", request}, {"command", command}}.dump();
+  waiting.deadline = now + within;
+  waiting.done = std::move(done);
+  Offer(waiting_.emplace(request, std::move(waiting)).first->second, now);
+  Flush();
+}
+
+void Group::Offer(Waiting& waiting, Micros now) {
+  const bool new_term = waiting.sent_in != replica_.term();
+  if (waiting.sent_at > 0 && !new_term && now - waiting.sent_at < kOfferAgain) return;
+  if (replica_.leader()) {
+    replica_.Propose(waiting.command);
+  } else if (replica_.known_leader() && !replica_.known_leader()->address.empty()) {
+    outputs_.forward(shard_, *replica_.known_leader(), waiting.command);
+  } else {
+    return;
+  }
+  waiting.sent_at = now;
+  waiting.sent_in = replica_.term();
+}
+
+void Group::Send(const std::vector<consensus::Message>& messages) {
+  for (const consensus::Message& message : messages) outputs_.send(shard_, message);
+}
+
+void Group::Apply(const consensus::Entry& entry) {
+  if (entry.kind != EntryKind::kCommand) return;
+  const json envelope = json::parse(entry.command, nullptr, /*allow_exceptions=*/false);
+  if (!envelope.is_object() || !envelope.contains("request") || !envelope.contains("command")) return;
+  const std::string result = machine_.Apply(envelope["command"].get<std::string>());
+  const auto it = waiting_.find(envelope["request"].get<std::string>());
+  if (it == waiting_.end()) return;
+  const Done done = std::move(it->second.done);
+  waiting_.erase(it);
+  done(result);
+}
+
+void Group::Flush() {
+  if (std::exchange(flushing_, true)) return;  // a caller's answer may lead to the next call
+  bool applied = false;
+  while (true) {
+    consensus::Effects effects = replica_.TakeEffects();
+    const bool nothing = !effects.WritesAnything() && effects.messages.empty() &&
+                         effects.messages_after_write.empty() && !effects.load && effects.committed.empty();
+    if (nothing) break;
+    if (effects.WritesAnything() || (!effects.messages_after_write.empty() && outputs_.writes_wait())) {
+      ShardWrite write{shard_,        effects.hard,    effects.replaces_log,
+                       effects.first, effects.entries, effects.snapshot};
+      Unwritten unwritten;
+      if (effects.first > 0 && !effects.entries.empty()) {
+        unwritten.last = effects.first + effects.entries.size() - 1;
+        unwritten.term = effects.entries.back().term;
+      }
+      unwritten.messages = std::move(effects.messages_after_write);
+      const std::uint64_t token = outputs_.next_token();
+      unwritten_.emplace(token, std::move(unwritten));
+      outputs_.write(std::move(write), token);
+    } else {
+      Send(effects.messages_after_write);
+    }
+    Send(effects.messages);
+    if (effects.load) machine_.Load(effects.load->state);
+    for (const auto& [index, entry] : effects.committed) Apply(entry);
+    applied = applied || effects.load || !effects.committed.empty();
+    if (replica_.entries() > kCompactAfter) replica_.Compact(machine_.Save());
+  }
+  flushing_ = false;
+  if (applied) outputs_.applied(shard_);
+}
+
+bool Group::Written(std::uint64_t token) {
+  const auto it = unwritten_.find(token);
+  if (it == unwritten_.end()) return false;
+  const Unwritten unwritten = std::move(it->second);
+  unwritten_.erase(it);
+  Send(unwritten.messages);
+  if (unwritten.last > 0) replica_.Written(unwritten.last, unwritten.term);
+  Flush();
+  return true;
+}
+
+}  // namespace violetwing
--- /dev/null
+++ b/src/control/group.hpp
@@ -0,0 +1,86 @@
+// One shard in a control process: its replica, the state machine that the log drives, and the callers that
+// wait for their commands to be applied here.
+#ifndef VIOLETWING_CONTROL_GROUP_HPP_
+#define VIOLETWING_CONTROL_GROUP_HPP_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "control/consensus/core.hpp"
+#include "control/store/store.hpp"
+
+namespace violetwing {
+
+// What the entries of a shard's log are applied to, in their order and on every replica alike.
+class StateMachine {
+ public:
+  virtual ~StateMachine() = default;
+  virtual std::string Apply(const std::string& command) = 0;  // the answer to the caller
+  virtual std::string Save() const = 0;
+  virtual void Load(const std::string& saved) = 0;
+};
+
+class Group {
+ public:
+  using Micros = consensus::Micros;
+  // Empty: nothing is known of the command by then, and it may yet be applied.
+  using Done = std::function<void(const std::optional<std::string>& result)>;
+  struct Outputs {
+    std::function<void(int shard, const consensus::Message&)> send;
+    std::function<void(int shard, const consensus::Member& leader, const std::string& command)> forward;
+    std::function<void(ShardWrite, std::uint64_t token)> write;
+    std::function<bool()> writes_wait;  // whether the disk still owes earlier writes
+    std::function<std::uint64_t()> next_token;
+    std::function<void(int shard)> applied;
+  };
+
+  Group(int shard, consensus::Replica replica, StateMachine& machine, Outputs outputs);
+
+  void Step(const consensus::Message& message, Micros now);
+  void Tick(Micros now);
+  // A command that another process sent here as the leader.
+  void TakeForwarded(const std::string& command, Micros now);
+  // The command's answer once it is committed and applied here. It may be applied more than once.
+  void Call(const std::string& command, Micros now, Micros within, Done done);
+  // The write of this token is on disk. False if it is not this group's.
+  bool Written(std::uint64_t token);
+
+  int shard() const { return shard_; }
+  const consensus::Replica& replica() const { return replica_; }
+  consensus::Replica& replica() { return replica_; }
+
+ private:
+  struct Waiting {
+    std::string command;
+    Micros deadline = 0;
+    Micros sent_at = 0;  // 0: not yet
+    consensus::Term sent_in = 0;
+    Done done;
+  };
+  // What waits for the disk.
+  struct Unwritten {
+    consensus::Index last = 0;
+    consensus::Term term = 0;
+    std::vector<consensus::Message> messages;
+  };
+
+  void Flush();
+  void Send(const std::vector<consensus::Message>& messages);
+  void Apply(const consensus::Entry& entry);
+  void Offer(Waiting& waiting, Micros now);
+
+  const int shard_;
+  consensus::Replica replica_;
+  StateMachine& machine_;
+  Outputs outputs_;
+  std::map<std::string, Waiting> waiting_;
+  std::map<std::uint64_t, Unwritten> unwritten_;
+  std::uint64_t calls_ = 0;
+  bool flushing_ = false;
+};
+
+}  // namespace violetwing
+
+#endif  // VIOLETWING_CONTROL_GROUP_HPP_
--- /dev/null
+++ b/src/control/instances/departures.cpp
@@ -0,0 +1,37 @@
+#include "departures.hpp"
+
+#include <algorithm>
+
+namespace violetwing {
+namespace {
+
+// Ids are never used again, and heartbeats are late by seconds: the oldest need not be known for ever.
+constexpr std::size_t kMostKept = 4000;
+
+}  // namespace
+
+void Departures::Apply(const std::string& id, Phase phase) {
+  const auto [it, fresh] = phases_.try_emplace(id, phase);
+  it->second = std::max(it->second, phase);
+  if (!fresh) return;
+  order_.push_back(id);
+  if (order_.size() <= kMostKept) return;
+  phases_.erase(order_.front());
+  order_.pop_front();
+}
+
+std::optional<Phase> Departures::Find(const std::string& id) const {
+  const auto it = phases_.find(id);
+  if (it == phases_.end()) return std::nullopt;
+  return it->second;
+}
+
+std::string Departures::Save() const { return nlohmann::json{{"phases", phases_}, {"order", order_}}.dump(); }
+
+void Departures::Load(const std::string& saved) {
+  const nlohmann::json in = nlohmann::json::parse(saved);
+  in.at("phases").get_to(phases_);
+  in.at("order").get_to(order_);
+}
+
+}  // namespace violetwing
--- /dev/null
+++ b/src/dataplane/chooser.cpp
@@ -0,0 +1,173 @@
+#include "chooser.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace violetwing {
+namespace {
+
+// Servers in a window at most: enough to choose from, and few enough that each keeps its connections and
+// caches.
+constexpr std::size_t kWindow = 8;
+constexpr int kDraws = 8;
+// After so many failures in a row a server is ejected, first for so long, then twice that and so on.
+constexpr int kFailuresToEject = 3;
+constexpr Chooser::Micros kEjectBase = 500'000;
+constexpr Chooser::Micros kEjectMost = 8'000'000;
+// A server that said that it is full is passed over for so long, if another one is there.
+constexpr Chooser::Micros kFullFor = 150'000;
+// One that did not hold what was asked of it is not asked for that again for so long.
+constexpr Chooser::Micros kLacksFor = 1'500'000;
+// What a server told of its load is worth half after so long.
+constexpr double kLoadHalfLife = 300'000;
+// A server that has answered nothing for so long is the last to be taken.
+constexpr Chooser::Micros kSilentFor = 1'200'000;
+// Tokens of a prompt that weigh as much as one request that runs: reading them holds up all that run beside
+// them.
+constexpr double kTokensPerRequest = 3000;
+// The share of a server's memory that this sidecar's guess of its cache may fill.
+constexpr double kCacheTokens = 150'000;
+
+std::string WeightsKey(const Chooser::Wish& wish) {
+  return wish.adapter.empty() ? wish.model : wish.model + "/" + wish.adapter;
+}
+
+}  // namespace
+
+std::size_t WindowOffset(int number, int sidecars, std::size_t ring) {
+  if (ring == 0 || sidecars <= 0) return 0;
+  return static_cast<std::size_t>(number) * ring / static_cast<std::size_t>(sidecars) % ring;
+}
+
+bool Chooser::Usable(const Server& server, const Wish& wish, Micros now) const {
+  if (now < server.ejected_until) return false;
+  const auto lacks = server.lacks_until.find(WeightsKey(wish));
+  return lacks == server.lacks_until.end() || now >= lacks->second;
+}
+
+double Chooser::Cost(const Server& server, const Instance& instance, const Wish& wish, Micros now) const {
+  const double age = static_cast<double>(now - server.load_at);
+  const double others = server.load_at == 0
+                            ? 0
+                            : std::max(0, server.load.running + 2 * server.load.waiting - server.in_flight) *
+                                  std::exp2(-age / kLoadHalfLife);
+  double cost = server.in_flight + others;
+  cost *= 8.0 / std::max(1, std::min(instance.capacity, 8));  // a place of a small server weighs more
+  if (now < server.full_until) cost += 100;
+  if (server.silent_since > 0 && now - server.silent_since > kSilentFor) cost += 1000;
+  if (wish.parts != nullptr && wish.tokens > 0)
+    cost += (wish.tokens - server.cache.CachedTokens(WeightsKey(wish), *wish.parts)) / kTokensPerRequest;
+  return cost;
+}
+
+const Instance* Chooser::Choose(const std::vector<const Instance*>& candidates, const Directory& directory,
+                                const Wish& wish, Micros now) {
+  const std::size_t ring = candidates.size();
+  if (ring == 0) return nullptr;
+  const std::size_t width = std::min(ring, kWindow);
+  const std::size_t offset = WindowOffset(directory.number(), directory.sidecars(), ring);
+  const auto at = [&](std::size_t i) { return candidates[(offset + i) % ring]; };
+  const auto usable = [&](const Instance& instance) {
+    if (std::find(wish.tried.begin(), wish.tried.end(), instance.id) != wish.tried.end()) return false;
+    return Usable(servers_[instance.id], wish, now);
+  };
+  const Instance* best = nullptr;
+  double least = 0;
+  const auto weigh = [&](const Instance* instance) {
+    const double cost = Cost(servers_[instance->id], *instance, wish, now);
+    if (best != nullptr && cost >= least) return;
+    best = instance;
+    least = cost;
+  };
+  // Prompts whose parts are kept somewhere in the window go by that; all others by two random draws.
+  if (wish.parts != nullptr && !wish.parts->empty()) {
+    for (std::size_t i = 0; i < width; ++i)
+      if (usable(*at(i))) weigh(at(i));
+    if (best != nullptr) return best;
+  }
+  int found = 0;
+  for (int draw = 0; draw < kDraws && found < 2; ++draw) {
+    const Instance* instance = at(random_.Below(width));
+    if (instance == best || !usable(*instance)) continue;
+    ++found;
+    weigh(instance);
+  }
+  if (best != nullptr) return best;
+  // Outside the window rather than nowhere, and an ejected server rather than none.
+  for (std::size_t i = 0; i < ring; ++i)
+    if (usable(*at(i))) weigh(at(i));
+  if (best != nullptr) return best;
+  for (std::size_t i = 0; i < ring; ++i) {
+    const Instance* instance = at(i);
+    const bool tried = std::find(wish.tried.begin(), wish.tried.end(), instance->id) != wish.tried.end();
+    const Server& server = servers_[instance->id];
+    if (!tried && server.lacks_until.count(WeightsKey(wish)) == 0) weigh(instance);
+  }
+  return best;
+}
+
+void Chooser::OnSent(const std::string& id, const Wish& wish, Micros now) {
+  Server& server = servers_[id];
+  ++server.in_flight;
+  ++server.sent_since_load;
+  if (server.silent++ == 0) server.silent_since = now;
+  if (wish.parts != nullptr) server.cache.Insert(WeightsKey(wish), *wish.parts, kCacheTokens);
+}
+
+void Chooser::OnLoad(const std::string& id, const ServerLoad& load, Micros now) {
+  Server& server = servers_[id];
+  server.load = load;
+  server.load_at = now;
+  server.sent_since_load = 0;
+}
+
+void Chooser::OnFirstByte(const std::string& id, Micros now) {
+  Server& server = servers_[id];
+  server.silent = std::max(0, server.silent - 1);
+  server.silent_since = server.silent > 0 ? now : 0;
+}
+
+void Chooser::OnEnd(const std::string& id, AttemptResult result, const Wish& wish, bool answered,
+                    Micros now) {
+  Server& server = servers_[id];
+  if (!answered && server.silent > 0 && --server.silent == 0) server.silent_since = 0;
+  server.in_flight = std::max(0, server.in_flight - 1);
+  switch (result) {
+    case AttemptResult::kServed:
+      server.failures = 0;
+      server.ejected_until = 0;
+      return;
+    case AttemptResult::kRefused:
+      server.full_until = now + kFullFor;
+      return;
+    case AttemptResult::kWrongServer:
+      server.lacks_until[WeightsKey(wish)] = now + kLacksFor;
+      return;
+    case AttemptResult::kUnreachable:
+    case AttemptResult::kBroken:
+    case AttemptResult::kSilent:
+    case AttemptResult::kError: {
+      server.cache.Clear();
+      const int extra = ++server.failures - (result == AttemptResult::kUnreachable ? 1 : kFailuresToEject);
+      if (extra < 0) return;
+      const Micros wait = std::min(kEjectMost, kEjectBase << std::min(extra, 5));
+      server.ejected_until = now + wait;
+      return;
+    }
+    case AttemptResult::kCancelled:
+      return;
+  }
+}
+
+void Chooser::Keep(const Directory& directory) {
+  std::erase_if(servers_, [&](const auto& entry) {
+    return entry.second.in_flight == 0 && directory.Find(entry.first) == nullptr;
+  });
+}
+
+int Chooser::InFlight(const std::string& id) const {
+  const auto it = servers_.find(id);
+  return it == servers_.end() ? 0 : it->second.in_flight;
+}
+
+}  // namespace violetwing
--- /dev/null
+++ b/src/dataplane/chooser.hpp
@@ -0,0 +1,93 @@
+// Which server a request goes to. The servers that may take it stand on a ring in the order of their ids; a
+// sidecar uses a run of consecutive ones, its window, that begins at an offset set by its number. Of two
+// random servers of the window the less busy one is taken, by the requests that this sidecar has there and by
+// what the server told last of its load. A server that holds the first parts of the prompt counts as less
+// busy by what that saves. A core: it holds no clock, socket, file or thread.
+#ifndef VIOLETWING_DATAPLANE_CHOOSER_HPP_
+#define VIOLETWING_DATAPLANE_CHOOSER_HPP_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "common/random.hpp"
+#include "dataplane/directory.hpp"
+#include "dataplane/prefix_cache.hpp"
+
+namespace violetwing {
+
+// What a server told in X-Violetwing-Server-Load.
+struct ServerLoad {
+  int running = 0;
+  int waiting = 0;
+  int slots = 0;
+};
+
+enum class AttemptResult {
+  kServed,       // a whole answer of a server that works
+  kRefused,      // not run: the server is full
+  kWrongServer,  // not run: another server, or one without the model
+  kUnreachable,  // not run: no connection came up
+  kBroken,       // may have run: reset, closed, or not an answer
+  kError,        // run, and failed
+  kSilent,       // may have run: given up here after a long time without a byte
+  kCancelled,    // may have run: given up here for another reason
+};
+
+class Chooser {
+ public:
+  using Micros = std::int64_t;
+
+  explicit Chooser(std::uint64_t seed) : random_(seed) {}
+
+  struct Wish {
+    std::string model;  // empty for plain services
+    std::string adapter;
+    const std::vector<PromptPart>* parts = nullptr;
+    double tokens = 0;               // of the whole prompt
+    std::vector<std::string> tried;  // ids that this request has been sent to
+  };
+
+  // Null if no server of `candidates` may take it now. They are sorted by id.
+  const Instance* Choose(const std::vector<const Instance*>& candidates, const Directory& directory,
+                         const Wish& wish, Micros now);
+
+  void OnSent(const std::string& id, const Wish& wish, Micros now);
+  void OnLoad(const std::string& id, const ServerLoad& load, Micros now);
+  void OnFirstByte(const std::string& id, Micros now);
+  // `answered`: a first byte has come.
+  void OnEnd(const std::string& id, AttemptResult result, const Wish& wish, bool answered, Micros now);
+  // Forgets servers that are no longer there.
+  void Keep(const Directory& directory);
+
+  int InFlight(const std::string& id) const;
+
+ private:
+  struct Server {
+    int in_flight = 0;
+    int silent = 0;           // of these, without a first byte yet
+    Micros silent_since = 0;  // since which all that was asked is without an answer; 0 if none is
+    ServerLoad load;
+    Micros load_at = 0;
+    int sent_since_load = 0;
+    int failures = 0;  // in a row
+    Micros ejected_until = 0;
+    Micros full_until = 0;
+    std::map<std::string, Micros> lacks_until;  // model or model/adapter that it turned out not to hold
+    PrefixCache cache;
+  };
+
+  bool Usable(const Server& server, const Wish& wish, Micros now) const;
+  double Cost(const Server& server, const Instance& instance, const Wish& wish, Micros now) const;
+
+  Random random_;
+  std::map<std::string, Server> servers_;
+};
+
+// Where a window begins: the numbers are spread evenly over the ring.
+std::size_t WindowOffset(int number, int sidecars, std::size_t ring);
+
+}  // namespace violetwing
+
+#endif  // VIOLETWING_DATAPLANE_CHOOSER_HPP_
--- /dev/null
+++ b/src/dataplane/directory.hpp
@@ -0,0 +1,64 @@
+// What a sidecar knows of the system at one time: the configuration, the servers and its own number.
+// Immutable: a change makes a new one, which is swapped in whole.
+#ifndef VIOLETWING_DATAPLANE_DIRECTORY_HPP_
+#define VIOLETWING_DATAPLANE_DIRECTORY_HPP_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "control/configuration/reader.hpp"
+#include "messages/instances.hpp"
+
+namespace violetwing {
+
+// Routes by host and path.
+class RouteTable {
+ public:
+  RouteTable() = default;
+  explicit RouteTable(const configuration::Configuration& configuration);
+  // The route of that host whose prefix begins the path and is longest; null if there is none. A port in the
+  // host is passed over; letters of either case are the same in it.
+  const configuration::Route* Match(std::string_view host, std::string_view path) const;
+
+ private:
+  // By host, the longest prefixes first.
+  std::map<std::string, std::vector<const configuration::Route*>, std::less<>> by_host_;
+};
+
+class Directory {
+ public:
+  Directory() = default;
+  Directory(std::shared_ptr<const configuration::Configuration> configuration,
+            const std::map<std::string, Instance>& instances, int number, int sidecars);
+
+  bool HasConfiguration() const { return configuration_ != nullptr; }
+  std::int64_t version() const { return configuration_ == nullptr ? 0 : configuration_->version; }
+  const configuration::Limits& limits() const;
+  const RouteTable& routes() const { return routes_; }
+  const configuration::Backend* FindBackend(const std::string& name) const;
+  // Servers of a service that take requests, sorted by id. They live as long as this directory.
+  const std::vector<const Instance*>& Servers(const std::string& backend) const;
+  // Of these, those that hold a model, and the adapter of it unless that is empty.
+  std::vector<const Instance*> Holders(const std::string& backend, const std::string& model,
+                                       const std::string& adapter) const;
+  const Instance* Find(const std::string& id) const;
+  int number() const { return number_; }
+  int sidecars() const { return sidecars_; }
+
+ private:
+  std::shared_ptr<const configuration::Configuration> configuration_;
+  RouteTable routes_;
+  std::map<std::string, Instance> instances_;
+  std::map<std::string, std::vector<const Instance*>> servers_;
+  int number_ = 0;
+  int sidecars_ = 1;
+};
+
+using DirectoryPtr = std::shared_ptr<const Directory>;
+
+}  // namespace violetwing
+
+#endif  // VIOLETWING_DATAPLANE_DIRECTORY_HPP_
--- /dev/null
+++ b/src/dataplane/edge.cpp
@@ -0,0 +1,120 @@
+#include "edge.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace violetwing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds kTick{500};
+// The platform asks every second, and passes no more connections after two misses.
+constexpr milliseconds kUnreadySeen{2600};
+constexpr milliseconds kLastLook{20};
+// What is left of the grace period for the end itself.
+constexpr milliseconds kBeforeKill{400};
+
+std::uint64_t Seed() { return (std::uint64_t{std::random_device()()} << 32U) | std::random_device()(); }
+
+Micros NowMicros() {
+  return std::chrono::duration_cast<std::chrono::microseconds>(steady_clock::now().time_since_epoch())
+      .count();
+}
+
+}  // namespace
+
+EdgeService::EdgeService(boost::asio::io_context& io, NodeSettings settings)
+    : io_(io),
+      settings_(std::move(settings)),
+      plane_{io,
+             std::make_shared<const Directory>(),
+             Chooser(Seed()),
+             RetryBudget(settings_.retry_ratio, settings_.retry_slack, settings_.retry_window_s, NowMicros()),
+             UpstreamPool(io),
+             Random(Seed()),
+             nullptr,
+             {}},
+      ingress_(io,
+               [this](const ClientPtr& client, ClientRequest request) {
+                 std::make_shared<Forwarder>(plane_, client, std::move(request))->Start();
+               }),
+      readiness_(io, [this](const ClientPtr& client,
+                            const ClientRequest& request) { OnReadiness(client, request); }),
+      link_(io, settings_, [this](DirectoryPtr directory) { OnDirectory(std::move(directory)); }),
+      tick_(io),
+      stop_(io) {
+  plane_.link = &link_;
+}
+
+std::error_code EdgeService::Start(std::string& problem) {
+  for (const std::string& address : {settings_.ingress, settings_.readiness}) {
+    Ingress& listener = address == settings_.ingress ? ingress_ : readiness_;
+    if (const std::error_code error = listener.Listen(address)) {
+      problem = "cannot listen on " + address + ": " + error.message();
+      return error;
+    }
+  }
+  link_.Start();
+  Tick();
+  spdlog::info("sidecar {} takes requests at {}", settings_.node_name, settings_.ingress);
+  return {};
+}
+
+void EdgeService::OnDirectory(DirectoryPtr directory) {
+  plane_.directory = std::move(directory);
+  ingress_.SetLimits(plane_.directory->limits());
+  const auto waiting = plane_.waiting;
+  for (const auto& forwarder : waiting) forwarder->OnDirectory();
+}
+
+bool EdgeService::Ready() const { return !stopping_ && plane_.directory->HasConfiguration(); }
+
+void EdgeService::OnReadiness(const ClientPtr& client, const ClientRequest& request) const {
+  if (request.target != "/api/readyz") return client->Answer(404, "Not Found", {}, "");
+  if (Ready()) return client->Answer(200, "OK", {}, "ready\n");
+  client->Answer(503, "Service Unavailable", {}, "not ready\n");
+}
+
+void EdgeService::Tick() {
+  plane_.chooser.Keep(*plane_.directory);
+  plane_.pool.Keep([this](const std::string& id) {
+    const Instance* instance = plane_.directory->Find(id);
+    return instance != nullptr && instance->phase != Phase::kGone;
+  });
+  tick_.expires_after(kTick);
+  tick_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) Tick();
+  });
+}
+
+void EdgeService::Stop() {
+  if (std::exchange(stopping_, true)) return;
+  spdlog::info("sidecar {} stops", settings_.node_name);
+  ingress_.SetClosing();
+  end_by_ = steady_clock::now() + milliseconds(settings_.grace_ms) - kBeforeKill;
+  stop_.expires_after(std::min(kUnreadySeen, milliseconds(settings_.grace_ms / 2)));
+  stop_.async_wait([this](const boost::system::error_code& error) {
+    if (error) return;
+    ingress_.StopListening();
+    AwaitLast();
+  });
+}
+
+void EdgeService::AwaitLast() {
+  if (ingress_.busy() == 0 || steady_clock::now() >= end_by_) {
+    link_.Stop();
+    io_.stop();
+    return;
+  }
+  stop_.expires_after(kLastLook);
+  stop_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) AwaitLast();
+  });
+}
+
+}  // namespace violetwing
--- /dev/null
+++ b/src/dataplane/forwarder.cpp
@@ -0,0 +1,355 @@
+#include "forwarder.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+namespace violetwing {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+// Answers are given up so long before the client gives up, so that it has them in time.
+constexpr milliseconds kMargin{15};
+// A request whose first byte has not come after so long tells of its server when it is given up.
+constexpr milliseconds kSilentAfter{1500};
+// Bytes that a client may be behind before its server is read no further.
+constexpr std::size_t kMostUnsent = 256 * 1024;
+// Requests that wait for a model, beyond the time that its load takes.
+constexpr double kHoldSlackMs = 900;
+// The share of a request's time for which it is held without a server.
+constexpr double kHoldShare = 0.45;
+// Servers that are tried one after the other when none of them takes a connection.
+constexpr int kMostUnreachable = 3;
+constexpr double kRetryAfterLeastS = 0.05;
+constexpr double kRetryAfterSpreadS = 0.2;
+// A token that is put out takes as long as so many that are read.
+constexpr double kReadPerPutOut = 10;
+
+ServerLoad ParseLoad(const std::string& text) {
+  ServerLoad load;
+  std::sscanf(text.c_str(), "%d,%d,%d", &load.running, &load.waiting, &load.slots);
+  return load;
+}
+
+bool Promises(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
+
+}  // namespace
+
+Forwarder::Forwarder(DataPlane& plane, ClientPtr client, ClientRequest request)
+    : plane_(plane),
+      client_(std::move(client)),
+      request_(std::move(request)),
+      directory_(plane.directory),
+      deadline_timer_(plane.io),
+      pause_(plane.io) {}
+
+Micros Forwarder::NowMicros() { return duration_cast<microseconds>(Clock::now().time_since_epoch()).count(); }
+
+std::int64_t Forwarder::LeftMs() const {
+  return duration_cast<milliseconds>(deadline_ - Clock::now()).count();
+}
+
+void Forwarder::Start() {
+  client_->on_gone = [self = shared_from_this()] { self->OnClientGone(); };
+  if (!directory_->HasConfiguration()) return Refuse("no configuration yet");
+  if (!FindRoute()) return Fail(404, "Not Found", "no route");
+  double left = std::min(ParseNumber(FindField(request_.fields, field::kDeadline), route_->timeout_ms),
+                         route_->timeout_ms);
+  if (!(left > 0)) left = 0;
+  deadline_ = request_.arrived + microseconds(static_cast<std::int64_t>(left * 1000)) - kMargin;
+  deadline_timer_.expires_at(deadline_);
+  deadline_timer_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
+    if (!error) self->OnDeadline();
+  });
+  backend_ = PickBackend();
+  if (backend_ == nullptr) return Refuse("no service");
+  ReadWish();
+  plane_.budget.OnRequest(backend_->name, NowMicros());
+  Dispatch();
+}
+
+bool Forwarder::FindRoute() {
+  route_ = directory_->routes().Match(request_.host, request_.target);
+  return route_ != nullptr;
+}
+
+const configuration::Backend* Forwarder::PickBackend() {
+  double sum = 0;
+  for (const configuration::Share& share : route_->shares) sum += share.weight;
+  double at = plane_.random.Uniform() * sum;
+  const configuration::Share* picked = nullptr;
+  for (const configuration::Share& share : route_->shares) {
+    if (share.weight <= 0) continue;
+    picked = &share;
+    at -= share.weight;
+    if (at < 0) break;
+  }
+  return picked == nullptr ? nullptr : directory_->FindBackend(picked->backend);
+}
+
+void Forwarder::ReadWish() {
+  if (const std::string* id = FindField(request_.fields, field::kRequestId)) request_id_ = *id;
+  if (backend_->runtime == nullptr) return;
+  if (const std::string* model = FindField(request_.fields, field::kModel)) {
+    const std::size_t slash = model->find('/');
+    wish_.model = model->substr(0, slash);
+    if (slash != std::string::npos) wish_.adapter = model->substr(slash + 1);
+  }
+  double prompt = 0;
+  double most_out = 0;
+  if (const std::string* count = FindField(request_.fields, field::kTokenCount))
+    std::sscanf(count->c_str(), "%lf,%lf", &prompt, &most_out);
+  tokens_ = prompt + kReadPerPutOut * most_out;
+  wish_.tokens = prompt;
+  if (const std::string* parts = FindField(request_.fields, field::kPromptPrefix)) {
+    parts_ = ParsePromptParts(*parts);
+    wish_.parts = &parts_;
+  }
+}
+
+void Forwarder::CountDemand(bool waiting) {
+  if (wish_.model.empty() || plane_.link == nullptr) return;
+  ModelDemand demand;
+  demand.backend = backend_->name;
+  demand.model = wish_.adapter.empty() ? wish_.model : wish_.model + "/" + wish_.adapter;
+  if (!std::exchange(demanded_, true)) {
+    demand.requests = 1;
+    demand.tokens = tokens_;
+  }
+  demand.waiting = waiting ? 1 : 0;
+  plane_.link->CountDemand(demand, waiting);
+}
+
+// ---- Attempts ----
+
+void Forwarder::Dispatch() {
+  if (over_) return;
+  const DirectoryPtr now = plane_.directory;
+  const bool models = backend_->runtime != nullptr && !wish_.model.empty();
+  const std::vector<const Instance*> candidates =
+      models ? now->Holders(backend_->name, wish_.model, wish_.adapter) : now->Servers(backend_->name);
+  const Instance* instance = plane_.chooser.Choose(candidates, *now, wish_, NowMicros());
+  if (instance == nullptr) {
+    if (models && !now->Servers(backend_->name).empty()) return Hold();
+    return Refuse("no server");
+  }
+  CountDemand(false);
+  plane_.waiting.erase(shared_from_this());
+  Send(*instance);
+}
+
+// Waits until a server has the model: the placer is told, and a new directory tells when it is there.
+void Forwarder::Hold() {
+  if (std::exchange(held_, true)) {
+    plane_.waiting.insert(shared_from_this());
+    return;
+  }
+  double load_ms = -1;
+  for (const configuration::Model& model : backend_->runtime->models)
+    if (model.name == wish_.model) load_ms = model.load_time_s * 1000;
+  if (load_ms < 0) return Refuse("no such model");
+  CountDemand(true);
+  const double left = static_cast<double>(LeftMs());
+  const double hold = std::min(load_ms * 1.5 + kHoldSlackMs, left * kHoldShare);
+  if (wish_.adapter.empty() && hold < load_ms)
+    return Refuse("no server has the model, and its load takes too long");
+  plane_.waiting.insert(shared_from_this());
+  pause_.expires_after(microseconds(static_cast<std::int64_t>(hold * 1000)));
+  pause_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
+    if (!error && self->exchange_ == nullptr) self->Refuse("no server has the model yet");
+  });
+}
+
+void Forwarder::OnDirectory() {
+  if (!over_ && exchange_ == nullptr) Dispatch();
+}
+
+std::string Forwarder::RequestText(const Instance& instance) const {
+  std::string text;
+  text.reserve(request_.body.size() + 1024);
+  text += request_.method + " " + request_.target + " HTTP/1.1\r\n";
+  for (const Field& one : request_.fields) {
+    if (SameName(one.name, field::kDeadline) || SameName(one.name, field::kExpectedInstance) ||
+        SameName(one.name, "Expect"))
+      continue;
+    AppendField(text, one.name, one.value);
+  }
+  AppendField(text, field::kDeadline, std::to_string(std::max<std::int64_t>(LeftMs(), 1)));
+  AppendField(text, field::kExpectedInstance, instance.id);
+  if (request_.has_length || !request_.body.empty())
+    AppendField(text, "Content-Length", std::to_string(request_.body.size()));
+  text += "\r\n";
+  text += request_.body;
+  return text;
+}
+
+void Forwarder::Send(const Instance& instance) {
+  pause_.cancel();
+  server_ = instance.id;
+  sent_at_ = Clock::now();
+  answered_ = refused_ = false;
+  ++attempts_;
+  wish_.tried.push_back(instance.id);
+  plane_.chooser.OnSent(server_, wish_, NowMicros());
+  UpstreamExchange::Request request;
+  request.instance = instance.id;
+  request.address = instance.address;
+  request.request_id = request_id_;
+  request.text = RequestText(instance);
+  request.head_only = request_.method == "HEAD";
+  UpstreamExchange::Events events;
+  events.on_head = [self = shared_from_this()](const AnswerHead& head) { self->OnHead(head); };
+  events.on_data = [self = shared_from_this()](std::string_view piece) { self->OnData(piece); };
+  events.on_end = [self = shared_from_this()](ExchangeEnd end) { self->OnEnd(end); };
+  exchange_ = plane_.pool.Start(std::move(request), std::move(events));
+}
+
+void Forwarder::OnHead(const AnswerHead& head) {
+  const Micros now = NowMicros();
+  if (const std::string* load = FindField(head.fields, field::kServerLoad))
+    plane_.chooser.OnLoad(server_, ParseLoad(*load), now);
+  if (!std::exchange(answered_, true)) plane_.chooser.OnFirstByte(server_, now);
+  const bool not_run = FindField(head.fields, field::kNotExecuted) != nullptr || head.status == 421;
+  if (not_run && Promises(head.status)) {
+    refused_ = true;  // decided once its answer is read, so that its connection can serve again
+    if (head.status == 421) wish_.tried.clear();
+    return;
+  }
+  may_have_run_ = true;
+  if (Promises(head.status) && !Repeatable()) {
+    // It says nothing of not having run: passed on, its status would promise the client just that.
+    exchange_->Cancel();
+    EndAttempt(AttemptResult::kError);
+    return Fail(502, "Bad Gateway", "the server failed");
+  }
+  client_->on_drained = [self = shared_from_this()] {
+    if (self->exchange_ != nullptr) self->exchange_->Resume();
+  };
+  client_->SendHead(head.status, head.reason, head.fields, head.length, head.bodiless);
+}
+
+void Forwarder::OnData(std::string_view piece) {
+  if (refused_ || over_) return;
+  client_->SendData(piece);
+  if (client_->unsent() > kMostUnsent && exchange_ != nullptr) exchange_->Pause();
+}
+
+void Forwarder::EndAttempt(AttemptResult result) {
+  exchange_.reset();
+  plane_.chooser.OnEnd(server_, result, wish_, answered_, NowMicros());
+}
+
+void Forwarder::OnEnd(ExchangeEnd end) {
+  if (over_) return;
+  switch (end) {
+    case ExchangeEnd::kUnreachable:
+      EndAttempt(AttemptResult::kUnreachable);
+      --attempts_;
+      ++unreachable_;
+      return RetryOrRefuse();
+    case ExchangeEnd::kWhole:
+      if (refused_) {
+        const bool wrong = wish_.tried.empty();
+        EndAttempt(wrong ? AttemptResult::kWrongServer : AttemptResult::kRefused);
+        ++refusals_;
+        return RetryOrRefuse();
+      }
+      EndAttempt(AttemptResult::kServed);
+      client_->Finish();
+      return End();
+    case ExchangeEnd::kBroken:
+      if (refused_) {  // its head has said that it was not run
+        EndAttempt(AttemptResult::kRefused);
+        ++refusals_;
+        return RetryOrRefuse();
+      }
+      may_have_run_ = true;
+      EndAttempt(AttemptResult::kBroken);
+      if (client_->head_sent()) {
+        client_->Abort();
+        return End();
+      }
+      return RetryOrFail();
+  }
+}
+
+// Waits as the design has it, if another attempt is allowed and can come in time.
+bool Forwarder::WaitToRetry(bool arrived) {
+  const int most = std::min(kMostAttempts, route_->max_attempts);
+  if (attempts_ >= most || unreachable_ >= kMostUnreachable) return false;
+  const Micros wait = RetryWait(refusals_, plane_.random);
+  if (wait / 1000 + 5 >= LeftMs()) return false;
+  if (arrived && !plane_.budget.Spend(backend_->name, plane_.directory->sidecars(), NowMicros()))
+    return false;
+  pause_.expires_after(microseconds(wait));
+  pause_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
+    if (!error) self->Dispatch();
+  });
+  return true;
+}
+
+void Forwarder::RetryOrRefuse() {
+  if (may_have_run_ && !Repeatable()) return Fail(502, "Bad Gateway", "the server failed");
+  if (!WaitToRetry(attempts_ > 0)) Refuse("no server has taken it");
+}
+
+void Forwarder::RetryOrFail() {
+  if (!Repeatable() || !WaitToRetry(true)) Fail(502, "Bad Gateway", "the server failed");
+}
+
+// ---- Final answers ----
+
+void Forwarder::Refuse(const char* why) {
+  if (may_have_run_ && route_ != nullptr && !Repeatable()) return Fail(502, "Bad Gateway", why);
+  char seconds[32];
+  std::snprintf(seconds, sizeof seconds, "%.3f",
+                kRetryAfterLeastS + kRetryAfterSpreadS * plane_.random.Uniform());
+  client_->Answer(503, "Service Unavailable", {{"Retry-After", seconds}}, std::string(why) + "\n");
+  End();
+}
+
+void Forwarder::Fail(int status, const char* reason, const char* why) {
+  client_->Answer(status, reason, {}, std::string(why) + "\n");
+  End();
+}
+
+void Forwarder::OnDeadline() {
+  if (over_) return;
+  const bool sent = exchange_ != nullptr && exchange_->sent();
+  if (exchange_ != nullptr) {
+    exchange_->Cancel();
+    const bool silent = !answered_ && Clock::now() - sent_at_ > kSilentAfter;
+    EndAttempt(silent ? AttemptResult::kSilent : AttemptResult::kCancelled);
+  }
+  if (client_->head_sent()) {
+    client_->Abort();
+    return End();
+  }
+  may_have_run_ = may_have_run_ || sent;
+  if (may_have_run_) return Fail(504, "Gateway Timeout", "no answer in time");
+  Refuse("no server had room in time");
+}
+
+void Forwarder::OnClientGone() {
+  if (over_) return;
+  if (exchange_ != nullptr) {
+    exchange_->Cancel();
+    const bool silent = !answered_ && Clock::now() - sent_at_ > kSilentAfter;
+    EndAttempt(silent ? AttemptResult::kSilent : AttemptResult::kCancelled);
+  }
+  End();
+}
+
+void Forwarder::End() {
+  if (std::exchange(over_, true)) return;
+  deadline_timer_.cancel();
+  pause_.cancel();
+  plane_.waiting.erase(shared_from_this());
+  client_->on_gone = nullptr;
+  client_->on_drained = nullptr;
+}
+
+}  // namespace violetwing
--- /dev/null
+++ b/src/dataplane/http_text.cpp
@@ -0,0 +1,54 @@
+#include "http_text.hpp"
+
+#include <algorithm>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <charconv>
+
+namespace violetwing {
+namespace {
+
+constexpr std::string_view kOfConnection[] = {
+    "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding",
+    "TE",         "Trailer",    "Upgrade",          "Content-Length"};
+
+}  // namespace
+
+bool SameName(std::string_view a, std::string_view b) {
+  return boost::beast::iequals({a.data(), a.size()}, {b.data(), b.size()});
+}
+
+const std::string* FindField(const FieldList& fields, std::string_view name) {
+  for (const Field& field : fields)
+    if (SameName(field.name, name)) return &field.value;
+  return nullptr;
+}
+
+FieldList EndToEnd(const boost::beast::http::fields& fields) {
+  std::vector<std::string> named;
+  const auto [begin, end] = fields.equal_range(boost::beast::http::field::connection);
+  for (auto it = begin; it != end; ++it)
+    for (const auto token : boost::beast::http::token_list(it->value())) named.emplace_back(token);
+  FieldList out;
+  for (const auto& field : fields) {
+    const std::string_view name(field.name_string().data(), field.name_string().size());
+    const auto same = [&](std::string_view other) { return SameName(name, other); };
+    if (std::any_of(std::begin(kOfConnection), std::end(kOfConnection), same)) continue;
+    if (std::any_of(named.begin(), named.end(), same)) continue;
+    out.push_back({std::string(name), std::string(field.value().data(), field.value().size())});
+  }
+  return out;
+}
+
+double ParseNumber(const std::string* text, double otherwise) {
+  if (text == nullptr) return otherwise;
+  double out = 0;
+  const auto [end, error] = std::from_chars(text->data(), text->data() + text->size(), out);
+  return error == std::errc() && end == text->data() + text->size() ? out : otherwise;
+}
+
+void AppendField(std::string& head, std::string_view name, std::string_view value) {
+  head.append(name).append(": ").append(value).append("\r\n");
+}
+
+}  // namespace violetwing
--- /dev/null
+++ b/src/dataplane/ingress.cpp
@@ -0,0 +1,272 @@
+#include "ingress.hpp"
+
+#include <boost/asio/write.hpp>
+#include <cstdio>
+#include <utility>
+
+#include "common/http_client.hpp"
+
+namespace violetwing {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+// A body that has not come by then will not.
+constexpr milliseconds kBodyWithin{20'000};
+// A client that takes nothing of its answer for so long is gone.
+constexpr milliseconds kWriteWithin{20'000};
+constexpr milliseconds kAcceptPause{50};
+
+milliseconds ToMilliseconds(double ms) { return milliseconds(static_cast<long>(ms)); }
+
+}  // namespace
+
+ClientConnection::ClientConnection(Ingress& ingress, Tcp::socket socket)
+    : ingress_(ingress), socket_(std::move(socket)), limit_(socket_.get_executor()) {}
+
+void ClientConnection::Start() {
+  ErrorCode ignored;
+  socket_.set_option(Tcp::no_delay(true), ignored);
+  AwaitRequest();
+}
+
+void ClientConnection::LimitTime(milliseconds time) {
+  limit_.expires_after(time);
+  limit_.async_wait([self = shared_from_this(), phase = phase_](ErrorCode error) {
+    if (error || self->closed_ || self->phase_ != phase) return;
+    if (phase == Phase::kHead) return self->RejectAndClose(http::error::end_of_stream);
+    self->Close();
+  });
+}
+
+void ClientConnection::AwaitRequest() {
+  if (closed_) return;
+  phase_ = Phase::kIdle;
+  if (buffer_.size() > 0) return ReadHead();
+  LimitTime(ToMilliseconds(ingress_.limits_.idle_timeout_ms));
+  socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](ErrorCode error) {
+    if (self->closed_) return;
+    if (error) return self->Close();
+    self->ReadHead();
+  });
+}
+
+void ClientConnection::ReadHead() {
+  phase_ = Phase::kHead;
+  ++ingress_.busy_;
+  LimitTime(ToMilliseconds(ingress_.limits_.header_timeout_ms));
+  parser_ = std::make_unique<Parser>();
+  parser_->header_limit(static_cast<std::uint32_t>(ingress_.limits_.max_header_bytes));
+  parser_->body_limit(static_cast<std::uint64_t>(ingress_.limits_.max_body_bytes));
+  http::async_read_header(socket_, buffer_, *parser_,
+                          [self = shared_from_this()](ErrorCode error, std::size_t) {
+                            if (self->closed_) return;
+                            if (error) return self->RejectAndClose(error);
+                            self->ReadBody();
+                          });
+}
+
+void ClientConnection::ReadBody() {
+  phase_ = Phase::kBody;
+  LimitTime(kBodyWithin);
+  if (beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
+    out_ += "HTTP/1.1 100 Continue\r\n\r\n";
+    Write();
+  }
+  if (parser_->is_done()) return OnRequest();
+  http::async_read(socket_, buffer_, *parser_, [self = shared_from_this()](ErrorCode error, std::size_t) {
+    if (self->closed_) return;
+    if (error) return self->RejectAndClose(error);
+    self->OnRequest();
+  });
+}
+
+void ClientConnection::RejectAndClose(ErrorCode error) {
+  const bool left = error == http::error::end_of_stream && phase_ == Phase::kHead && buffer_.size() == 0;
+  const bool broken = error == asio::error::connection_reset || error == asio::error::eof ||
+                      error == http::error::partial_message || error == asio::error::operation_aborted;
+  if (left || broken) return Close();
+  phase_ = Phase::kAnswering;
+  head_sent_ = finished_ = false;
+  keep_ = false;
+  if (error == http::error::header_limit) return Answer(431, "Request Header Fields Too Large", {}, "");
+  if (error == http::error::body_limit) return Answer(413, "Content Too Large", {}, "");
+  if (error == http::error::end_of_stream) return Answer(408, "Request Timeout", {}, "");
+  Answer(400, "Bad Request", {}, "");
+}
+
+void ClientConnection::OnRequest() {
+  limit_.cancel();
+  phase_ = Phase::kAnswering;
+  head_sent_ = finished_ = chunked_ = false;
+  auto& message = parser_->get();
+  keep_ = message.keep_alive();
+  old_client_ = message.version() < 11;
+  ClientRequest request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  request.host = std::string(message[http::field::host]);
+  request.fields = EndToEnd(message);
+  request.has_length = message.has_content_length() || message.chunked();
+  request.body = std::move(message.body());
+  request.arrived = steady_clock::now();
+  parser_.reset();
+  ++request_number_;
+  WatchClient();
+  ingress_.handler_(shared_from_this(), std::move(request));
+}
+
+// A client that closes before its answer has ended has left. One that sends its next request already cannot
+// be watched any more.
+void ClientConnection::WatchClient() {
+  socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this(),
+                                              number = request_number_](ErrorCode error) {
+    if (self->closed_ || self->phase_ != Phase::kAnswering || number != self->request_number_) return;
+    char byte = 0;
+    const ssize_t size = error ? 0 : recv(self->socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (size > 0) return;
+    if (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return self->WatchClient();
+    const auto gone = std::move(self->on_gone);
+    self->Close();
+    if (gone) gone();
+  });
+}
+
+void ClientConnection::SendHead(int status, const std::string& reason, const FieldList& fields,
+                                std::optional<std::uint64_t> length, bool bodiless) {
+  if (closed_ || std::exchange(head_sent_, true)) return;
+  if (ingress_.closing_) keep_ = false;
+  chunked_ = !length && !bodiless && !old_client_;
+  if (!length && !bodiless && old_client_) keep_ = false;
+  out_ += "HTTP/1.1 " + std::to_string(status) + " " + reason + "\r\n";
+  for (const Field& field : fields) AppendField(out_, field.name, field.value);
+  if (length) AppendField(out_, "Content-Length", std::to_string(*length));
+  if (chunked_) AppendField(out_, "Transfer-Encoding", "chunked");
+  if (!keep_) AppendField(out_, "Connection", "close");
+  out_ += "\r\n";
+  Write();
+}
+
+void ClientConnection::SendData(std::string_view piece) {
+  if (closed_ || piece.empty()) return;
+  if (chunked_) {
+    char size[24];
+    const int written = std::snprintf(size, sizeof size, "%zx\r\n", piece.size());
+    out_.append(size, static_cast<std::size_t>(written)).append(piece).append("\r\n");
+  } else {
+    out_.append(piece);
+  }
+  Write();
+}
+
+void ClientConnection::Finish() {
+  if (closed_ || std::exchange(finished_, true)) return;
+  if (chunked_) out_ += "0\r\n\r\n";
+  on_gone = nullptr;
+  on_drained = nullptr;
+  Write();
+}
+
+void ClientConnection::Answer(int status, const std::string& reason, const FieldList& fields,
+                              const std::string& body) {
+  SendHead(status, reason, fields, body.size(), false);
+  SendData(body);
+  Finish();
+}
+
+void ClientConnection::Abort() { Close(); }
+
+void ClientConnection::Write() {
+  if (closed_ || !writing_.empty()) return;
+  if (out_.empty()) {
+    if (!finished_ || phase_ != Phase::kAnswering) return;
+    limit_.cancel();
+    if (!keep_) return Close();
+    --ingress_.busy_;
+    phase_ = Phase::kIdle;
+    return AwaitRequest();
+  }
+  writing_.swap(out_);
+  if (phase_ == Phase::kAnswering) LimitTime(kWriteWithin);
+  asio::async_write(socket_, asio::buffer(writing_),
+                    [self = shared_from_this()](ErrorCode error, std::size_t) {
+                      if (!self->closed_) self->OnWritten(error);
+                    });
+}
+
+void ClientConnection::OnWritten(ErrorCode error) {
+  writing_.clear();
+  if (error) {
+    const auto gone = std::move(on_gone);
+    Close();
+    if (gone) gone();
+    return;
+  }
+  if (phase_ == Phase::kAnswering) limit_.cancel();
+  if (out_.empty() && !finished_ && on_drained) on_drained();
+  Write();
+}
+
+void ClientConnection::CloseIfIdle() {
+  if (phase_ == Phase::kIdle) Close();
+}
+
+void ClientConnection::Close() {
+  if (std::exchange(closed_, true)) return;
+  if (phase_ != Phase::kIdle) --ingress_.busy_;
+  limit_.cancel();
+  ErrorCode ignored;
+  socket_.shutdown(Tcp::socket::shutdown_send, ignored);
+  socket_.close(ignored);
+  // The caller may hold no other reference.
+  asio::post(ingress_.io_, [self = shared_from_this()] { self->ingress_.connections_.erase(self); });
+}
+
+// ---- Ingress ----
+
+Ingress::Ingress(asio::io_context& io, Handler handler)
+    : io_(io), handler_(std::move(handler)), acceptor_(io), pause_(io) {}
+
+std::error_code Ingress::Listen(const std::string& address) {
+  const auto endpoint = ParseEndpoint(address);
+  if (!endpoint) return std::make_error_code(std::errc::invalid_argument);
+  boost::system::error_code error;
+  acceptor_.open(endpoint->protocol(), error);
+  if (!error) acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+  if (!error) acceptor_.bind(*endpoint, error);
+  if (!error) acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  if (error) return {error.value(), std::generic_category()};
+  Accept();
+  return {};
+}
+
+void Ingress::Accept() {
+  acceptor_.async_accept([this](boost::system::error_code error, asio::ip::tcp::socket socket) {
+    if (error == asio::error::operation_aborted || !acceptor_.is_open()) return;
+    if (error) {  // descriptors are short: later again
+      pause_.expires_after(kAcceptPause);
+      pause_.async_wait([this](boost::system::error_code stopped) {
+        if (!stopped) Accept();
+      });
+      return;
+    }
+    const auto connection = std::make_shared<ClientConnection>(*this, std::move(socket));
+    connections_.insert(connection);
+    connection->Start();
+    Accept();
+  });
+}
+
+void Ingress::StopListening() {
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+  pause_.cancel();
+  const std::set<ClientPtr> connections = connections_;
+  for (const ClientPtr& connection : connections) connection->CloseIfIdle();
+}
+
+}  // namespace violetwing
--- /dev/null
+++ b/src/messages/peer.hpp
@@ -0,0 +1,102 @@
+// Internal calls: between control processes (exchange), and from a sidecar to one of them (pull, demand).
+#ifndef VIOLETWING_MESSAGES_PEER_HPP_
+#define VIOLETWING_MESSAGES_PEER_HPP_
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "messages/consensus.hpp"
+#include "messages/instances.hpp"
+
+namespace violetwing {
+
+// Paths on the internal address.
+inline constexpr const char* kExchangePath = "/internal/exchange";
+inline constexpr const char* kPullPath = "/internal/pull";
+inline constexpr const char* kDemandPath = "/internal/demand";
+
+// A control process: its names for the others.
+struct ControlNode {
+  std::string node;
+  std::string zone;
+  std::string address;      // for internal calls
+  std::string api_address;  // for servers and the operator
+  bool operator==(const ControlNode&) const = default;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ControlNode, node, zone, address, api_address)
+
+struct ShardMessage {
+  int shard = 0;
+  consensus::Message message;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ShardMessage, shard, message)
+
+// A command on its way to the leader of a shard.
+struct ShardProposal {
+  int shard = 0;
+  std::string command;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ShardProposal, shard, command)
+
+// A heartbeat of a server, or a pull of a sidecar, that one control process took and tells the others of.
+struct Heard {
+  std::string id;
+  std::int64_t sequence = 0;
+  std::int64_t age_ms = 0;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Heard, id, sequence, age_ms)
+
+struct ExchangeRequest {
+  ControlNode from;
+  std::string disk;        // id of the sender's replicas
+  std::vector<int> joins;  // shards in which that disk has no vote
+  VersionVector known;
+  std::vector<ShardMessage> messages;
+  std::vector<ShardProposal> proposals;
+  std::vector<ModelDemand> demand;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ExchangeRequest, from, disk, joins, known, messages,
+                                                proposals, demand)
+
+struct ExchangeReply {
+  std::string source;  // one life of the answering process
+  std::vector<Instance> changed;
+  VersionVector known;
+  std::vector<Heard> heard;  // servers
+  std::vector<Heard> edges;  // sidecars
+  std::vector<ControlNode> controls;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ExchangeReply, source, changed, known, heard, edges, controls)
+
+struct PullRequest {
+  std::string node;
+  std::string zone;
+  std::string source;  // the life of a control process whose whole list is held
+  std::int64_t configuration = 0;
+  VersionVector known;
+  int wait_ms = 0;
+  std::vector<ModelDemand> demand;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(PullRequest, node, zone, source, configuration, known,
+                                                wait_ms, demand)
+
+struct PullReply {
+  std::string source;
+  bool whole = false;  // `ids` names all servers that are there
+  std::vector<std::string> ids;
+  std::int64_t configuration = 0;
+  std::string document;  // the configuration, if the caller's is older
+  std::vector<Instance> changed;
+  VersionVector known;
+  std::vector<ControlNode> controls;
+  int number = 0;  // of the caller among the sidecars
+  int sidecars = 1;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(PullReply, source, whole, ids, configuration, document,
+                                                changed, known, controls, number, sidecars)
+
+}  // namespace violetwing
+
+#endif  // VIOLETWING_MESSAGES_PEER_HPP_
--- /dev/null
+++ b/src/node/main.cpp
@@ -0,0 +1,139 @@
+// violetwing-node: one binary for all machines. `edge` takes clients' requests, `control` holds the state.
+#include <event2/event.h>
+#include <event2/thread.h>
+#include <signal.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/program_options.hpp>
+#include <cstdlib>
+#include <iostream>
+#include <optional>
+#include <string>
+
+#include "control/service.hpp"
+#include "dataplane/edge.hpp"
+#include "node/settings.hpp"
+
+namespace {
+
+namespace options = boost::program_options;
+
+constexpr int kUsage = 2;
+constexpr const char* kDefaultSettings = "/etc/violetwing/settings.json";
+
+int Say(int status, const std::string& line) {
+  std::cerr << "violetwing-node: " << line << "\n";
+  return status;
+}
+
+std::string SettingsPath() {
+  const char* path = std::getenv("VIOLETWING_SETTINGS");
+  return path == nullptr ? kDefaultSettings : path;
+}
+
+// What the file says now; a file that makes no sense changes nothing.
+template <class Service>
+void Reload(Service& service) {
+  std::string problem;
+  if (const auto settings = violetwing::ReadSettings(SettingsPath(), problem))
+    service.Reload(*settings);
+  else
+    spdlog::warn("{}: {}", SettingsPath(), problem);
+}
+
+int RunEdge(const violetwing::NodeSettings& settings) {
+  if (settings.ingress.empty() || settings.readiness.empty())
+    return Say(kUsage, SettingsPath() + ": listeners_addr: ingress or readiness is missing");
+  boost::asio::io_context io(1);
+  violetwing::EdgeService service(io, settings);
+  std::string problem;
+  if (service.Start(problem)) return Say(1, problem);
+  boost::asio::signal_set stop(io, SIGTERM, SIGINT);
+  stop.async_wait([&](const boost::system::error_code& error, int) {
+    if (!error) service.Stop();
+  });
+  boost::asio::signal_set reload(io, SIGHUP);
+  std::function<void()> await_reload = [&] {
+    reload.async_wait([&](const boost::system::error_code& error, int) {
+      if (error) return;
+      Reload(service);
+      await_reload();
+    });
+  };
+  await_reload();
+  // The file may change without a signal.
+  boost::asio::steady_timer look(io);
+  std::function<void()> await_look = [&] {
+    look.expires_after(std::chrono::seconds(1));
+    look.async_wait([&](const boost::system::error_code& error) {
+      if (error) return;
+      Reload(service);
+      await_look();
+    });
+  };
+  await_look();
+  io.run();
+  return 0;
+}
+
+int RunControl(const violetwing::NodeSettings& settings) {
+  if (settings.control_plane.empty())
+    return Say(kUsage, SettingsPath() + ": listeners_addr.control_plane: is missing");
+  if (settings.data_dir.empty()) return Say(kUsage, SettingsPath() + ": data_dir: is missing");
+  event_base* base = event_base_new();
+  violetwing::ControlService service(base, settings);
+  std::string problem;
+  if (service.Start(problem)) return Say(1, problem);
+  const auto on_stop = [](evutil_socket_t, short, void* at) {
+    static_cast<violetwing::ControlService*>(at)->Stop();
+  };
+  const auto on_reload = [](evutil_socket_t, short, void* at) {
+    Reload(*static_cast<violetwing::ControlService*>(at));
+  };
+  event_add(evsignal_new(base, SIGTERM, on_stop, &service), nullptr);
+  event_add(evsignal_new(base, SIGINT, on_stop, &service), nullptr);
+  event_add(evsignal_new(base, SIGHUP, on_reload, &service), nullptr);
+  const timeval second{1, 0};
+  event_add(event_new(base, -1, EV_PERSIST, on_reload, &service), &second);
+  event_base_dispatch(base);
+  spdlog::info("control process {} stops", settings.node_name);
+  // The disk may hang: what is not written by now is not waited for.
+  std::_Exit(0);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  options::options_description visible(
+      "violetwing-node ROLE\n\nROLE is edge or control. Settings are read from the "
+      "file that VIOLETWING_SETTINGS names.\n\nOptions");
+  visible.add_options()("help,h", "this text")("log-level",
+                                               options::value<std::string>()->default_value("info"),
+                                               "trace, debug, info, warn, error, off");
+  options::options_description all;
+  all.add(visible).add_options()("role", options::value<std::string>());
+  options::positional_options_description positional;
+  positional.add("role", 1);
+  options::variables_map given;
+  try {
+    options::store(options::command_line_parser(argc, argv).options(all).positional(positional).run(), given);
+    options::notify(given);
+  } catch (const options::error& error) {
+    return Say(kUsage, error.what());
+  }
+  if (given.count("help") > 0) {
+    std::cout << visible;
+    return 0;
+  }
+  const std::string role = given.count("role") > 0 ? given["role"].as<std::string>() : "";
+  if (role != "edge" && role != "control") return Say(kUsage, "ROLE is edge or control; --help tells more");
+  spdlog::set_default_logger(spdlog::stderr_logger_st("violetwing"));
+  spdlog::set_level(spdlog::level::from_str(given["log-level"].as<std::string>()));
+  signal(SIGPIPE, SIG_IGN);
+  std::string problem;
+  const auto settings = violetwing::ReadSettings(SettingsPath(), problem);
+  if (!settings) return Say(kUsage, SettingsPath() + ": " + problem);
+  return role == "edge" ? RunEdge(*settings) : RunControl(*settings);
+}
