Place models and adapters by demand

Need: 11 of 18 models that were asked for were never served, as models stayed where they were at first.

Change: sidecars tell the control plane what is asked for and what waits; the leader of the configuration's shard loads what is waited for, gives busy models copies by their work, and unloads what is missed least. Its term is the fencing token; a new leader keeps still for lease_ms.

--- a/src/control/api/http.cpp
+++ b/src/control/api/http.cpp
@@ -130,7 +130,7 @@
 }
 
 void Client::Call(const std::string& address, const std::string& method, const std::string& path,
-                  std::string body, std::chrono::milliseconds silence, Done done) {
+                  std::string body, std::chrono::milliseconds silence, Done done, const Headers& extra) {
   std::shared_ptr<Connection>& connection = connections_[address];
   if (connection == nullptr) {
     std::string host;
@@ -150,6 +150,7 @@
   evhttp_request* request = evhttp_request_new(&Client::OnDone, new Pending{connection, std::move(done)});
   evkeyvalq* headers = evhttp_request_get_output_headers(request);
   evhttp_add_header(headers, "Host", address.c_str());
+  for (const auto& [name, value] : extra) evhttp_add_header(headers, name.c_str(), value.c_str());
   if (!body.empty()) {
     evhttp_add_header(headers, "Content-Type", "application/json");
     evbuffer_add(evhttp_request_get_output_buffer(request), body.data(), body.size());
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -31,6 +31,7 @@
 constexpr int kMostPullWaitMs = 2'000;
 constexpr std::int64_t kReviewEvery = 300'000;
 constexpr std::chrono::milliseconds kStopAfter{300};
+constexpr std::chrono::milliseconds kOrderSilence{800};
 
 http::Response Problem(int status, const std::string& problem) {
   return {status, json{{"error", problem}}.dump(), {}};
@@ -115,7 +116,6 @@
       source_(settings_.node_name + "/" + RandomName().substr(0, 8)),
       departures_(kServiceShards + 1),
       table_(source_, kMissedHeartbeats * settings_.heartbeat_ms * 1000),
-      placer_(settings_.node_name),
       api_(base, [this](http::Request r, http::Answer a) { OnApi(std::move(r), std::move(a)); }),
       internal_(base, [this](http::Request r, http::Answer a) { OnInternal(std::move(r), std::move(a)); }),
       client_(base) {}
@@ -515,6 +515,40 @@
   }
 }
 
-void ControlService::TickPlacer(Micros) {}
+// The leader of the configuration's shard is the placer. Its term is the fencing token: it rises with each
+// leader, and no second one has it. A new one keeps still until no order of the one before can be on its way.
+void ControlService::TickPlacer(Micros now) {
+  const consensus::Replica& replica = groups_.front()->replica();
+  const bool acts = replica.Ready() && replica.HasLease(now) && configuration_.current() != nullptr;
+  if (!replica.leader() || placer_term_ != replica.term()) {
+    placing_ = false;
+    placer_term_ = replica.leader() ? replica.term() : 0;
+    place_from_ = now + settings_.lease_ms * 1000;
+    return;
+  }
+  if (!acts || now < place_from_ || stopping_) return;
+  if (!std::exchange(placing_, true)) placer_.Begin(now);
+  for (const PlacementOrder& order : placer_.Plan(*configuration_.current(), table_, now)) SendOrder(order);
+  if (table_.Misses(told_)) {
+    told_ = table_.known();
+    pulls_due_ = true;
+    WakePulls();
+  }
+}
+
+void ControlService::SendOrder(const PlacementOrder& order) {
+  json body{{"operation", order.load ? "load_model" : "unload_model"},
+            {"model", order.model},
+            {"lease_holder", settings_.node_name},
+            {"fencing_token", placer_term_}};
+  if (!order.adapter.empty()) body["adapter"] = order.adapter;
+  client_.Call(order.address, "POST", "/api/order", body.dump(), kOrderSilence,
+               [this, order](int status, const std::string&) {
+                 const Micros now = Now();
+                 placer_.OnAnswer(order, status, table_, now);
+                 if (placing_) TickPlacer(now);
+               },
+               {{"X-Violetwing-Expected-Instance", order.instance}});
+}
 
 }  // namespace violetwing
--- a/src/control/service.hpp
+++ b/src/control/service.hpp
@@ -84,6 +84,7 @@
   void CountDemand(const std::vector<ModelDemand>& demand);
 
   void TickPlacer(Micros now);
+  void SendOrder(const PlacementOrder& order);
   void ReviewMembers(Micros now);
   int NumberOf(const std::string& sidecar, int& count) const;
 
@@ -102,6 +103,10 @@
   std::map<consensus::ReplicaId, std::string> disk_addresses_;  // by the disks' own words
   std::map<std::string, Sidecar> sidecars_;
   Placer placer_;
+  consensus::Term placer_term_ = 0;  // in which this process leads; 0 if it does not
+  Micros place_from_ = 0;
+  bool placing_ = false;
+  VersionVector told_;
 
   http::Server api_;
   http::Server internal_;
--- a/src/dataplane/edge.cpp
+++ b/src/dataplane/edge.cpp
@@ -12,7 +12,7 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-constexpr milliseconds kTick{500};
+constexpr milliseconds kTick{300};
 // The platform asks every second, and passes no more connections after two misses.
 constexpr milliseconds kUnreadySeen{2600};
 constexpr milliseconds kLastLook{20};
@@ -86,6 +86,7 @@
     const Instance* instance = plane_.directory->Find(id);
     return instance != nullptr && instance->phase != Phase::kGone;
   });
+  for (const auto& forwarder : plane_.waiting) forwarder->TellWaiting();
   tick_.expires_after(kTick);
   tick_.async_wait([this](const boost::system::error_code& error) {
     if (!error) Tick();
--- a/src/dataplane/forwarder.hpp
+++ b/src/dataplane/forwarder.hpp
@@ -40,6 +40,8 @@
   void Start();
   // There is a new directory.
   void OnDirectory();
+  // It still waits for a model: the placer is told again, as a message may have been lost.
+  void TellWaiting() { CountDemand(true); }
 
  private:
   using Clock = std::chrono::steady_clock;
