Order loads only on certain knowledge of the server, and load what is stored once all shards are there

Change: the placer asks each server's report once a term and names its revision in each order; what the server holds is counted from there. Groups load when all are made.

--- a/src/control/group.cpp
+++ b/src/control/group.cpp
@@ -18,9 +18,7 @@
 }  // namespace
 
 Group::Group(int shard, consensus::Replica replica, StateMachine& machine, Outputs outputs)
-    : shard_(shard), replica_(std::move(replica)), machine_(machine), outputs_(std::move(outputs)) {
-  Flush();
-}
+    : shard_(shard), replica_(std::move(replica)), machine_(machine), outputs_(std::move(outputs)) {}
 
 void Group::Step(const consensus::Message& message, Micros now) {
   replica_.Step(message, now);
--- a/src/control/group.hpp
+++ b/src/control/group.hpp
@@ -38,6 +38,8 @@
 
   Group(int shard, consensus::Replica replica, StateMachine& machine, Outputs outputs);
 
+  // Loads what was stored.
+  void Start() { Flush(); }
   void Step(const consensus::Message& message, Micros now);
   void Tick(Micros now);
   // A command that another process sent here as the leader.
--- a/src/control/placement/placer.cpp
+++ b/src/control/placement/placer.cpp
@@ -15,8 +15,9 @@
 constexpr Placer::Micros kBeforeUnload = 60'000;
 // An order that is under way is asked after again by repeating it.
 constexpr Placer::Micros kAskAgain = 120'000;
-// One that found the server at another order, or got no answer.
-constexpr Placer::Micros kTryAgain = 250'000;
+// A server whose state is not certain is asked for its report; what it tells there is some hundred ms old.
+constexpr Placer::Micros kAskReportAgain = 250'000;
+constexpr Placer::Micros kSilentReportAgain = 1'000'000;
 constexpr Placer::Micros kGiveUpAfter = 12'000'000;
 // Adapters come within some ms.
 constexpr double kAdapterSeconds = 0.025;
@@ -29,43 +30,59 @@
 constexpr double kRecentS = 6;
 constexpr double kWorthMore = 1.5;
 
-bool Holds(const Instance& instance, const std::string& model) {
-  return std::any_of(instance.models.begin(), instance.models.end(),
-                     [&](const HeldModel& held) { return held.name == model; });
+std::string NameOf(const std::string& model, const std::string& adapter) {
+  return adapter.empty() ? model : model + "/" + adapter;
 }
 
-std::size_t AdapterCount(const Instance& instance) {
-  std::size_t count = 0;
-  for (const HeldModel& held : instance.models) count += held.adapters.size();
-  return count;
-}
+}  // namespace
 
-void SetHeld(InstanceTable& table, const std::string& id, const std::string& model,
-             const std::string& adapter, bool held) {
-  const InstanceTable::Record* record = table.Find(id);
-  if (record == nullptr) return;
-  std::vector<HeldModel> models = record->instance.models;
-  if (adapter.empty()) {
-    std::erase_if(models, [&](const HeldModel& one) { return one.name == model; });
-    if (held) models.push_back({model, 0, {}});
-  } else {
-    for (HeldModel& one : models) {
-      if (one.name != model) continue;
-      std::erase(one.adapters, adapter);
-      if (held) one.adapters.push_back(adapter);
-    }
-  }
-  table.SetModels(id, std::move(models));
+bool Placer::Known::Holds(const std::string& model) const {
+  return std::any_of(models.begin(), models.end(), [&](const HeldModel& held) { return held.name == model; });
 }
 
-}  // namespace
+std::size_t Placer::Known::Adapters() const {
+  std::size_t count = 0;
+  for (const HeldModel& held : models) count += held.adapters.size();
+  return count;
+}
 
 void Placer::Begin(Micros now) {
-  work_.clear();
+  known_.clear();
   loads_left_ = 0;
   refilled_at_ = now;
 }
 
+// Takes in the servers that are there, and forgets those that are not.
+void Placer::Meet(const configuration::Configuration& configuration, InstanceTable& table, Micros now) {
+  std::erase_if(known_, [&](const auto& entry) {
+    const InstanceTable::Record* record = table.Find(entry.first);
+    return record == nullptr || record->instance.phase != Phase::kReady;
+  });
+  std::vector<std::pair<std::string, std::vector<HeldModel>>> corrected;
+  table.ForEach([&](const InstanceTable::Record& record) {
+    const Instance& instance = record.instance;
+    if (instance.phase != Phase::kReady) return;
+    const bool runs_models = std::any_of(
+        configuration.backends.begin(), configuration.backends.end(),
+        [&](const auto& backend) { return backend.runtime != nullptr && backend.name == instance.backend; });
+    if (!runs_models) return;
+    const auto [it, fresh] = known_.try_emplace(record.id);
+    Known& known = it->second;
+    if (fresh) known.ask_at = now;
+    known.service = instance.backend;
+    known.address = instance.address;
+    if (!known.revision) known.models = instance.models;
+    for (const HeldModel& held : known.models) known.ever_held.insert(held.name);
+    if (known.models != instance.models) corrected.emplace_back(record.id, known.models);
+    if (known.work && now > known.work->given_up_at) {
+      known.work.reset();
+      known.revision.reset();
+      known.ask_at = now;
+    }
+  });
+  for (auto& [id, models] : corrected) table.SetModels(id, std::move(models));
+}
+
 void Placer::Refill(const configuration::Configuration& configuration, Micros now) {
   double rate = 0;
   for (const configuration::Backend& backend : configuration.backends)
@@ -75,28 +92,25 @@
   refilled_at_ = now;
 }
 
-Placer::Service Placer::Look(const configuration::Backend& backend, const InstanceTable& table) const {
+Placer::Service Placer::Look(const configuration::Backend& backend) {
   Service service;
   service.backend = &backend;
   service.runtime = backend.runtime.get();
-  table.ForEach([&](const InstanceTable::Record& record) {
-    if (record.instance.backend != backend.name || record.instance.phase != Phase::kReady) return;
+  for (auto& [id, known] : known_) {
+    if (known.service != backend.name) continue;
     double used = 0;
-    for (const HeldModel& held : record.instance.models) {
+    for (const HeldModel& held : known.models) {
       ++service.copies[held.name];
       const Model* model = FindModel(service, held.name);
       if (model == nullptr) continue;
       used += model->weights_mb + static_cast<double>(held.adapters.size()) * model->adapter_mb;
     }
-    service.servers.push_back({&record, service.runtime->weights_mb - used});
-  });
-  std::sort(service.servers.begin(), service.servers.end(),
-            [](const Server& a, const Server& b) { return a.record->id < b.record->id; });
-  for (const auto& [id, work] : work_) {
-    const InstanceTable::Record* record = table.Find(id);
-    if (record == nullptr || record->instance.backend != backend.name) continue;
-    if (work.order.load && work.order.adapter.empty()) ++service.copies[work.order.model];
-    if (!work.then_model.empty() && work.then_adapter.empty()) ++service.copies[work.then_model];
+    service.servers.push_back({id, &known, service.runtime->weights_mb - used});
+    if (!known.work) continue;
+    if (known.work->order.kind == PlacementCall::Kind::kLoad && known.work->order.adapter.empty())
+      ++service.copies[known.work->order.model];
+    if (!known.work->then_model.empty() && known.work->then_adapter.empty())
+      ++service.copies[known.work->then_model];
   }
   return service;
 }
@@ -108,56 +122,64 @@
 }
 
 bool Placer::OnItsWay(const std::string& model, const std::string& adapter) const {
-  return std::any_of(work_.begin(), work_.end(), [&](const auto& entry) {
-    const Work& work = entry.second;
-    return (work.order.load && work.order.model == model && work.order.adapter == adapter) ||
-           (work.then_model == model && work.then_adapter == adapter);
+  return std::any_of(known_.begin(), known_.end(), [&](const auto& entry) {
+    const std::optional<Work>& work = entry.second.work;
+    if (!work) return false;
+    const bool loads = work->order.kind == PlacementCall::Kind::kLoad && work->order.model == model &&
+                       work->order.adapter == adapter;
+    return loads || (work->then_model == model && work->then_adapter == adapter);
   });
 }
 
 int Placer::LoadsUnderWay() const {
-  return static_cast<int>(std::count_if(work_.begin(), work_.end(), [](const auto& entry) {
-    const Work& work = entry.second;
-    return (work.order.load && work.order.adapter.empty()) ||
-           (!work.then_model.empty() && work.then_adapter.empty());
+  return static_cast<int>(std::count_if(known_.begin(), known_.end(), [](const auto& entry) {
+    const std::optional<Work>& work = entry.second.work;
+    if (!work) return false;
+    const bool loads = work->order.kind == PlacementCall::Kind::kLoad && work->order.adapter.empty();
+    return loads || (!work->then_model.empty() && work->then_adapter.empty());
   }));
 }
 
-std::vector<PlacementOrder> Placer::Plan(const configuration::Configuration& configuration,
-                                         InstanceTable& table, Micros now) {
+std::vector<PlacementCall> Placer::Plan(const configuration::Configuration& configuration,
+                                        InstanceTable& table, Micros now) {
   Refill(configuration, now);
-  table.ForEach([&](const InstanceTable::Record& record) {
-    for (const HeldModel& held : record.instance.models) held_[record.id].insert(held.name);
-  });
-  std::erase_if(held_, [&](const auto& entry) { return table.Find(entry.first) == nullptr; });
-  std::erase_if(work_, [&](const auto& entry) {
-    const InstanceTable::Record* record = table.Find(entry.first);
-    return record == nullptr || record->instance.phase != Phase::kReady || now > entry.second.given_up_at;
-  });
+  Meet(configuration, table, now);
   for (const configuration::Backend& backend : configuration.backends) {
     if (backend.runtime == nullptr) continue;
-    Service service = Look(backend, table);
-    PlaceWaiting(service, table, now);
-    PlaceCopies(service, table, now);
+    Service service = Look(backend);
+    PlaceWaiting(service, now);
+    PlaceCopies(service, now);
   }
-  std::vector<PlacementOrder> orders;
-  for (auto& [id, work] : work_) {
-    if (work.send_at == 0 || now < work.send_at) continue;
-    work.send_at = 0;
-    orders.push_back(work.order);
+  for (const auto& [id, known] : known_) table.SetModels(id, known.models);
+  return DueCalls(now);
+}
+
+std::vector<PlacementCall> Placer::DueCalls(Micros now) {
+  std::vector<PlacementCall> calls;
+  for (auto& [id, known] : known_) {
+    if (known.work && known.work->send_at > 0 && now >= known.work->send_at) {
+      known.work->send_at = 0;
+      calls.push_back(known.work->order);
+      // Asked after, it is to say whether it is done, whatever came since.
+      calls.back().if_revision = known.work->taken ? std::nullopt : known.revision;
+    }
+    if (!known.work && !known.revision && known.ask_at > 0 && now >= known.ask_at) {
+      known.ask_at = 0;
+      calls.push_back({PlacementCall::Kind::kReport, id, known.address, {}, {}, {}});
+    }
   }
-  return orders;
+  return calls;
 }
 
-void Placer::PlaceWaiting(Service& service, InstanceTable& table, Micros now) {
+void Placer::PlaceWaiting(Service& service, Micros now) {
   for (const std::string& name : demand_.Waiting(service.backend->name, now)) {
     const std::size_t slash = name.find('/');
     const Model* model = FindModel(service, name.substr(0, slash));
     if (model == nullptr) continue;
     if (service.copies[model->name] == 0) {
-      PlaceModel(service, table, *model, true, now);
+      PlaceModel(service, *model, true, now);
     } else if (slash != std::string::npos) {
-      PlaceAdapter(service, table, *model, name.substr(slash + 1), now);
+      PlaceAdapter(service, *model, name.substr(slash + 1), now);
     }
   }
 }
@@ -168,11 +190,11 @@
   return std::min(most, static_cast<int>(std::ceil(of.tokens / kTokensPerCopy - 0.2)));
 }
 
-void Placer::PlaceCopies(Service& service, InstanceTable& table, Micros now) {
+void Placer::PlaceCopies(Service& service, Micros now) {
   for (const Model& model : service.runtime->models) {
     const int wanted = WantedCopies(service, model.name, now);
     while (service.copies[model.name] > 0 && service.copies[model.name] < wanted)
-      if (!PlaceModel(service, table, model, false, now)) break;
+      if (!PlaceModel(service, model, false, now)) break;
   }
 }
 
@@ -190,7 +212,7 @@
 std::optional<std::string> Placer::Victim(const Service& service, const Server& server, double* value,
                                           Micros now) const {
   std::optional<std::string> least;
-  for (const HeldModel& held : server.record->instance.models) {
+  for (const HeldModel& held : server.known->models) {
     const double worth = Value(service, held.name, now);
     if (least && worth >= *value) continue;
     least = held.name;
@@ -199,7 +221,7 @@
   return least;
 }
 
-bool Placer::PlaceModel(Service& service, InstanceTable& table, const Model& model, bool waited_for,
+bool Placer::PlaceModel(Service& service, const Model& model, bool waited_for,
                         Micros now) {
   if (OnItsWay(model.name, {}) && waited_for) return false;
   const int at_once =
@@ -209,7 +231,7 @@
   std::optional<std::string> best_victim;
   double best_cost = 0;
   for (const Server& server : service.servers) {
-    if (Busy(server.record->id) || Holds(server.record->instance, model.name)) continue;
+    if (!server.known->Free() || server.known->Holds(model.name)) continue;
     double cost = 0;
     std::optional<std::string> victim;
     if (server.free_mb < model.weights_mb) {
@@ -219,9 +241,7 @@
       if (goes != nullptr && server.free_mb + goes->weights_mb < model.weights_mb) continue;
       cost += 0.002;  // the unload takes its time
     }
-    const auto held = held_.find(server.record->id);
-    const bool warm = held != held_.end() && held->second.count(model.name) > 0;
-    if (!warm) cost += 0.005;
+    if (server.known->ever_held.count(model.name) == 0) cost += 0.005;
     if (best != nullptr && cost >= best_cost) continue;
     best = &server;
     best_victim = victim;
@@ -231,8 +251,7 @@
   const Demand::Of of = demand_.Get(service.backend->name, model.name, now);
   const double gain = of.requests / std::max(1, service.copies[model.name]);
   if (!waited_for && best_victim && gain < kWorthMore * best_cost) return false;
-  const auto held = held_.find(best->record->id);
-  const bool warm = held != held_.end() && held->second.count(model.name) > 0;
+  const bool warm = best->known->ever_held.count(model.name) > 0;
   loads_left_ -= 1;
   const double seconds = model.load_time_s * (warm ? kWarmShare : 1.0);
   if (best_victim) {
@@ -240,35 +259,35 @@
     then.then_model = model.name;
     then.seconds = seconds;
     --service.copies[*best_victim];
-    Begin(*best, false, *best_victim, {}, 0, table, now, std::move(then));
+    Begin(*best, false, *best_victim, {}, 0, now, std::move(then));
   } else {
-    Begin(*best, true, model.name, {}, seconds, table, now, {});
+    Begin(*best, true, model.name, {}, seconds, now, {});
   }
   ++service.copies[model.name];
   return true;
 }
 
-bool Placer::PlaceAdapter(Service& service, InstanceTable& table, const Model& model,
+bool Placer::PlaceAdapter(Service& service, const Model& model,
                           const std::string& adapter, Micros now) {
   if (OnItsWay(model.name, adapter)) return false;
   const auto most = static_cast<std::size_t>(std::max(service.runtime->max_adapters, 0));
   const Server* best = nullptr;
   for (const Server& server : service.servers) {
-    if (Busy(server.record->id) || !Holds(server.record->instance, model.name)) continue;
-    if (best == nullptr || AdapterCount(server.record->instance) < AdapterCount(best->record->instance))
+    if (!server.known->Free() || !server.known->Holds(model.name)) continue;
+    if (best == nullptr || server.known->Adapters() < best->known->Adapters())
       best = &server;
   }
   if (best == nullptr || most == 0) return false;
-  if (AdapterCount(best->record->instance) < most && best->free_mb >= model.adapter_mb) {
-    Begin(*best, true, model.name, adapter, kAdapterSeconds, table, now, {});
+  if (best->known->Adapters() < most && best->free_mb >= model.adapter_mb) {
+    Begin(*best, true, model.name, adapter, kAdapterSeconds, now, {});
     return true;
   }
   const HeldModel* from = nullptr;
   std::string victim;
   double least = 0;
-  for (const HeldModel& held : best->record->instance.models)
+  for (const HeldModel& held : best->known->models)
     for (const std::string& one : held.adapters) {
-      const Demand::Of of = demand_.Get(service.backend->name, held.name + "/" + one, now);
+      const Demand::Of of = demand_.Get(service.backend->name, NameOf(held.name, one), now);
       const double value = static_cast<double>(of.asked_at);
       if (from != nullptr && value >= least) continue;
       from = &held;
@@ -280,57 +299,90 @@
   then.then_model = model.name;
   then.then_adapter = adapter;
   then.seconds = kAdapterSeconds;
-  Begin(*best, false, from->name, victim, 0, table, now, std::move(then));
+  Begin(*best, false, from->name, victim, 0, now, std::move(then));
   return true;
 }
 
 void Placer::Begin(const Server& server, bool load, const std::string& model, const std::string& adapter,
-                   double seconds, InstanceTable& table, Micros now, Work then) {
+                   double seconds, Micros now, Work then) {
   Work work = std::move(then);
-  work.order = {server.record->id, server.record->address, load, model, adapter};
+  work.order.kind = load ? PlacementCall::Kind::kLoad : PlacementCall::Kind::kUnload;
+  work.order.instance = server.id;
+  work.order.address = server.known->address;
+  work.order.model = model;
+  work.order.adapter = adapter;
   if (load) work.seconds = seconds;
   work.send_at = load ? now : now + kBeforeUnload;
   work.given_up_at = now + kGiveUpAfter;
-  const std::string id = server.record->id;
-  if (!load) SetHeld(table, id, model, adapter, false);
-  work_[id] = std::move(work);
+  // Nothing more is sent there for what is about to go.
+  if (!load) SetHeld(*server.known, model, adapter, false);
+  server.known->work = std::move(work);
 }
 
-void Placer::OnAnswer(const PlacementOrder& order, int status, InstanceTable& table, Micros now) {
-  const auto it = work_.find(order.instance);
-  if (it == work_.end()) return;
-  Work& work = it->second;
-  if (work.order.model != order.model || work.order.adapter != order.adapter || work.order.load != order.load)
+void Placer::SetHeld(Known& known, const std::string& model, const std::string& adapter, bool held) {
+  if (adapter.empty()) {
+    std::erase_if(known.models, [&](const HeldModel& one) { return one.name == model; });
+    if (held) known.models.push_back({model, 0, {}});
+    return;
+  }
+  for (HeldModel& one : known.models) {
+    if (one.name != model) continue;
+    std::erase(one.adapters, adapter);
+    if (held) one.adapters.push_back(adapter);
+  }
+}
+
+void Placer::OnAnswer(const PlacementCall& order, int status, Micros now) {
+  const auto it = known_.find(order.instance);
+  if (it == known_.end() || !it->second.work) return;
+  Known& known = it->second;
+  Work& work = *known.work;
+  if (work.order.model != order.model || work.order.adapter != order.adapter || work.order.kind != order.kind)
     return;
   if (status == 200) {
     const Work done = std::move(work);
-    work_.erase(it);
-    return Done(done, table, now);
+    known.work.reset();
+    return Done(known, order.instance, done, now);
   }
   if (status == 202) {
+    if (!work.taken && known.revision) ++*known.revision;
     work.taken = true;
-    work.send_at = now + (order.load ? static_cast<Micros>(work.seconds * 1.02e6) + 10'000 : 40'000);
-  } else if (status == 409) {
-    work.send_at = now + (work.taken ? kAskAgain : kTryAgain);
-  } else if (status == 0 || status == 503) {
-    work.send_at = now + kTryAgain;
-  } else {
-    work_.erase(it);  // another server by now, or an order that it will never take
+    const bool load = order.kind == PlacementCall::Kind::kLoad;
+    work.send_at = now + (load ? static_cast<Micros>(work.seconds * 1.02e6) + 10'000 : 40'000);
+    return;
+  }
+  if (status == 409 && work.taken) {
+    work.send_at = now + kAskAgain;
+    return;
+  }
+  // Another order is under way, or was taken before, or this one may have been: what it holds is to be asked.
+  known.work.reset();
+  known.revision.reset();
+  known.ask_at = now + kAskReportAgain;
+}
+
+void Placer::OnReport(const std::string& instance, const std::optional<ServerReport>& report, Micros now) {
+  const auto it = known_.find(instance);
+  if (it == known_.end() || it->second.work) return;
+  Known& known = it->second;
+  if (!report || report->busy) {
+    known.ask_at = now + (report ? kAskReportAgain : kSilentReportAgain);
+    return;
   }
+  known.revision = report->revision;
+  known.models = report->models;
 }
 
-void Placer::Done(const Work& work, InstanceTable& table, Micros now) {
-  const PlacementOrder& order = work.order;
-  const InstanceTable::Record* record = table.Find(order.instance);
-  if (record == nullptr) return;
-  SetHeld(table, order.instance, order.model, order.adapter, order.load);
-  if (order.load) {
-    demand_.Served(record->instance.backend,
-                   order.adapter.empty() ? order.model : order.model + "/" + order.adapter);
+void Placer::Done(Known& known, const std::string& id, const Work& work, Micros now) {
+  const PlacementCall& order = work.order;
+  const bool load = order.kind == PlacementCall::Kind::kLoad;
+  SetHeld(known, order.model, order.adapter, load);
+  if (load) {
+    demand_.Served(known.service, NameOf(order.model, order.adapter));
     return;
   }
   if (work.then_model.empty()) return;
-  Begin({record, 0}, true, work.then_model, work.then_adapter, work.seconds, table, now, {});
+  Begin({id, &known, 0}, true, work.then_model, work.then_adapter, work.seconds, now, {});
 }
 
 }  // namespace violetwing
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -528,7 +528,12 @@
   }
   if (!acts || now < place_from_ || stopping_) return;
   if (!std::exchange(placing_, true)) placer_.Begin(now);
-  for (const PlacementOrder& order : placer_.Plan(*configuration_.current(), table_, now)) SendOrder(order);
+  for (const PlacementCall& call : placer_.Plan(*configuration_.current(), table_, now)) {
+    if (call.kind == PlacementCall::Kind::kReport)
+      AskReport(call);
+    else
+      SendOrder(call);
+  }
   if (table_.Misses(told_)) {
     told_ = table_.known();
     pulls_due_ = true;
@@ -536,19 +541,40 @@
   }
 }
 
-void ControlService::SendOrder(const PlacementOrder& order) {
-  json body{{"operation", order.load ? "load_model" : "unload_model"},
+void ControlService::SendOrder(const PlacementCall& order) {
+  json body{{"operation", order.kind == PlacementCall::Kind::kLoad ? "load_model" : "unload_model"},
             {"model", order.model},
             {"lease_holder", settings_.node_name},
             {"fencing_token", placer_term_}};
   if (!order.adapter.empty()) body["adapter"] = order.adapter;
-  client_.Call(order.address, "POST", "/api/order", body.dump(), kOrderSilence,
-               [this, order](int status, const std::string&) {
-                 const Micros now = Now();
-                 placer_.OnAnswer(order, status, table_, now);
-                 if (placing_) TickPlacer(now);
-               },
-               {{"X-Violetwing-Expected-Instance", order.instance}});
+  if (order.if_revision) body["if_revision"] = *order.if_revision;
+  client_.Call(
+      order.address, "POST", "/api/order", body.dump(), kOrderSilence,
+      [this, order](int status, const std::string&) {
+        const Micros now = Now();
+        placer_.OnAnswer(order, status, now);
+        if (placing_) TickPlacer(now);
+      },
+      {{"X-Violetwing-Expected-Instance", order.instance}});
+}
+
+void ControlService::AskReport(const PlacementCall& call) {
+  client_.Call(
+      call.address, "GET", "/api/report", {}, kOrderSilence,
+      [this, instance = call.instance](int status, const std::string& body) {
+        std::optional<ServerReport> report;
+        const json in = json::parse(body, nullptr, /*allow_exceptions=*/false);
+        if (status == 200 && in.is_object()) {
+          try {
+            report = ServerReport{in.value("utilization", false), in.at("sequence").get<std::int64_t>(),
+                                  in.at("models").get<std::vector<HeldModel>>()};
+          } catch (const json::exception& error) {
+            spdlog::warn("the report of {} cannot be read: {}", instance, error.what());
+          }
+        }
+        placer_.OnReport(instance, report, Now());
+      },
+      {{"X-Violetwing-Expected-Instance", call.instance}});
 }
 
 }  // namespace violetwing
--- a/src/control/service.hpp
+++ b/src/control/service.hpp
@@ -84,7 +84,8 @@
   void CountDemand(const std::vector<ModelDemand>& demand);
 
   void TickPlacer(Micros now);
-  void SendOrder(const PlacementOrder& order);
+  void SendOrder(const PlacementCall& order);
+  void AskReport(const PlacementCall& call);
   void ReviewMembers(Micros now);
   int NumberOf(const std::string& sidecar, int& count) const;
 
