--- a/src/control/placement/placer.cpp
+++ b/src/control/placement/placer.cpp
@@ -221,8 +221,7 @@
   return least;
 }
 
-bool Placer::PlaceModel(Service& service, const Model& model, bool waited_for,
-                        Micros now) {
+bool Placer::PlaceModel(Service& service, const Model& model, bool waited_for, Micros now) {
   if (OnItsWay(model.name, {}) && waited_for) return false;
   const int at_once =
       std::max(1, static_cast<int>(std::ceil(service.runtime->loads_per_s * model.load_time_s)));
@@ -267,15 +266,13 @@
   return true;
 }
 
-bool Placer::PlaceAdapter(Service& service, const Model& model,
-                          const std::string& adapter, Micros now) {
+bool Placer::PlaceAdapter(Service& service, const Model& model, const std::string& adapter, Micros now) {
   if (OnItsWay(model.name, adapter)) return false;
   const auto most = static_cast<std::size_t>(std::max(service.runtime->max_adapters, 0));
   const Server* best = nullptr;
   for (const Server& server : service.servers) {
     if (!server.known->Free() || !server.known->Holds(model.name)) continue;
-    if (best == nullptr || server.known->Adapters() < best->known->Adapters())
-      best = &server;
+    if (best == nullptr || server.known->Adapters() < best->known->Adapters()) best = &server;
   }
   if (best == nullptr || most == 0) return false;
   if (best->known->Adapters() < most && best->free_mb >= model.adapter_mb) {
--- a/src/control/placement/placer.hpp
+++ b/src/control/placement/placer.hpp
@@ -1,8 +1,9 @@
 // Decides where models and adapters live and which orders lead there. Only the process that leads the
 // configuration's shard acts, with its term as the fencing token, and only while it holds the leader's lease.
 //
-// What a server holds is known from its report at the start of a term and from the orders since. Each order names the
-// number of orders that led to that knowledge; the server refuses it if there were others, and is asked again.
+// What a server holds is known from its report at the start of a term and from the orders since. Each order
+// names the number of orders that led to that knowledge; the server refuses it if there were others, and is
+// asked again.
 //
 // A model that a request waits for is loaded at once. A model that is asked for much gets as many copies as
 // its work needs. Room is made by unloading what is missed least. The rate of loads from the weight store is
@@ -62,12 +63,12 @@
   // The order that a server carries out, and what is to follow it.
   struct Work {
     PlacementCall order;
-    Micros send_at = 0;      // next; 0 while an answer is awaited
+    Micros send_at = 0;  // next; 0 while an answer is awaited
     Micros given_up_at = 0;
     bool taken = false;      // the server has said that it is under way
     std::string then_model;  // to load after an unload
     std::string then_adapter;
-    double seconds = 0;      // that the load is expected to take
+    double seconds = 0;  // that the load is expected to take
   };
   // A server, as far as this placer knows it for certain.
   struct Known {
@@ -104,10 +105,9 @@
 
   void PlaceWaiting(Service& service, Micros now);
   void PlaceCopies(Service& service, Micros now);
-  bool PlaceModel(Service& service, const configuration::Model& model, bool waited_for,
-                  Micros now);
-  bool PlaceAdapter(Service& service, const configuration::Model& model,
-                    const std::string& adapter, Micros now);
+  bool PlaceModel(Service& service, const configuration::Model& model, bool waited_for, Micros now);
+  bool PlaceAdapter(Service& service, const configuration::Model& model, const std::string& adapter,
+                    Micros now);
   // What losing a copy there would cost, in requests a second.
   double Value(const Service& service, const std::string& model, Micros now) const;
   std::optional<std::string> Victim(const Service& service, const Server& server, double* value,
@@ -122,7 +122,7 @@
 
   Demand demand_;
   std::map<std::string, Known> known_;  // by instance
-  double loads_left_ = 0;                              // of the bound on the weight store
+  double loads_left_ = 0;               // of the bound on the weight store
   Micros refilled_at_ = 0;
 };
 
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -548,33 +548,32 @@
             {"fencing_token", placer_term_}};
   if (!order.adapter.empty()) body["adapter"] = order.adapter;
   if (order.if_revision) body["if_revision"] = *order.if_revision;
-  client_.Call(
-      order.address, "POST", "/api/order", body.dump(), kOrderSilence,
-      [this, order](int status, const std::string&) {
-        const Micros now = Now();
-        placer_.OnAnswer(order, status, now);
-        if (placing_) TickPlacer(now);
-      },
-      {{"X-Violetwing-Expected-Instance", order.instance}});
+  client_.Call(order.address, "POST", "/api/order", body.dump(), kOrderSilence,
+               [this, order](int status, const std::string&) {
+                 const Micros now = Now();
+                 placer_.OnAnswer(order, status, now);
+                 if (placing_) TickPlacer(now);
+               },
+               {{"X-Violetwing-Expected-Instance", order.instance}});
 }
 
 void ControlService::AskReport(const PlacementCall& call) {
-  client_.Call(
-      call.address, "GET", "/api/report", {}, kOrderSilence,
-      [this, instance = call.instance](int status, const std::string& body) {
-        std::optional<ServerReport> report;
-        const json in = json::parse(body, nullptr, /*allow_exceptions=*/false);
-        if (status == 200 && in.is_object()) {
-          try {
-            report = ServerReport{in.value("utilization", false), in.at("sequence").get<std::int64_t>(),
-                                  in.at("models").get<std::vector<HeldModel>>()};
-          } catch (const json::exception& error) {
-            spdlog::warn("the report of {} cannot be read: {}", instance, error.what());
-          }
-        }
-        placer_.OnReport(instance, report, Now());
-      },
-      {{"X-Violetwing-Expected-Instance", call.instance}});
+  client_.Call(call.address, "GET", "/api/report", {}, kOrderSilence,
+               [this, instance = call.instance](int status, const std::string& body) {
+                 std::optional<ServerReport> report;
+                 const json in = json::parse(body, nullptr, /*allow_exceptions=*/false);
+                 if (status == 200 && in.is_object()) {
+                   try {
+                     report =
+                         ServerReport{in.value("utilization", false), in.at("sequence").get<std::int64_t>(),
+                                      in.at("models").get<std::vector<HeldModel>>()};
+                   } catch (const json::exception& error) {
+                     spdlog::warn("the report of {} cannot be read: {}", instance, error.what());
+                   }
+                 }
+                 placer_.OnReport(instance, report, Now());
+               },
+               {{"X-Violetwing-Expected-Instance", call.instance}});
 }
 
 }  // namespace violetwing
--- a/src/dataplane/ingress.cpp
+++ b/src/dataplane/ingress.cpp
@@ -185,8 +185,8 @@
   if (out_.empty()) {
     if (!finished_ || phase_ != Phase::kAnswering) return;
     limit_.cancel();
-    // An answer that began before the stop has not told the client that the connection ends: it ends all the same,
-    // and a request that comes at this moment is not read.
+    // An answer that began before the stop has not told the client that the connection ends: it ends all the
+    // same, and a request that comes at this moment is not read.
     if (!keep_ || ingress_.closing_) return Close();
     --ingress_.busy_;
     phase_ = Phase::kIdle;
--- /dev/null
+++ b/tests/node/configuration_test.cpp
@@ -0,0 +1,147 @@
+// Reading, checking and changing the operator's configuration.
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "control/configuration/reader.hpp"
+#include "control/configuration/state.hpp"
+
+namespace violetwing::configuration {
+namespace {
+
+using nlohmann::json;
+
+json Document(std::int64_t version) {
+  return json::parse(R"({
+    "version": 0,
+    "routes": [
+      {"name": "r1", "hostname": "a.example", "path_prefix": "/x/", "type": "idempotent", "timeout_ms": 1000,
+       "target_latency_ms": 300, "priority": 1, "backend": "s1", "max_attempts": 2},
+      {"name": "r2", "hostname": "a.example", "path_prefix": "/y/", "type": "streaming", "timeout_ms": 5000,
+       "traffic_split": [{"backend": "s1", "weight": 90}, {"backend": "s2", "weight": 10}], "resumable": true,
+       "new_field": [1, 2]}],
+    "backends": [{"name": "s1", "health_check": "/healthz", "max_connections": 100},
+                 {"name": "s2", "runtime": {"capacity": 64, "weights_mb": 220000.0, "max_adapters": 8,
+                   "loads_per_s": 2.8, "models": [{"name": "m", "weights_mb": 65099.99999999999,
+                   "load_time_s": 0.6, "adapters": 3, "adapter_size_mb": 12.0}]}}],
+    "limits": {"max_header_bytes": 16384, "max_body_bytes": 1000, "header_timeout_ms": 3000,
+               "idle_timeout_ms": 15000}})")
+      .patch(json::array({{{"op", "replace"}, {"path", "/version"}, {"value", version}}}));
+}
+
+Answer Put(State& state, std::int64_t base, const json& document) {
+  return state.Apply({false, base, document.dump()});
+}
+
+Answer PatchWith(State& state, std::int64_t base, const json& patch) {
+  return state.Apply({true, base, patch.dump()});
+}
+
+std::vector<Finding> FindingsOf(const json& document) { return Read(document.dump()).findings; }
+
+}  // namespace
+
+TEST_CASE("A configuration is read with its types; unknown fields are passed over") {
+  const ReadResult read = Read(Document(3).dump());
+  REQUIRE(read.configuration != nullptr);
+  CHECK(read.configuration->version == 3);
+  CHECK(read.configuration->routes[0].Repeatable());
+  CHECK(read.configuration->routes[1].shares.size() == 2);
+  CHECK(read.configuration->routes[1].Repeatable());
+  REQUIRE(read.configuration->backends[1].runtime != nullptr);
+  CHECK(read.configuration->backends[1].runtime->models[0].weights_mb == 65099.99999999999);
+  CHECK(read.configuration->limits.max_body_bytes == 1000);
+}
+
+TEST_CASE("All findings are reported together, each with its place") {
+  json document = Document(3);
+  document["routes"][0]["backend"] = "nobody";
+  document["routes"][0]["timeout_ms"] = 0;
+  document["routes"][1]["path_prefix"] = "/x/";
+  document["routes"][1]["traffic_split"][0]["weight"] = 0;
+  document["routes"][1]["traffic_split"][1]["weight"] = 0;
+  const std::string text = ToText(FindingsOf(document));
+  CHECK(text.find("routes[0].backend: names no service: nobody") != std::string::npos);
+  CHECK(text.find("routes[0].timeout_ms: must be above 0") != std::string::npos);
+  CHECK(text.find("routes[1].path_prefix: another route has the same host and prefix") != std::string::npos);
+  CHECK(text.find("routes[1].traffic_split: the weights add up to 0") != std::string::npos);
+}
+
+TEST_CASE("What cannot be read whole is invalid") {
+  const std::string whole = Document(3).dump();
+  State state;
+  for (std::size_t size = 0; size + 1 < whole.size(); size += 97)
+    CHECK(state.Apply({false, 0, whole.substr(0, size)}).outcome == Outcome::kInvalid);
+  CHECK(state.version() == 0);
+}
+
+TEST_CASE("Versions rise, and a change builds on the version in force") {
+  State state;
+  CHECK(Put(state, 0, Document(3)).outcome == Outcome::kTaken);
+  CHECK(Put(state, 0, Document(5)).outcome == Outcome::kConflict);
+  CHECK(Put(state, 3, Document(3)).outcome == Outcome::kInvalid);
+  CHECK(Put(state, 3, Document(2)).outcome == Outcome::kInvalid);
+  CHECK(Put(state, 3, Document(9)).outcome == Outcome::kTaken);
+  CHECK(state.version() == 9);
+}
+
+TEST_CASE("Of two changes on one version with one number, one is taken, and it alone is acknowledged again") {
+  State state;
+  REQUIRE(Put(state, 0, Document(3)).outcome == Outcome::kTaken);
+  json first = Document(5);
+  json second = Document(5);
+  second["routes"][0]["timeout_ms"] = 777;
+  CHECK(Put(state, 3, first).outcome == Outcome::kTaken);
+  CHECK(Put(state, 3, second).outcome == Outcome::kConflict);
+  CHECK(Put(state, 3, first).outcome == Outcome::kTaken);
+  CHECK(Put(state, 5, Document(8)).outcome == Outcome::kTaken);
+  CHECK(Put(state, 3, first).outcome == Outcome::kTaken);  // taken long ago, and acknowledged once more
+  CHECK(state.version() == 8);
+}
+
+TEST_CASE("A patch adds, replaces and removes items by name, and the rest stays as it was sent") {
+  State state;
+  REQUIRE(Put(state, 0, Document(3)).outcome == Outcome::kTaken);
+  json route = Document(3)["routes"][0];
+  route["name"] = "r3";
+  route["path_prefix"] = "/z/";
+  const json patch{{"version", 4},
+                   {"upsert", {{"routes", json::array({route})}}},
+                   {"delete", {{"routes", json::array({"r1", "never there"})}}}};
+  CHECK(PatchWith(state, 3, patch).outcome == Outcome::kTaken);
+  const json now = json::parse(state.document());
+  CHECK(now["version"] == 4);
+  REQUIRE(now["routes"].size() == 2);
+  CHECK(now["routes"][0] == Document(3)["routes"][1]);
+  CHECK(now["routes"][1] == route);
+  CHECK(now["backends"] == Document(3)["backends"]);
+}
+
+TEST_CASE("A patch that makes no sense changes nothing") {
+  State state;
+  REQUIRE(Put(state, 0, Document(3)).outcome == Outcome::kTaken);
+  const std::string before = state.document();
+  for (const char* patch :
+       {R"([])", R"({"upsert": {}})", R"({"version": 4, "upsert": []})",
+        R"({"version": 4, "delete": {"routes": "r1"}})", R"({"version": 4, "upsert": {"routes": [{}]}})",
+        R"({"version": 4, "delete": {"backends": ["s1"]}})", R"({"version": 3, "upsert": {}})",
+        R"({"version": 4, "delete": {"routes": [7]}})",
+        R"({"version": 4, "upsert": {"version": [{"name": "x"}]}})"}) {
+    CHECK(state.Apply({true, 3, patch}).outcome == Outcome::kInvalid);
+    CHECK(state.document() == before);
+  }
+}
+
+TEST_CASE("A saved state is whole again, the changes that were taken included") {
+  State state;
+  REQUIRE(Put(state, 0, Document(3)).outcome == Outcome::kTaken);
+  REQUIRE(Put(state, 3, Document(5)).outcome == Outcome::kTaken);
+  State loaded;
+  loaded.Load(state.Save());
+  CHECK(loaded.version() == 5);
+  CHECK(loaded.document() == state.document());
+  REQUIRE(loaded.current() != nullptr);
+  CHECK(Put(loaded, 0, Document(3)).outcome == Outcome::kTaken);
+  CHECK(loaded.version() == 5);
+}
+
+}  // namespace violetwing::configuration
--- /dev/null
+++ b/tests/node/routing_test.cpp
@@ -0,0 +1,181 @@
+// Routes, windows, choices, budgets and guesses of what servers keep.
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "dataplane/chooser.hpp"
+#include "dataplane/directory.hpp"
+#include "dataplane/http_text.hpp"
+#include "dataplane/retry.hpp"
+#include "node/settings.hpp"
+
+namespace violetwing {
+namespace {
+
+constexpr Micros kSecond = 1'000'000;
+
+Directory Ten(int number, int sidecars) {
+  std::map<std::string, Instance> instances;
+  for (int i = 0; i < 10; ++i) {
+    Instance instance;
+    instance.id = "i-" + std::to_string(i);
+    instance.backend = "s";
+    instance.address = "10.0.0.1:" + std::to_string(80 + i);
+    instance.capacity = 64;
+    instance.models = {{"m", 1, i < 3 ? std::vector<std::string>{"a1"} : std::vector<std::string>{}}};
+    instances[instance.id] = instance;
+  }
+  return Directory(nullptr, instances, number, sidecars);
+}
+
+}  // namespace
+
+TEST_CASE("The route of the host with the longest prefix is taken") {
+  const auto read = configuration::Read(R"({"version": 1, "backends": [{"name": "s"}], "routes": [
+    {"name": "short", "hostname": "A.example", "path_prefix": "/x/", "type": "idempotent", "timeout_ms": 1, "backend": "s"},
+    {"name": "long", "hostname": "a.example", "path_prefix": "/x/y/", "type": "idempotent", "timeout_ms": 1, "backend": "s"},
+    {"name": "other", "hostname": "b.example", "path_prefix": "/", "type": "idempotent", "timeout_ms": 1, "backend": "s"}]})");
+  REQUIRE(read.configuration != nullptr);
+  const RouteTable routes(*read.configuration);
+  CHECK(routes.Match("a.example", "/x/z")->name == "short");
+  CHECK(routes.Match("a.example:8080", "/x/y/z?q=/x/")->name == "long");
+  CHECK(routes.Match("a.example", "/x/y")->name == "short");
+  CHECK(routes.Match("a.example", "/xy/") == nullptr);
+  CHECK(routes.Match("a.example", "/?/x/y/") == nullptr);
+  CHECK(routes.Match("b.example", "/x/y/z")->name == "other");
+  CHECK(routes.Match("c.example", "/x/") == nullptr);
+}
+
+TEST_CASE("Windows begin at offsets that spread over the ring") {
+  std::set<std::size_t> offsets;
+  for (int number = 0; number < 5; ++number) offsets.insert(WindowOffset(number, 5, 10));
+  CHECK(offsets == std::set<std::size_t>{0, 2, 4, 6, 8});
+  CHECK(WindowOffset(7, 3, 10) < 10);
+  CHECK(WindowOffset(0, 0, 0) == 0);
+}
+
+TEST_CASE("Holders of a model, and of an adapter of it") {
+  const Directory directory = Ten(0, 1);
+  CHECK(directory.Holders("s", "m", "").size() == 10);
+  CHECK(directory.Holders("s", "m", "a1").size() == 3);
+  CHECK(directory.Holders("s", "n", "").empty());
+}
+
+TEST_CASE("The less busy of the window is taken, and the refused, tried and ejected are passed over") {
+  const Directory directory = Ten(0, 1);
+  Chooser chooser(1);
+  Chooser::Wish wish;
+  std::map<std::string, int> sent;
+  for (int i = 0; i < 80; ++i) {
+    const Instance* instance = chooser.Choose(directory.Servers("s"), directory, wish, kSecond);
+    REQUIRE(instance != nullptr);
+    ++sent[instance->id];
+    chooser.OnSent(instance->id, wish, kSecond);
+  }
+  CHECK(sent.size() == 8);  // the window
+  for (const auto& [id, count] : sent) CHECK(std::abs(count - 10) <= 4);
+  chooser.OnEnd("i-0", AttemptResult::kWrongServer, wish, true, kSecond);
+  for (int i = 0; i < 3; ++i) chooser.OnEnd("i-1", AttemptResult::kBroken, wish, false, kSecond);
+  wish.tried = {"i-2"};
+  for (int i = 0; i < 200; ++i) {
+    const Instance* instance = chooser.Choose(directory.Servers("s"), directory, wish, kSecond);
+    REQUIRE(instance != nullptr);
+    CHECK(instance->id != "i-0");
+    CHECK(instance->id != "i-1");
+    CHECK(instance->id != "i-2");
+  }
+}
+
+TEST_CASE("An ejected server is taken rather than none, and one that lacks the model is not") {
+  Directory directory = Ten(0, 1);
+  const std::vector<const Instance*> one = {directory.Servers("s")[0]};
+  Chooser chooser(1);
+  const Chooser::Wish wish{"m", "", nullptr, 0, {}};
+  for (int i = 0; i < 5; ++i) chooser.OnEnd("i-0", AttemptResult::kBroken, wish, false, kSecond);
+  CHECK(chooser.Choose(one, directory, wish, kSecond) != nullptr);
+  chooser.OnEnd("i-0", AttemptResult::kWrongServer, wish, true, kSecond);
+  CHECK(chooser.Choose(one, directory, wish, kSecond) == nullptr);
+}
+
+TEST_CASE("A prompt goes where its first parts are kept, unless that server is much busier") {
+  const Directory directory = Ten(0, 1);
+  Chooser chooser(1);
+  const std::vector<PromptPart> parts = ParsePromptParts("5c:6000,91:3000");
+  const Chooser::Wish wish{"m", "", &parts, 9000, {}};
+  const Instance* first = chooser.Choose(directory.Servers("s"), directory, wish, kSecond);
+  chooser.OnSent(first->id, wish, kSecond);
+  for (int i = 0; i < 2; ++i) {
+    CHECK(chooser.Choose(directory.Servers("s"), directory, wish, kSecond) == first);
+    chooser.OnSent(first->id, wish, kSecond);
+  }
+  for (int i = 0; i < 40; ++i) chooser.OnSent(first->id, wish, kSecond);
+  CHECK(chooser.Choose(directory.Servers("s"), directory, wish, kSecond) != first);
+}
+
+TEST_CASE("A part counts as kept only after the same parts, and memory is bounded") {
+  PrefixCache cache;
+  const auto parts = ParsePromptParts("a:100,b:200,c:300");
+  cache.Insert("m", parts, 1000);
+  CHECK(cache.CachedTokens("m", parts) == 600);
+  CHECK(cache.CachedTokens("m/a1", parts) == 0);
+  CHECK(cache.CachedTokens("m", ParsePromptParts("b:200,a:100")) == 0);
+  CHECK(cache.CachedTokens("m", ParsePromptParts("a:100,x:5,c:300")) == 100);
+  cache.Insert("m", ParsePromptParts("z:900"), 1000);
+  CHECK(cache.CachedTokens("m", parts) <= 100);
+  CHECK(ParsePromptParts("a:1,b,c:3").size() == 1);
+  CHECK(ParsePromptParts("a:-1").empty());
+}
+
+TEST_CASE("The sum of all sidecars' repeats keeps the budget of the service") {
+  constexpr int kSidecars = 9;
+  std::vector<RetryBudget> budgets(kSidecars, RetryBudget(0.2, 58, 10, 0));
+  int spent = 0;
+  for (Micros now = 20 * kSecond; now < 30 * kSecond; now += kSecond / 10)
+    for (RetryBudget& budget : budgets) {
+      budget.OnRequest("s", now);
+      for (int i = 0; i < 5; ++i) spent += budget.Spend("s", kSidecars, now);
+    }
+  CHECK(spent <= 0.2 * 900 + 58);
+  CHECK(spent >= 0.5 * (0.2 * 900 + 58));
+}
+
+TEST_CASE("A sidecar that has just started spends nothing of the slack") {
+  RetryBudget budget(0.2, 58, 10, 0);
+  CHECK_FALSE(budget.Spend("s", 1, kSecond));
+  CHECK(budget.Spend("s", 1, 11 * kSecond));
+}
+
+TEST_CASE("Waits are jittered fully under a bound that doubles up to a cap") {
+  Random random(1);
+  Micros longest = 0;
+  for (int i = 0; i < 1000; ++i) {
+    const Micros wait = RetryWait(0, random);
+    CHECK(wait >= 0);
+    longest = std::max(longest, wait);
+  }
+  CHECK(longest <= 60'000);
+  CHECK(longest > 50'000);
+  longest = 0;
+  for (int i = 0; i < 1000; ++i) longest = std::max(longest, RetryWait(3, random));
+  CHECK(longest > 400'000);
+  CHECK(longest <= 480'000);
+  for (int i = 0; i < 100; ++i) CHECK(RetryWait(30, random) <= 2 * kSecond);
+}
+
+TEST_CASE("Settings are checked, each finding with its place; unknown fields are passed over") {
+  std::string problem;
+  const auto good = ParseSettings(R"({"node_name": "n", "ip": "10.0.0.1", "seed_nodes": ["10.0.0.2:80"],
+    "ephemeral_ports": [7660, 7675], "new": {}, "data_dir": null, "timeouts": {"grace_s": 8}})",
+                                  problem);
+  REQUIRE(good.has_value());
+  CHECK(good->InternalAddress() == "10.0.0.1:7660");
+  CHECK(good->InternalAddressOf("10.0.0.2:80") == "10.0.0.2:7660");
+  CHECK(good->grace_ms == 8000);
+  CHECK_FALSE(
+      ParseSettings(R"({"node_name": 7, "ephemeral_ports": [5], "timeouts": {"grace_s": 0}})", problem));
+  for (const char* place : {"node_name:", "ip:", "seed_nodes:", "ephemeral_ports:", "timeouts.grace_s:"})
+    CHECK(problem.find(place) != std::string::npos);
+  CHECK(problem.find('\n') == std::string::npos);
+  CHECK_FALSE(ParseSettings("{", problem));
+}
+
+}  // namespace violetwing
