--- a/src/control/placement/placer.cpp
+++ b/src/control/placement/placer.cpp
@@ -29,6 +29,10 @@
 // A model asked for within this time is unloaded only for one that is worth clearly more.
 constexpr double kRecentS = 6;
 constexpr double kWorthMore = 1.5;
+// With fewer than this share of its copies a busy model goes before those that single requests wait for.
+constexpr double kUrgentShare = 0.8;
+// What a server that has twice the mean of all work to do counts as, beside one with the mean, in requests a second.
+constexpr double kLoadCost = 0.1;
 // Requests a second below which a further copy of a model would stand idle.
 constexpr double kRequestsPerCopy = 0.5;
 // A load from the weight store costs, in requests a second that go without their model, what its time and its price
@@ -206,7 +210,7 @@
 void Placer::PlaceCopies(Service& service, bool urgent, Micros now) {
   for (const Model& model : service.runtime->models) {
     const int wanted = WantedCopies(service, model.name, now);
-    const int enough = urgent ? wanted / 2 : wanted;
+    const int enough = urgent ? static_cast<int>(kUrgentShare * wanted) : wanted;
     while (service.copies[model.name] > 0 && service.copies[model.name] < enough)
       if (!PlaceModel(service, model, false, now)) break;
   }
@@ -223,6 +227,16 @@
   return of.requests + 1 / (kRecentS + idle_s);
 }
 
+double Placer::WorkAt(const Service& service, const Server& server, Micros now) const {
+  double work = 0;
+  for (const HeldModel& held : server.known->models) {
+    const auto copies = service.copies.find(held.name);
+    const int shared = copies == service.copies.end() ? 1 : std::max(copies->second, 1);
+    work += demand_.Get(service.backend->name, held.name, now).tokens / shared;
+  }
+  return work;
+}
+
 std::optional<std::string> Placer::Victim(const Service& service, const Server& server, double* value,
                                           Micros now) const {
   std::optional<std::string> least;
@@ -240,32 +254,38 @@
   const int at_once =
       std::max(1, static_cast<int>(std::ceil(service.runtime->loads_per_s * model.load_time_s)));
   const bool cold_allowed = loads_left_ >= 1 && LoadsUnderWay() < at_once;
+  double all_work = 0;
+  for (const Server& server : service.servers) all_work += WorkAt(service, server, now);
+  const double mean_work = std::max(1.0, all_work / static_cast<double>(service.servers.size()));
   const Server* best = nullptr;
   std::optional<std::string> best_victim;
+  double best_value = 0;
   double best_cost = 0;
   for (const Server& server : service.servers) {
     if (!server.known->Free() || server.known->Holds(model.name)) continue;
-    double cost = 0;
+    double value = 0;
     std::optional<std::string> victim;
     if (server.free_mb < model.weights_mb) {
-      victim = Victim(service, server, &cost, now);
+      victim = Victim(service, server, &value, now);
       if (!victim) continue;
       const Model* goes = FindModel(service, *victim);
       if (goes != nullptr && server.free_mb + goes->weights_mb < model.weights_mb) continue;
-      cost += 0.002;  // the unload takes its time
     }
+    double cost = value;
     const bool warm = server.known->ever_held.count(model.name) > 0;
     if (!warm && !cold_allowed) continue;
     if (!warm) cost += kColdCost;
+    cost += kLoadCost * WorkAt(service, server, now) / mean_work;
     if (best != nullptr && cost >= best_cost) continue;
     best = &server;
     best_victim = victim;
+    best_value = value;
     best_cost = cost;
   }
   if (best == nullptr) return false;
   const Demand::Of of = demand_.Get(service.backend->name, model.name, now);
   const double gain = of.requests / std::max(1, service.copies[model.name]);
-  if (!waited_for && best_victim && gain < kWorthMore * best_cost) return false;
+  if (!waited_for && best_victim && gain < kWorthMore * best_value) return false;
   const bool warm = best->known->ever_held.count(model.name) > 0;
   if (!warm) loads_left_ -= 1;
   const double seconds = model.load_time_s * (warm ? kWarmShare : 1.0);
--- a/src/control/placement/placer.hpp
+++ b/src/control/placement/placer.hpp
@@ -110,6 +110,8 @@
   bool PlaceModel(Service& service, const configuration::Model& model, bool waited_for, Micros now);
   bool PlaceAdapter(Service& service, const configuration::Model& model, const std::string& adapter,
                     Micros now);
+  // Tokens a second that fall to a server.
+  double WorkAt(const Service& service, const Server& server, Micros now) const;
   // What losing a copy there would cost, in requests a second.
   double Value(const Service& service, const std::string& model, Micros now) const;
   std::optional<std::string> Victim(const Service& service, const Server& server, double* value,
--- a/src/dataplane/forwarder.cpp
+++ b/src/dataplane/forwarder.cpp
@@ -1,5 +1,7 @@
 #include "forwarder.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <cstdio>
 #include <utility>
@@ -212,6 +214,7 @@
   if (const std::string* load = FindField(head.fields, field::kServerLoad))
     plane_.chooser.OnLoad(server_, ParseLoad(*load), now);
   if (!std::exchange(answered_, true)) plane_.chooser.OnFirstByte(server_, now);
+  first_byte_at_ = Clock::now();
   const bool not_run = FindField(head.fields, field::kNotExecuted) != nullptr || head.status == 421;
   if (not_run && Promises(head.status)) {
     refused_ = true;  // decided once its answer is read, so that its connection can serve again
@@ -258,6 +261,7 @@
         return RetryOrRefuse();
       }
       EndAttempt(AttemptResult::kServed);
+      outcome_ = "served";
       client_->Finish();
       return End();
     case ExchangeEnd::kBroken:
@@ -269,6 +273,7 @@
       may_have_run_ = true;
       EndAttempt(AttemptResult::kBroken);
       if (client_->head_sent()) {
+        outcome_ = "the server broke off";
         client_->Abort();
         return End();
       }
@@ -303,6 +308,7 @@
 // ---- Final answers ----
 
 void Forwarder::Refuse(const char* why) {
+  outcome_ = why;
   if (may_have_run_ && route_ != nullptr && !Repeatable()) return Fail(502, "Bad Gateway", why);
   char seconds[32];
   std::snprintf(seconds, sizeof seconds, "%.3f",
@@ -312,6 +318,7 @@
 }
 
 void Forwarder::Fail(int status, const char* reason, const char* why) {
+  outcome_ = why;
   client_->Answer(status, reason, {}, std::string(why) + "\n");
   End();
 }
@@ -325,6 +332,7 @@
     EndAttempt(silent ? AttemptResult::kSilent : AttemptResult::kCancelled);
   }
   if (client_->head_sent()) {
+    outcome_ = "its time was over midway";
     client_->Abort();
     return End();
   }
@@ -335,6 +343,7 @@
 
 void Forwarder::OnClientGone() {
   if (over_) return;
+  outcome_ = "the client left";
   if (exchange_ != nullptr) {
     exchange_->Cancel();
     const bool silent = !answered_ && Clock::now() - sent_at_ > kSilentAfter;
@@ -343,8 +352,20 @@
   End();
 }
 
+// One line a request, in milliseconds since it came; off unless the level is debug.
+void Forwarder::LogEnd() const {
+  if (!spdlog::should_log(spdlog::level::debug)) return;
+  const auto since = [&](Clock::time_point at) {
+    return at == Clock::time_point() ? -1 : duration_cast<milliseconds>(at - request_.arrived).count();
+  };
+  spdlog::debug("request {} route {} model {}/{} server {} attempts {} sent {} first_byte {} end {}: {}",
+                request_id_, route_ == nullptr ? "-" : route_->name, wish_.model, wish_.adapter, server_, attempts_,
+                since(sent_at_), since(first_byte_at_), since(Clock::now()), outcome_);
+}
+
 void Forwarder::End() {
   if (std::exchange(over_, true)) return;
+  LogEnd();
   deadline_timer_.cancel();
   pause_.cancel();
   plane_.waiting.erase(shared_from_this());
--- a/src/dataplane/forwarder.hpp
+++ b/src/dataplane/forwarder.hpp
@@ -68,6 +68,7 @@
   void OnDeadline();
   void OnClientGone();
   void End();
+  void LogEnd() const;
 
   bool Repeatable() const { return route_->Repeatable(); }
   std::int64_t LeftMs() const;
@@ -91,6 +92,8 @@
   std::shared_ptr<UpstreamExchange> exchange_;
   std::string server_;  // id, of the attempt at hand
   Clock::time_point sent_at_;
+  Clock::time_point first_byte_at_;
+  const char* outcome_ = "";  // for the log
   int attempts_ = 0;  // that may have reached a server
   int refusals_ = 0;
   int unreachable_ = 0;
