--- a/src/control/api/http.cpp
+++ b/src/control/api/http.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 // The largest body that is taken, of the operator or of another control process.
-constexpr ev_ssize_t kMostBody = 16 * 1024 * 1024;
-constexpr ev_ssize_t kMostHeaders = 64 * 1024;
+constexpr ev_ssize_t kMostBody = 16'777'216;
+constexpr ev_ssize_t kMostHeaders = 65'536;
 // A connection on which nothing moves for so long is closed.
 constexpr int kIdleSeconds = 60;
 
--- a/src/control/placement/demand.cpp
+++ b/src/control/placement/demand.cpp
@@ -53,6 +53,7 @@
       found.emplace_back(entry.waiting_since, name);
   std::sort(found.begin(), found.end());
   std::vector<std::string> out;
+  out.reserve(found.size());
   for (auto& [since, name] : found) out.push_back(std::move(name));
   return out;
 }
--- a/src/control/placement/placer.cpp
+++ b/src/control/placement/placer.cpp
@@ -15,7 +15,8 @@
 constexpr Placer::Micros kBeforeUnload = 60'000;
 // An order that is under way is asked after again by repeating it.
 constexpr Placer::Micros kAskAgain = 120'000;
-// An unload waits for the model's runs to end: it is asked after at first so soon, then after twice that and so on.
+// An unload waits for the model's runs to end: it is asked after at first so soon, then after twice that and
+// so on.
 constexpr Placer::Micros kUnloadFirst = 40'000;
 constexpr int kUnloadDoublings = 4;
 // A server whose state is not certain is asked for its report; what it tells there is some hundred ms old.
@@ -31,12 +32,13 @@
 constexpr double kWorthMore = 1.5;
 // With fewer than this share of its copies a busy model goes before those that single requests wait for.
 constexpr double kUrgentShare = 0.8;
-// What a server that has twice the mean of all work to do counts as, beside one with the mean, in requests a second.
+// What a server that has twice the mean of all work to do counts as, beside one with the mean, in requests a
+// second.
 constexpr double kLoadCost = 0.1;
 // Requests a second below which a further copy of a model would stand idle.
 constexpr double kRequestsPerCopy = 0.5;
-// A load from the weight store costs, in requests a second that go without their model, what its time and its price
-// do; one from the server's own disk much less.
+// A load from the weight store costs, in requests a second that go without their model, what its time and its
+// price do; one from the server's own disk much less.
 constexpr double kColdCost = 0.05;
 
 std::string NameOf(const std::string& model, const std::string& adapter) {
@@ -194,8 +196,8 @@
   }
 }
 
-// A server's models share its time: work is spread evenly if the copies of a model are to the servers as its work is
-// to all work.
+// A server's models share its time: work is spread evenly if the copies of a model are to the servers as its
+// work is to all work.
 int Placer::WantedCopies(const Service& service, const std::string& model, Micros now) const {
   double all = 0;
   for (const Model& other : service.runtime->models)
--- a/src/control/placement/placer.hpp
+++ b/src/control/placement/placer.hpp
@@ -69,7 +69,7 @@
     std::string then_model;  // to load after an unload
     std::string then_adapter;
     double seconds = 0;  // that the load is expected to take
-    int asked = 0;  // times that it was found to be under way
+    int asked = 0;       // times that it was found to be under way
   };
   // A server, as far as this placer knows it for certain.
   struct Known {
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -116,8 +116,8 @@
       source_(settings_.node_name + "/" + RandomName().substr(0, 8)),
       departures_(kServiceShards + 1),
       table_(source_, kMissedHeartbeats * settings_.heartbeat_ms * 1000),
-      api_(base, [this](http::Request r, http::Answer a) { OnApi(std::move(r), std::move(a)); }),
-      internal_(base, [this](http::Request r, http::Answer a) { OnInternal(std::move(r), std::move(a)); }),
+      api_(base, [this](const http::Request& r, const http::Answer& a) { OnApi(r, a); }),
+      internal_(base, [this](const http::Request& r, const http::Answer& a) { OnInternal(r, a); }),
       client_(base) {}
 
 ControlService::~ControlService() {
@@ -316,7 +316,7 @@
 
 // ---- The interface for servers and the operator ----
 
-void ControlService::OnApi(http::Request request, http::Answer answer) {
+void ControlService::OnApi(const http::Request& request, const http::Answer& answer) {
   static const std::string kInstances = "/api/instances/";
   if (request.path == "/api/configuration") {
     if (request.method == "GET") return OnReadConfiguration(answer);
@@ -401,7 +401,7 @@
 
 // ---- Calls of the other processes of the system ----
 
-void ControlService::OnInternal(http::Request request, http::Answer answer) {
+void ControlService::OnInternal(const http::Request& request, const http::Answer& answer) {
   try {
     if (request.path == kExchangePath)
       return OnExchange(json::parse(request.body).get<ExchangeRequest>(), answer);
--- a/src/control/service.hpp
+++ b/src/control/service.hpp
@@ -66,7 +66,7 @@
   bool InTouch() const;
 
   // The interface for servers and the operator.
-  void OnApi(http::Request request, http::Answer answer);
+  void OnApi(const http::Request& request, const http::Answer& answer);
   void OnHeartbeat(const std::string& id, const std::string& body, const http::Answer& answer);
   void OnDeparture(const std::string& id, const http::Answer& answer);
   void AnswerLeave(const std::string& id, const std::string& service, Phase phase,
@@ -76,7 +76,7 @@
   std::optional<Phase> Departed(const std::string& id) const;
 
   // Calls of the other processes of the system.
-  void OnInternal(http::Request request, http::Answer answer);
+  void OnInternal(const http::Request& request, const http::Answer& answer);
   void OnExchange(const ExchangeRequest& request, const http::Answer& answer);
   void OnPull(PullRequest request, const http::Answer& answer);
   bool AnswerPull(const PullRequest& request, const http::Answer& answer, bool now_or_never);
--- a/src/dataplane/forwarder.cpp
+++ b/src/dataplane/forwarder.cpp
@@ -18,7 +18,7 @@
 // A request whose first byte has not come after so long tells of its server when it is given up.
 constexpr milliseconds kSilentAfter{1500};
 // Bytes that a client may be behind before its server is read no further.
-constexpr std::size_t kMostUnsent = 256 * 1024;
+constexpr std::size_t kMostUnsent = 262'144;
 // Requests that wait for a model, beyond the time that its load takes.
 constexpr double kHoldSlackMs = 900;
 // The share of a request's time for which it is held without a server.
@@ -359,8 +359,8 @@
     return at == Clock::time_point() ? -1 : duration_cast<milliseconds>(at - request_.arrived).count();
   };
   spdlog::debug("request {} route {} model {}/{} server {} attempts {} sent {} first_byte {} end {}: {}",
-                request_id_, route_ == nullptr ? "-" : route_->name, wish_.model, wish_.adapter, server_, attempts_,
-                since(sent_at_), since(first_byte_at_), since(Clock::now()), outcome_);
+                request_id_, route_ == nullptr ? "-" : route_->name, wish_.model, wish_.adapter, server_,
+                attempts_, since(sent_at_), since(first_byte_at_), since(Clock::now()), outcome_);
 }
 
 void Forwarder::End() {
--- a/src/dataplane/forwarder.hpp
+++ b/src/dataplane/forwarder.hpp
@@ -94,7 +94,7 @@
   Clock::time_point sent_at_;
   Clock::time_point first_byte_at_;
   const char* outcome_ = "";  // for the log
-  int attempts_ = 0;  // that may have reached a server
+  int attempts_ = 0;          // that may have reached a server
   int refusals_ = 0;
   int unreachable_ = 0;
   bool may_have_run_ = false;
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -7,7 +7,10 @@
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/program_options.hpp>
+#include <cstdio>
 #include <cstdlib>
+#include <exception>
+#include <functional>
 #include <iostream>
 #include <optional>
 #include <string>
@@ -103,9 +106,7 @@
   std::_Exit(0);
 }
 
-}  // namespace
-
-int main(int argc, char** argv) {
+int Run(int argc, char** argv) {
   options::options_description visible(
       "violetwing-node ROLE\n\nROLE is edge or control. Settings are read from the "
       "file that VIOLETWING_SETTINGS names.\n\nOptions");
@@ -137,3 +138,14 @@
   if (!settings) return Say(kUsage, SettingsPath() + ": " + problem);
   return role == "edge" ? RunEdge(*settings) : RunControl(*settings);
 }
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  try {
+    return Run(argc, argv);
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "violetwing-node: %s\n", error.what());
+    return 1;
+  }
+}
--- /dev/null
+++ b/tests/node/processes_test.cpp
@@ -0,0 +1,229 @@
+// Real processes on loopback: three that hold the state, one sidecar, and a stand-in for a server.
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+#include "common/http_client.hpp"
+#include "net/scripted_peers.hpp"
+
+namespace violetwing {
+namespace {
+
+using merlinrun::net::testing::Peer;
+using merlinrun::net::testing::Reply;
+using merlinrun::net::testing::RunUntil;
+using merlinrun::net::testing::ScriptedServer;
+using nlohmann::json;
+namespace fs = std::filesystem;
+
+constexpr int kControls = 3;
+
+// A process of the system with a folder and an address of its own.
+class Process {
+ public:
+  Process(const fs::path& folder, std::string role, const json& settings)
+      : role_(std::move(role)), settings_file_((folder / "settings.json").string()) {
+    fs::create_directories(folder / "data");
+    json all = settings;
+    all["data_dir"] = (folder / "data").string();
+    std::ofstream(settings_file_) << all.dump();
+    Start();
+  }
+  ~Process() { Kill(); }
+  Process(const Process&) = delete;
+  Process& operator=(const Process&) = delete;
+
+  void Start() {
+    const std::string variable = "VIOLETWING_SETTINGS=" + settings_file_;
+    char* environment[] = {const_cast<char*>(variable.c_str()), nullptr};
+    const char* arguments[] = {VIOLETWING_NODE, role_.c_str(), "--log-level", "warn", nullptr};
+    REQUIRE(posix_spawn(&id_, VIOLETWING_NODE, nullptr, nullptr, const_cast<char**>(arguments),
+                        environment) == 0);
+  }
+  void Kill() {
+    if (id_ == 0) return;
+    kill(id_, SIGKILL);
+    waitpid(std::exchange(id_, 0), nullptr, 0);
+  }
+  // Its exit status after SIGTERM; -1 if it did not end by itself.
+  int Stop() {
+    kill(id_, SIGTERM);
+    int status = 0;
+    waitpid(std::exchange(id_, 0), &status, 0);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
+
+ private:
+  const std::string role_;
+  const std::string settings_file_;
+  pid_t id_ = 0;
+};
+
+struct Answered {
+  int status = 0;
+  std::string body;
+};
+
+class System {
+ public:
+  System() {
+    char name[] = "/tmp/violetwing-node-XXXXXX";
+    folder_ = mkdtemp(name);
+    const auto base = static_cast<int>(20000 + getpid() * 25 % 20000);
+    // Processes of other tests may use the ports beside it: each machine has an address of its own.
+    for (int i = 0; i < kControls; ++i) {
+      const std::string ip = "127.0.7." + std::to_string(11 + i);
+      controls_.push_back(ip + ":" + std::to_string(base));
+      internal_port_ = base + 1;
+    }
+    for (int i = 0; i < kControls; ++i) StartControl(i);
+  }
+  ~System() {
+    processes.clear();
+    edge.reset();
+    std::error_code ignored;
+    fs::remove_all(folder_, ignored);
+  }
+
+  json Settings(const std::string& name, const std::string& ip) const {
+    return {{"node_name", name},
+            {"ip", ip},
+            {"zone", "here"},
+            {"seed_nodes", controls_},
+            {"bootstrap", true},
+            {"ephemeral_ports", {internal_port_, internal_port_ + 9}},
+            {"heartbeat_ms", 500},
+            {"fault_tolerance", {{"nodes", 1}}},
+            {"timeouts", {{"grace_s", 3}, {"lease_ms", 500}}}};
+  }
+  void StartControl(int i) {
+    json settings = Settings("control-" + std::to_string(i), "127.0.7." + std::to_string(11 + i));
+    settings["listeners_addr"] = {{"control_plane", controls_[static_cast<std::size_t>(i)]}};
+    processes.push_back(
+        std::make_unique<Process>(folder_ / ("control-" + std::to_string(i)), "control", settings));
+  }
+  void StartEdge() {
+    json settings = Settings("edge-0", "127.0.7.21");
+    ingress = "127.0.7.21:" + std::to_string(internal_port_ + 20);
+    readiness = "127.0.7.21:" + std::to_string(internal_port_ + 21);
+    settings["listeners_addr"] = {{"ingress", ingress}, {"readiness", readiness}};
+    edge = std::make_unique<Process>(folder_ / "edge-0", "edge", settings);
+  }
+
+  Answered Call(const std::string& address, const std::string& method, const std::string& target,
+                const std::string& body = "", const std::string& more = "") {
+    auto peer = std::make_shared<Peer>(boost::asio::ip::tcp::socket(io));
+    boost::system::error_code error;
+    peer->socket.connect(*ParseEndpoint(address), error);
+    if (error) return {};
+    peer->Read();
+    peer->Write(method + " " + target +
+                " HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\nContent-Length: " +
+                std::to_string(body.size()) + "\r\n" + more + "\r\n" + body);
+    RunUntil(
+        io, [&] { return peer->ended; }, std::chrono::seconds(5));
+    const std::size_t head = peer->received.find("\r\n\r\n");
+    if (head == std::string::npos) return {};
+    return {std::atoi(peer->received.substr(9, 3).c_str()), peer->received.substr(head + 4)};
+  }
+  // Sends the same change to one process after the other until it is acknowledged, as the operator does.
+  int Configure(std::int64_t version, std::int64_t base, int except = -1) {
+    const json document{
+        {"version", version},
+        {"routes",
+         {{{"name", "r"},
+           {"hostname", "a.example"},
+           {"path_prefix", "/x/"},
+           {"type", "idempotent"},
+           {"timeout_ms", 2000},
+           {"backend", "s"},
+           {"max_attempts", 2}}}},
+        {"backends", {{{"name", "s"}, {"health_check", "/healthz"}, {"max_connections", 10}}}}};
+    Answered last;
+    RunUntil(io, [&] {
+      next_ = (next_ + 1) % kControls;
+      if (next_ == except) return false;
+      last = Call(controls_[static_cast<std::size_t>(next_)], "PUT", "/api/configuration", document.dump(),
+                  "If-Match: " + std::to_string(base) + "\r\n");
+      return last.status == 200 || last.status == 412 || last.status == 400;
+    });
+    return last.status;
+  }
+  int Register(const ScriptedServer& server, std::int64_t sequence, int at) {
+    const json body{{"backend", "s"},   {"address", "127.0.0.1:" + std::to_string(server.address.port())},
+                    {"zone", "here"},   {"capacity", 4},
+                    {"phase", "ready"}, {"sequence", sequence}};
+    return Call(controls_[static_cast<std::size_t>(at)], "PUT", "/api/instances/i-1", body.dump()).status;
+  }
+  std::int64_t ReadVersion(int at) {
+    const Answered answer = Call(controls_[static_cast<std::size_t>(at)], "GET", "/api/configuration");
+    return answer.status == 200 ? json::parse(answer.body).at("version").get<std::int64_t>() : -1;
+  }
+
+  boost::asio::io_context io;
+  std::vector<std::unique_ptr<Process>> processes;
+  std::unique_ptr<Process> edge;
+  std::string ingress;
+  std::string readiness;
+
+ private:
+  fs::path folder_;
+  std::vector<std::string> controls_;
+  int internal_port_ = 0;
+  int next_ = 0;
+};
+
+}  // namespace
+
+TEST_CASE("Three control processes and a sidecar: a change, the owner's end, the next change, a request") {
+  System system;
+  system.StartEdge();
+  ScriptedServer server(system.io, [](Peer& peer) { peer.Write(Reply("200 OK", "bytes")); });
+  CHECK(system.Call(system.readiness, "GET", "/api/readyz").status != 200);
+  REQUIRE(system.Configure(3, 0) == 200);
+  CHECK(system.Configure(3, 0) == 200);  // the same change is acknowledged once more
+  CHECK(system.Configure(4, 0) == 412);
+  std::int64_t sequence = 0;
+  REQUIRE(RunUntil(system.io, [&] { return system.Register(server, ++sequence, 0) == 200; }));
+  REQUIRE(
+      RunUntil(system.io, [&] { return system.Call(system.readiness, "GET", "/api/readyz").status == 200; }));
+  REQUIRE(RunUntil(system.io, [&] {
+    system.Register(server, ++sequence, 1);
+    return system.Call(system.ingress, "GET", "/x/1").body == "bytes";
+  }));
+  // Each of them ends once, the owner of each shard among them, and the others take the next change.
+  std::int64_t version = 3;
+  for (int i = 0; i < kControls; ++i) {
+    INFO("control process " << i);
+    system.processes[static_cast<std::size_t>(i)]->Kill();
+    REQUIRE(system.Configure(version + 2, version, i) == 200);
+    version += 2;
+    REQUIRE(RunUntil(system.io, [&] {
+      system.Register(server, ++sequence, (i + 1) % kControls);
+      return system.Call(system.ingress, "GET", "/x/1").body == "bytes";
+    }));
+    system.processes[static_cast<std::size_t>(i)]->Start();
+    REQUIRE(RunUntil(system.io, [&] { return system.ReadVersion(i) == version; }));
+  }
+  CHECK(system.edge->Stop() == 0);
+  for (const auto& process : system.processes) CHECK(process->Stop() == 0);
+}
+
+TEST_CASE("All control processes end at once and have all that was acknowledged when they are back") {
+  System system;
+  REQUIRE(system.Configure(3, 0) == 200);
+  REQUIRE(system.Configure(7, 3) == 200);
+  for (const auto& process : system.processes) process->Kill();
+  for (const auto& process : system.processes) process->Start();
+  for (int i = 0; i < kControls; ++i) CHECK(RunUntil(system.io, [&] { return system.ReadVersion(i) == 7; }));
+}
+
+}  // namespace violetwing
