--- a/src/dataplane/ingress.cpp
+++ b/src/dataplane/ingress.cpp
@@ -130,9 +130,7 @@
     const ssize_t size = error ? 0 : recv(self->socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     if (size > 0) return;
     if (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return self->WatchClient();
-    const auto gone = std::move(self->on_gone);
     self->Close();
-    if (gone) gone();
   });
 }
 
@@ -178,7 +176,10 @@
   Finish();
 }
 
-void ClientConnection::Abort() { Close(); }
+void ClientConnection::Abort() {
+  on_gone = nullptr;
+  Close();
+}
 
 void ClientConnection::Write() {
   if (closed_ || !writing_.empty()) return;
@@ -202,12 +203,7 @@
 
 void ClientConnection::OnWritten(ErrorCode error) {
   writing_.clear();
-  if (error) {
-    const auto gone = std::move(on_gone);
-    Close();
-    if (gone) gone();
-    return;
-  }
+  if (error) return Close();
   if (phase_ == Phase::kAnswering) limit_.cancel();
   if (out_.empty() && !finished_ && on_drained) on_drained();
   Write();
@@ -219,6 +215,8 @@
 
 void ClientConnection::Close() {
   if (std::exchange(closed_, true)) return;
+  const auto gone = std::exchange(on_gone, nullptr);
+  on_drained = nullptr;
   if (phase_ != Phase::kIdle) --ingress_.busy_;
   limit_.cancel();
   ErrorCode ignored;
@@ -226,6 +224,7 @@
   socket_.close(ignored);
   // The caller may hold no other reference.
   asio::post(ingress_.io_, [self = shared_from_this()] { self->ingress_.connections_.erase(self); });
+  if (gone) gone();
 }
 
 // ---- Ingress ----
@@ -271,4 +270,10 @@
   for (const ClientPtr& connection : connections) connection->CloseIfIdle();
 }
 
+void Ingress::CloseAll() {
+  StopListening();
+  const std::set<ClientPtr> connections = connections_;
+  for (const ClientPtr& connection : connections) connection->Close();
+}
+
 }  // namespace violetwing
--- a/src/dataplane/ingress.hpp
+++ b/src/dataplane/ingress.hpp
@@ -58,6 +58,8 @@
   std::function<void()> on_drained;  // all bytes so far were taken
 
   void CloseIfIdle();
+  // `on_gone` is called if the answer at hand has not ended.
+  void Close();
 
  private:
   using ErrorCode = boost::system::error_code;
@@ -73,7 +75,6 @@
   void LimitTime(std::chrono::milliseconds time);
   void Write();
   void OnWritten(ErrorCode error);
-  void Close();
 
   Ingress& ingress_;
   Tcp::socket socket_;
@@ -105,6 +106,8 @@
   void SetClosing() { closing_ = true; }
   // Takes no more connections and closes the idle ones.
   void StopListening();
+  // Closes the others too, whatever is open on them.
+  void CloseAll();
   void SetLimits(const configuration::Limits& limits) { limits_ = limits; }
   // Connections on which a request is being read or answered.
   std::size_t busy() const { return busy_; }
--- a/tests/node/cluster.hpp
+++ b/tests/node/cluster.hpp
@@ -143,6 +143,20 @@
     return std::includes(held.begin(), held.end(), acknowledged_.begin(), acknowledged_.end());
   }
 
+  // One line a machine, for a failed test.
+  std::string Describe() const {
+    std::string out;
+    for (const Machine& machine : machines_) {
+      out += "\n" + machine.address + " " + machine.disk_id;
+      if (machine.replica == nullptr) continue;
+      const Replica& replica = *machine.replica;
+      out += " term " + std::to_string(replica.term()) + " last " + std::to_string(replica.last()) + " applied " +
+             std::to_string(replica.applied()) + (replica.leader() ? " leads" : "") + " members";
+      for (const Member& member : replica.members()) out += " " + member.id;
+    }
+    return out;
+  }
+
  private:
   struct Flight {
     Micros at = 0;
--- a/tests/node/consensus_test.cpp
+++ b/tests/node/consensus_test.cpp
@@ -14,6 +14,7 @@
 // The leader, after the time that an election may take.
 std::size_t AwaitLeader(Cluster& cluster) {
   for (int i = 0; i < 100 && !cluster.Leader(); ++i) cluster.Run(kSecond / 10);
+  INFO(cluster.Describe());
   REQUIRE(cluster.Leader().has_value());
   return *cluster.Leader();
 }
--- a/tests/node/dataplane_test.cpp
+++ b/tests/node/dataplane_test.cpp
@@ -59,8 +59,10 @@
     REQUIRE_FALSE(ingress.Listen("127.0.0.1:" + std::to_string(endpoint.port())));
   }
   ~Sidecar() {
-    ingress.StopListening();
+    ingress.CloseAll();
     plane.pool.CloseAll();
+    io.restart();
+    io.poll();  // what the closing has left to do
   }
   void Know(const std::vector<const ScriptedServer*>& servers) {
     std::map<std::string, Instance> instances;
