Follow demand faster, and keep one spare copy of what is used

Need: copies were unloaded and loaded again as the wanted number varied by one.

Change: demand is remembered over 1.5 s in place of 2.5; a copy counts as spare only from two beyond the wanted number on; busy models go first below 90% of their copies in place of 80%.

--- a/src/control/placement/demand.cpp
+++ b/src/control/placement/demand.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // Demand is remembered over so long: it moves to other models within seconds.
-constexpr double kMemoryS = 2.5;
+constexpr double kMemoryS = 1.5;
 // A request that waits is told of every few hundred ms.
 constexpr Demand::Micros kWaitingFor = 1'000'000;
 
--- a/src/control/placement/placer.cpp
+++ b/src/control/placement/placer.cpp
@@ -31,10 +31,12 @@
 constexpr double kRecentS = 6;
 constexpr double kWorthMore = 1.5;
 // With fewer than this share of its copies a busy model goes before those that single requests wait for.
-constexpr double kUrgentShare = 0.8;
+constexpr double kUrgentShare = 0.9;
 // What a server that has twice the mean of all work to do counts as, beside one with the mean, in requests a
 // second.
 constexpr double kLoadCost = 0.1;
+// Copies beyond the wanted ones that count as used: what is wanted varies by one from moment to moment.
+constexpr int kSpareCopies = 1;
 // Requests a second below which a further copy of a model would stand idle.
 constexpr double kRequestsPerCopy = 0.5;
 // A load from the weight store costs, in requests a second that go without their model, what its time and its
@@ -224,8 +226,10 @@
   const int held = copies == service.copies.end() ? 1 : std::max(copies->second, 1);
   const double idle_s = of.asked_at == 0 ? 1e3 : static_cast<double>(now - of.asked_at) / 1e6;
   // One copy of many is missed by the work that it takes off the others; the last one by all who ask.
-  if (held > 1)
-    return held > std::max(WantedCopies(service, model, now), 1) ? 0.01 / held : of.requests / held;
+  if (held > 1) {
+    const int kept = WantedCopies(service, model, now) + kSpareCopies;
+    return held > std::max(kept, 1) ? 0.01 / held : std::max(of.requests / held, 0.02);
+  }
   return of.requests + 1 / (kRecentS + idle_s);
 }
 
