Send prompts where all sidecars expect their parts, and count prompts that a server has yet to read

Change: tokens of prompts without a first byte count as a server's work; two servers a prompt's shared parts, by a hash of both that all sidecars compute alike, count as holding 70% of them.

--- a/src/dataplane/chooser.cpp
+++ b/src/dataplane/chooser.cpp
@@ -24,7 +24,10 @@
 constexpr Chooser::Micros kSilentFor = 700'000;
 // Tokens of a prompt that weigh as much as one request that runs: reading them holds up all that run beside
 // them.
-constexpr double kTokensPerRequest = 3000;
+constexpr double kTokensPerRequest = 2000;
+// Servers that keep one prompt's shared parts, and the share of these that is expected there.
+constexpr std::size_t kHomes = 2;
+constexpr double kHomeShare = 0.7;
 // The share of a server's memory that this sidecar's guess of its cache may fill.
 constexpr double kCacheTokens = 150'000;
 
@@ -45,7 +48,24 @@
   return lacks == server.lacks_until.end() || now >= lacks->second;
 }
 
-double Chooser::Cost(const Server& server, const Instance& instance, const Wish& wish, Micros now) const {
+std::vector<const Instance*> Chooser::Homes(const std::vector<const Instance*>& candidates,
+                                            const Wish& wish) {
+  if (wish.parts == nullptr || wish.parts->size() < 2) return {};
+  std::string key = WeightsKey(wish);
+  for (std::size_t i = 0; i + 1 < wish.parts->size(); ++i) key += "," + (*wish.parts)[i].id;
+  const std::uint64_t seed = Hash(0, key);
+  std::vector<std::pair<std::uint64_t, const Instance*>> ranked;
+  ranked.reserve(candidates.size());
+  for (const Instance* instance : candidates) ranked.emplace_back(Hash(seed, instance->id), instance);
+  const std::size_t kept = std::min(kHomes, ranked.size());
+  std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(kept), ranked.end());
+  std::vector<const Instance*> homes;
+  for (std::size_t i = 0; i < kept; ++i) homes.push_back(ranked[i].second);
+  return homes;
+}
+
+double Chooser::Cost(const Server& server, const Instance& instance, const Wish& wish, bool home,
+                     Micros now) const {
   const double age = static_cast<double>(now - server.load_at);
   const double others = server.load_at == 0
                             ? 0
@@ -55,9 +75,10 @@
   cost *= 8.0 / std::max(1, std::min(instance.capacity, 8));  // a place of a small server weighs more
   if (now < server.full_until) cost += 100;
   if (server.silent_since > 0 && now - server.silent_since > kSilentFor) cost += 1000;
-  if (wish.parts != nullptr && wish.tokens > 0)
-    cost += (wish.tokens - server.cache.CachedTokens(WeightsKey(wish), *wish.parts)) / kTokensPerRequest;
-  return cost;
+  if (wish.parts == nullptr || wish.tokens <= 0) return cost;
+  double cached = server.cache.CachedTokens(WeightsKey(wish), *wish.parts);
+  if (home) cached = std::max(cached, kHomeShare * (wish.tokens - wish.parts->back().tokens));
+  return cost + (server.unread_tokens + wish.tokens - cached) / kTokensPerRequest;
 }
 
 const Instance* Chooser::Choose(const std::vector<const Instance*>& candidates, const Directory& directory,
@@ -73,8 +94,10 @@
   };
   const Instance* best = nullptr;
   double least = 0;
+  const std::vector<const Instance*> homes = Homes(candidates, wish);
   const auto weigh = [&](const Instance* instance) {
-    const double cost = Cost(servers_[instance->id], *instance, wish, now);
+    const bool home = std::find(homes.begin(), homes.end(), instance) != homes.end();
+    const double cost = Cost(servers_[instance->id], *instance, wish, home, now);
     if (best != nullptr && cost >= least) return;
     best = instance;
     least = cost;
@@ -83,6 +106,8 @@
   if (wish.parts != nullptr && !wish.parts->empty()) {
     for (std::size_t i = 0; i < width; ++i)
       if (usable(*at(i))) weigh(at(i));
+    for (const Instance* instance : homes)
+      if (usable(*instance)) weigh(instance);
     if (best != nullptr) return best;
   }
   int found = 0;
@@ -106,11 +131,15 @@
   return best;
 }
 
-void Chooser::OnSent(const std::string& id, const Wish& wish, Micros now) {
+void Chooser::OnSent(const std::string& id, Wish& wish, Micros now) {
   Server& server = servers_[id];
   ++server.in_flight;
-  ++server.sent_since_load;
   if (server.silent++ == 0) server.silent_since = now;
+  if (wish.parts != nullptr) {
+    wish.unread_tokens =
+        std::max(0.0, wish.tokens - server.cache.CachedTokens(WeightsKey(wish), *wish.parts));
+    server.unread_tokens += wish.unread_tokens;
+  }
   if (wish.parts != nullptr) server.cache.Insert(WeightsKey(wish), *wish.parts, kCacheTokens);
 }
 
@@ -118,11 +147,11 @@
   Server& server = servers_[id];
   server.load = load;
   server.load_at = now;
-  server.sent_since_load = 0;
 }
 
-void Chooser::OnFirstByte(const std::string& id, Micros now) {
+void Chooser::OnFirstByte(const std::string& id, const Wish& wish, Micros now) {
   Server& server = servers_[id];
+  server.unread_tokens = std::max(0.0, server.unread_tokens - wish.unread_tokens);
   server.silent = std::max(0, server.silent - 1);
   server.silent_since = server.silent > 0 ? now : 0;
 }
@@ -131,6 +160,7 @@
                     Micros now) {
   Server& server = servers_[id];
   if (!answered && server.silent > 0 && --server.silent == 0) server.silent_since = 0;
+  if (!answered) server.unread_tokens = std::max(0.0, server.unread_tokens - wish.unread_tokens);
   server.in_flight = std::max(0, server.in_flight - 1);
   switch (result) {
     case AttemptResult::kServed:
--- a/src/dataplane/chooser.hpp
+++ b/src/dataplane/chooser.hpp
@@ -47,15 +47,16 @@
     const std::vector<PromptPart>* parts = nullptr;
     double tokens = 0;               // of the whole prompt
     std::vector<std::string> tried;  // ids that this request has been sent to
+    double unread_tokens = 0;        // set as it is sent: of the prompt, what that server has to read
   };
 
   // Null if no server of `candidates` may take it now. They are sorted by id.
   const Instance* Choose(const std::vector<const Instance*>& candidates, const Directory& directory,
                          const Wish& wish, Micros now);
 
-  void OnSent(const std::string& id, const Wish& wish, Micros now);
+  void OnSent(const std::string& id, Wish& wish, Micros now);
   void OnLoad(const std::string& id, const ServerLoad& load, Micros now);
-  void OnFirstByte(const std::string& id, Micros now);
+  void OnFirstByte(const std::string& id, const Wish& wish, Micros now);
   // `answered`: a first byte has come.
   void OnEnd(const std::string& id, AttemptResult result, const Wish& wish, bool answered, Micros now);
   // Forgets servers that are no longer there.
@@ -66,11 +67,11 @@
  private:
   struct Server {
     int in_flight = 0;
-    int silent = 0;           // of these, without a first byte yet
-    Micros silent_since = 0;  // since which all that was asked is without an answer; 0 if none is
+    int silent = 0;            // of these, without a first byte yet
+    Micros silent_since = 0;   // since which all that was asked is without an answer; 0 if none is
+    double unread_tokens = 0;  // of prompts sent there that have no first byte yet
     ServerLoad load;
     Micros load_at = 0;
-    int sent_since_load = 0;
     int failures = 0;  // in a row
     Micros ejected_until = 0;
     Micros full_until = 0;
@@ -79,7 +80,10 @@
   };
 
   bool Usable(const Server& server, const Wish& wish, Micros now) const;
-  double Cost(const Server& server, const Instance& instance, const Wish& wish, Micros now) const;
+  double Cost(const Server& server, const Instance& instance, const Wish& wish, bool home, Micros now) const;
+  // The servers that all sidecars prefer for a prompt's shared parts, by a hash of both: its parts are read
+  // there.
+  static std::vector<const Instance*> Homes(const std::vector<const Instance*>& candidates, const Wish& wish);
 
   Random random_;
   std::map<std::string, Server> servers_;
--- a/src/dataplane/forwarder.cpp
+++ b/src/dataplane/forwarder.cpp
@@ -214,7 +214,7 @@
   const Micros now = NowMicros();
   if (const std::string* load = FindField(head.fields, field::kServerLoad))
     plane_.chooser.OnLoad(server_, ParseLoad(*load), now);
-  if (!std::exchange(answered_, true)) plane_.chooser.OnFirstByte(server_, now);
+  if (!std::exchange(answered_, true)) plane_.chooser.OnFirstByte(server_, wish_, now);
   first_byte_at_ = Clock::now();
   const bool not_run = FindField(head.fields, field::kNotExecuted) != nullptr || head.status == 421;
   if (not_run && Promises(head.status)) {
@@ -312,8 +312,7 @@
   outcome_ = why;
   if (may_have_run_ && route_ != nullptr && !Repeatable()) return Fail(502, "Bad Gateway", why);
   char seconds[32];
-  std::snprintf(seconds, sizeof seconds, "%.3f",
-                come_back_s + kRetryAfterSpreadS * plane_.random.Uniform());
+  std::snprintf(seconds, sizeof seconds, "%.3f", come_back_s + kRetryAfterSpreadS * plane_.random.Uniform());
   client_->Answer(503, "Service Unavailable", {{"Retry-After", seconds}}, std::string(why) + "\n");
   End();
 }
--- a/tests/node/routing_test.cpp
+++ b/tests/node/routing_test.cpp
@@ -89,7 +89,7 @@
   Directory directory = Ten(0, 1);
   const std::vector<const Instance*> one = {directory.Servers("s")[0]};
   Chooser chooser(1);
-  const Chooser::Wish wish{"m", "", nullptr, 0, {}};
+  const Chooser::Wish wish{"m", "", nullptr, 0, {}, 0};
   for (int i = 0; i < 5; ++i) chooser.OnEnd("i-0", AttemptResult::kBroken, wish, false, kSecond);
   CHECK(chooser.Choose(one, directory, wish, kSecond) != nullptr);
   chooser.OnEnd("i-0", AttemptResult::kWrongServer, wish, true, kSecond);
@@ -100,17 +100,47 @@
   const Directory directory = Ten(0, 1);
   Chooser chooser(1);
   const std::vector<PromptPart> parts = ParsePromptParts("5c:6000,91:3000");
-  const Chooser::Wish wish{"m", "", &parts, 9000, {}};
+  Chooser::Wish wish{"m", "", &parts, 9000, {}, 0};
   const Instance* first = chooser.Choose(directory.Servers("s"), directory, wish, kSecond);
   chooser.OnSent(first->id, wish, kSecond);
+  chooser.OnFirstByte(first->id, wish, kSecond);
   for (int i = 0; i < 2; ++i) {
     CHECK(chooser.Choose(directory.Servers("s"), directory, wish, kSecond) == first);
     chooser.OnSent(first->id, wish, kSecond);
+    chooser.OnFirstByte(first->id, wish, kSecond);
   }
   for (int i = 0; i < 40; ++i) chooser.OnSent(first->id, wish, kSecond);
   CHECK(chooser.Choose(directory.Servers("s"), directory, wish, kSecond) != first);
 }
 
+TEST_CASE("All sidecars prefer the same servers for the shared parts of a prompt") {
+  const std::vector<PromptPart> parts = ParsePromptParts("5c:6000,91:3000");
+  std::set<std::string> chosen;
+  for (int number = 0; number < 9; ++number) {
+    const Directory directory = Ten(number, 9);
+    Chooser chooser(static_cast<std::uint64_t>(number));
+    chosen.insert(
+        chooser.Choose(directory.Servers("s"), directory, {"m", "", &parts, 9000, {}, 0}, kSecond)->id);
+  }
+  CHECK(chosen.size() <= 2);
+}
+
+TEST_CASE("Prompts that a server has yet to read count as its work") {
+  const Directory directory = Ten(0, 1);
+  Chooser chooser(1);
+  const std::vector<PromptPart> parts = ParsePromptParts("5c:6000,91:3000");
+  Chooser::Wish wish{"m", "", &parts, 9000, {}, 0};
+  const Instance* first = chooser.Choose(directory.Servers("s"), directory, wish, kSecond);
+  std::vector<Chooser::Wish> sent(4, wish);
+  const std::vector<PromptPart> others = ParsePromptParts("aa:1,bb:9000");
+  for (Chooser::Wish& one : sent) {
+    one.parts = &others;
+    one.model = "other";
+    chooser.OnSent(first->id, one, kSecond);
+  }
+  CHECK(chooser.Choose(directory.Servers("s"), directory, wish, kSecond) != first);
+}
+
 TEST_CASE("A part counts as kept only after the same parts, and memory is bounded") {
   PrefixCache cache;
   const auto parts = ParsePromptParts("a:100,b:200,c:300");
