--- a/tests/node/configuration_test.cpp
+++ b/tests/node/configuration_test.cpp
@@ -40,7 +40,7 @@
 
 }  // namespace
 
-TEST_CASE("A configuration is read with its types; unknown fields are passed over") {
+TEST_CASE("A configuration is read with its types, unknown fields are passed over") {
   const ReadResult read = Read(Document(3).dump());
   REQUIRE(read.configuration != nullptr);
   CHECK(read.configuration->version == 3);
--- a/tests/node/consensus_test.cpp
+++ b/tests/node/consensus_test.cpp
@@ -44,7 +44,7 @@
   CHECK(cluster.violations().empty());
 }
 
-TEST_CASE("A leader that is cut off commits nothing and loses its lease; the others go on") {
+TEST_CASE("A leader that is cut off commits nothing and loses its lease, the others go on") {
   Cluster cluster(3, 3, 2);
   const std::size_t old = AwaitLeader(cluster);
   for (std::size_t i = 0; i < 3; ++i) {
--- a/tests/node/dataplane_test.cpp
+++ b/tests/node/dataplane_test.cpp
@@ -122,7 +122,7 @@
   CHECK(sent.substr(sent.size() - 5) == "hello");
 }
 
-TEST_CASE("A sidecar without a configuration refuses; one with it says where nothing is") {
+TEST_CASE("A sidecar without a configuration refuses, one with it says where nothing is") {
   Sidecar sidecar;
   const auto early = sidecar.Ask(RequestTo("/once/"));
   REQUIRE(sidecar.Until([&] { return Has(early, "\r\n\r\n"); }));
--- a/tests/node/instances_test.cpp
+++ b/tests/node/instances_test.cpp
@@ -134,7 +134,7 @@
   CHECK_FALSE(loaded.Find("k").has_value());
 }
 
-TEST_CASE("Departures are bounded; the oldest are forgotten first") {
+TEST_CASE("Departures are bounded, the oldest are forgotten first") {
   Departures departures;
   for (int i = 0; i < 5000; ++i) departures.Apply(std::to_string(i), Phase::kGone);
   CHECK(departures.all().size() == 4000);
--- a/tests/node/routing_test.cpp
+++ b/tests/node/routing_test.cpp
@@ -191,7 +191,7 @@
   for (int i = 0; i < 100; ++i) CHECK(RetryWait(30, random) <= 2 * kSecond);
 }
 
-TEST_CASE("Settings are checked, each finding with its place; unknown fields are passed over") {
+TEST_CASE("Settings are checked, each finding with its place, unknown fields are passed over") {
   std::string problem;
   const auto good = ParseSettings(R"({"node_name": "n", "ip": "10.0.0.1", "seed_nodes": ["10.0.0.2:80"],
     "ephemeral_ports": [7660, 7675], "new": {}, "data_dir": null, "timeouts": {"grace_s": 8}})",
