Play a sidecar's pulls with one answer changed at a time, and a 421 over a connection

Change: tests alone: answers that are old, doubled, cut, empty or have one field missing or of another type; a drain that a later answer does not know of.

--- /dev/null
+++ b/tests/node/control_link_test.cpp
@@ -0,0 +1,151 @@
+// A sidecar's link to the control plane, before a control process whose answers are changed one at a time.
+#include "dataplane/control_link.hpp"
+
+#include <catch2/catch.hpp>
+#include <deque>
+
+#include "net/scripted_peers.hpp"
+
+namespace violetwing {
+namespace {
+
+using merlinrun::net::testing::Peer;
+using merlinrun::net::testing::Reply;
+using merlinrun::net::testing::RunUntil;
+using merlinrun::net::testing::ScriptedServer;
+using nlohmann::json;
+
+std::string Document(std::int64_t version) {
+  return json{{"version", version},
+              {"routes", json::array()},
+              {"backends", {{{"name", "s"}, {"health_check", "/healthz"}}}}}
+      .dump();
+}
+
+Instance Server(Phase phase, std::int64_t sequence, std::uint64_t counter) {
+  Instance instance;
+  instance.id = "i";
+  instance.backend = "s";
+  instance.address = "10.0.0.1:80";
+  instance.phase = phase;
+  instance.sequence = sequence;
+  instance.origin = "control";
+  instance.counter = counter;
+  return instance;
+}
+
+// The answer that a control process gives when nothing is wrong.
+json Good(std::int64_t version, const Instance& instance) {
+  PullReply reply;
+  reply.source = "control";
+  reply.configuration = version;
+  reply.document = Document(version);
+  reply.changed = {instance};
+  reply.known = {{"control", instance.counter}};
+  return reply;
+}
+
+// A link before one control process that gives the answers of a list, one a pull.
+class Link {
+ public:
+  Link()
+      : control_(io_, [this](Peer& peer) { Answer(peer); }),
+        link_(io_, Settings(control_.address.port()), [this](DirectoryPtr directory) {
+          if (directory->version() < version_) ++went_back_;
+          version_ = directory->version();
+          directory_ = std::move(directory);
+        }) {}
+  ~Link() { link_.Stop(); }
+
+  // Plays `answers` and a last one, and waits until that has been taken.
+  void Play(std::deque<std::string> answers) {
+    answers_ = std::move(answers);
+    link_.Start();
+    RunUntil(io_, [this] { return answers_.empty() && pulls_after_ > 0; });
+  }
+  std::int64_t version() const { return version_; }
+  int went_back() const { return went_back_; }
+  bool Serves() const { return directory_ != nullptr && directory_->Servers("s").size() == 1; }
+
+ private:
+  static NodeSettings Settings(int port) {
+    NodeSettings settings;
+    settings.node_name = "edge";
+    settings.internal_port = port;
+    settings.seeds = {"127.0.0.1:1"};
+    return settings;
+  }
+  void Answer(Peer& peer) {
+    if (answers_.empty()) {  // the last answer has been taken: the next pull has come
+      ++pulls_after_;
+      return;
+    }
+    peer.Write(answers_.front());
+    answers_.pop_front();
+    peer.Close();
+  }
+
+  boost::asio::io_context io_;
+  std::deque<std::string> answers_;
+  ScriptedServer control_;
+  ControlLink link_;
+  DirectoryPtr directory_;
+  std::int64_t version_ = 0;
+  int went_back_ = 0;
+  int pulls_after_ = 0;
+};
+
+std::string Ok(const json& body) { return Reply("200 OK", body.dump() + "\n"); }
+
+}  // namespace
+
+TEST_CASE("A link takes what is newer and never goes back to an older configuration") {
+  Link link;
+  link.Play({Ok(Good(5, Server(Phase::kReady, 1, 1))), Ok(Good(3, Server(Phase::kReady, 2, 2))),
+             Ok(Good(5, Server(Phase::kReady, 3, 3))), Ok(Good(8, Server(Phase::kReady, 4, 4)))});
+  CHECK(link.version() == 8);
+  CHECK(link.went_back() == 0);
+  CHECK(link.Serves());
+}
+
+TEST_CASE("An answer with a field changed or missing changes nothing that it should not") {
+  const json good = Good(9, Server(Phase::kReady, 2, 2));
+  std::vector<std::string> changed = {
+      Reply("503 Service Unavailable", "{}\n"), Ok(json::object()), Ok(json::array()), "", "not HTTP\r\n\r\n",
+      Reply("200 OK", "{\"source\": \"con")};
+  for (const auto& [key, value] : good.items()) {
+    json missing = good;
+    missing.erase(key);
+    missing["document"] = "{";  // so that none of these is a good answer
+    changed.push_back(Ok(missing));
+    json other = good;
+    other[key] = json::array({json::array({1})});
+    other["document"] = 7;
+    changed.push_back(Ok(other));
+  }
+  for (const std::string& answer : changed) {
+    INFO(answer);
+    Link link;
+    link.Play({Ok(Good(5, Server(Phase::kReady, 1, 1))), answer, Ok(Good(6, Server(Phase::kReady, 3, 3)))});
+    CHECK(link.version() == 6);
+    CHECK(link.went_back() == 0);
+    CHECK(link.Serves());
+  }
+}
+
+TEST_CASE("A server that drains is not taken up again by an answer that knows less") {
+  Link link;
+  link.Play({Ok(Good(5, Server(Phase::kReady, 4, 1))), Ok(Good(5, Server(Phase::kDraining, 3, 2))),
+             Ok(Good(5, Server(Phase::kReady, 5, 3)))});
+  CHECK_FALSE(link.Serves());
+}
+
+TEST_CASE("An answer that comes twice is taken once") {
+  Link link;
+  const std::string answer = Ok(Good(5, Server(Phase::kReady, 1, 1)));
+  link.Play({answer, answer, answer});
+  CHECK(link.version() == 5);
+  CHECK(link.Serves());
+}
+
+}  // namespace violetwing
--- a/tests/node/dataplane_test.cpp
+++ b/tests/node/dataplane_test.cpp
@@ -170,6 +170,23 @@
   CHECK_FALSE(Has(client, "Signature"));
 }
 
+TEST_CASE("A server that is another one by now has run nothing, and its 421 is not the client's answer") {
+  Sidecar sidecar;
+  ScriptedServer other(sidecar.io, Always(Reply("421 Misdirected Request", "", kSigned)));
+  sidecar.Know({&other});
+  const auto alone = sidecar.Ask(RequestTo("/once/"));
+  REQUIRE(sidecar.Until([&] { return Has(alone, "\r\n\r\n"); }));
+  CHECK(Has(alone, "HTTP/1.1 503"));
+  CHECK_FALSE(Has(alone, "Signature"));
+  ScriptedServer right(sidecar.io, Always(Reply("200 OK", "bytes", kSigned)));
+  sidecar.Know({&other, &right});
+  for (int i = 0; i < 6; ++i) {
+    const auto client = sidecar.Ask(RequestTo("/once/twice/"));
+    REQUIRE(sidecar.Until([&] { return Has(client, "\r\n\r\n"); }));
+    CHECK(Has(client, "200 OK"));
+  }
+}
+
 TEST_CASE("After a reset, what may have run is repeated only where the route says that it may be") {
   Sidecar sidecar;
   ScriptedServer resets(sidecar.io, [](Peer& peer) { peer.Reset(); });
