Take out what nothing uses, and what stood three times

Need: read again as a stranger would, the new parts held six settings that were checked and never read, a count of waiting writes, a field of demand, the zone in a pull, a check that could not fail, two functions called Begin for two things, an emptied list that stood for a flag, and the steady clock three times.

Change: these are gone or named; shards are found in one place. No behaviour changes.

--- a/src/control/consensus/core.cpp
+++ b/src/control/consensus/core.cpp
@@ -11,8 +11,6 @@
 // An append without answer is sent again after so long.
 constexpr Micros kAppendAgain = 400'000;
 
-bool Same(const Members& a, const Members& b) { return a == b; }
-
 }  // namespace
 
 Replica::Replica(ReplicaId id, Members founders, StoredState stored, Timing timing, std::uint64_t seed,
@@ -357,7 +355,7 @@
 }
 
 bool Replica::ProposeMembers(Members members) {
-  if (!Ready() || members_index_ > commit_ || Same(members, members_)) return false;
+  if (!Ready() || members_index_ > commit_ || members == members_) return false;
   Append({hard_.term, EntryKind::kMembers, {}, std::move(members)});
   SyncFollowers(now_);
   Broadcast(now_);
--- a/src/control/group.cpp
+++ b/src/control/group.cpp
@@ -41,8 +41,7 @@
   for (const Done& done : late) done(std::nullopt);
 }
 
-void Group::TakeForwarded(const std::string& command, Micros now) {
-  (void)now;
+void Group::TakeForwarded(const std::string& command) {
   replica_.Propose(command);
   Flush();
 }
--- a/src/control/group.hpp
+++ b/src/control/group.hpp
@@ -43,7 +43,7 @@
   void Step(const consensus::Message& message, Micros now);
   void Tick(Micros now);
   // A command that another process sent here as the leader.
-  void TakeForwarded(const std::string& command, Micros now);
+  void TakeForwarded(const std::string& command);
   // The command's answer once it is committed and applied here. It may be applied more than once.
   void Call(const std::string& command, Micros now, Micros within, Done done);
   // The write of this token is on disk. False if it is not this group's.
--- a/src/control/placement/placer.cpp
+++ b/src/control/placement/placer.cpp
@@ -300,9 +300,9 @@
     then.then_model = model.name;
     then.seconds = seconds;
     --service.copies[*best_victim];
-    Begin(*best, false, *best_victim, {}, 0, now, std::move(then));
+    StartWork(*best, false, *best_victim, {}, 0, now, std::move(then));
   } else {
-    Begin(*best, true, model.name, {}, seconds, now, {});
+    StartWork(*best, true, model.name, {}, seconds, now, {});
   }
   ++service.copies[model.name];
   return true;
@@ -318,7 +318,7 @@
   }
   if (best == nullptr || most == 0) return false;
   if (best->known->Adapters() < most && best->free_mb >= model.adapter_mb) {
-    Begin(*best, true, model.name, adapter, kAdapterSeconds, now, {});
+    StartWork(*best, true, model.name, adapter, kAdapterSeconds, now, {});
     return true;
   }
   const HeldModel* from = nullptr;
@@ -338,12 +338,12 @@
   then.then_model = model.name;
   then.then_adapter = adapter;
   then.seconds = kAdapterSeconds;
-  Begin(*best, false, from->name, victim, 0, now, std::move(then));
+  StartWork(*best, false, from->name, victim, 0, now, std::move(then));
   return true;
 }
 
-void Placer::Begin(const Server& server, bool load, const std::string& model, const std::string& adapter,
-                   double seconds, Micros now, Work then) {
+void Placer::StartWork(const Server& server, bool load, const std::string& model, const std::string& adapter,
+                       double seconds, Micros now, Work then) {
   Work work = std::move(then);
   work.order.kind = load ? PlacementCall::Kind::kLoad : PlacementCall::Kind::kUnload;
   work.order.instance = server.id;
@@ -422,7 +422,7 @@
     return;
   }
   if (work.then_model.empty()) return;
-  Begin({id, &known, 0}, true, work.then_model, work.then_adapter, work.seconds, now, {});
+  StartWork({id, &known, 0}, true, work.then_model, work.then_adapter, work.seconds, now, {});
 }
 
 }  // namespace violetwing
--- a/src/control/placement/placer.hpp
+++ b/src/control/placement/placer.hpp
@@ -118,8 +118,8 @@
                                     Micros now) const;
   int WantedCopies(const Service& service, const std::string& model, Micros now) const;
 
-  void Begin(const Server& server, bool load, const std::string& model, const std::string& adapter,
-             double seconds, Micros now, Work then);
+  void StartWork(const Server& server, bool load, const std::string& model, const std::string& adapter,
+                 double seconds, Micros now, Work then);
   static void SetHeld(Known& known, const std::string& model, const std::string& adapter, bool held);
   void Done(Known& known, const std::string& id, const Work& work, Micros now);
   void Refill(const configuration::Configuration& configuration, Micros now);
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -11,6 +11,7 @@
 #include <random>
 #include <utility>
 
+#include "common/steady_time.hpp"
 #include "control/consensus/member_policy.hpp"
 
 namespace violetwing {
@@ -29,7 +30,6 @@
 constexpr std::int64_t kSidecarLostAfter = 5'000'000;
 // A pull is answered at the latest after so long, whatever the caller asks for.
 constexpr int kMostPullWaitMs = 2'000;
-constexpr std::int64_t kReviewEvery = 300'000;
 constexpr std::chrono::milliseconds kStopAfter{300};
 constexpr std::chrono::milliseconds kOrderSilence{800};
 
@@ -96,13 +96,13 @@
     const std::string id = in.value("id", std::string());
     const Phase phase = in.value("phase", Phase::kDraining);
     state_.Apply(id, phase);
-    table_.Leave(id, phase, Now());
+    table_.Leave(id, phase, SteadyMicros());
     return {};
   }
   std::string Save() const override { return state_.Save(); }
   void Load(const std::string& saved) override {
     state_.Load(saved);
-    for (const auto& [id, phase] : state_.all()) table_.Leave(id, phase, Now());
+    for (const auto& [id, phase] : state_.all()) table_.Leave(id, phase, SteadyMicros());
   }
 
  private:
@@ -126,14 +126,7 @@
   if (written_event_ != nullptr) event_free(written_event_);
 }
 
-std::int64_t ControlService::Now() {
-  return std::chrono::duration_cast<std::chrono::microseconds>(
-             std::chrono::steady_clock::now().time_since_epoch())
-      .count();
-}
-
 std::error_code ControlService::Start(std::string& problem) {
-  started_at_ = Now();
   const bool founder = settings_.bootstrap &&
                        std::any_of(settings_.seeds.begin(), settings_.seeds.end(),
                                    [&](const std::string& seed) { return seed == settings_.control_plane; });
@@ -157,7 +150,7 @@
       if (!group->replica().IsMember(store_.disk())) request.joins.push_back(group->shard());
   };
   hooks.take = [this](const ExchangeReply& reply) {
-    const Micros now = Now();
+    const Micros now = SteadyMicros();
     for (const Instance& instance : reply.changed) table_.Merge(instance, now);
     for (const Heard& heard : reply.heard) table_.Hear(heard, now);
     for (const Heard& edge : reply.edges) {
@@ -224,8 +217,7 @@
       if (!address.empty()) peers_->Propose(address, {at, command});
     };
     outputs.write = [this](ShardWrite write, std::uint64_t token) {
-      for (const auto& group : groups_)
-        if (group->shard() == write.shard) writers_[token] = group.get();
+      writers_[token] = FindGroup(write.shard);
       store_.Enqueue(std::move(write), token);
     };
     outputs.writes_wait = [this] { return !writers_.empty(); };
@@ -234,7 +226,7 @@
     const auto stored = store_.stored().find(shard);
     consensus::Replica replica(
         store_.disk(), founders, stored == store_.stored().end() ? consensus::StoredState() : stored->second,
-        {}, XXH64(source_.data(), source_.size(), static_cast<std::uint64_t>(shard)), Now());
+        {}, XXH64(source_.data(), source_.size(), static_cast<std::uint64_t>(shard)), SteadyMicros());
     groups_.push_back(
         std::make_unique<Group>(shard, std::move(replica), *machines_.back(), std::move(outputs)));
   }
@@ -243,17 +235,23 @@
 std::string ControlService::AddressOf(int shard, const consensus::ReplicaId& id) const {
   const auto met = disk_addresses_.find(id);
   if (met != disk_addresses_.end()) return met->second;
-  if (static_cast<std::size_t>(shard) >= groups_.size()) return {};  // its replica is only being made
-  for (const consensus::Member& member : groups_[static_cast<std::size_t>(shard)]->replica().members())
+  const Group* group = FindGroup(shard);
+  if (group == nullptr) return {};  // its replica is only being made
+  for (const consensus::Member& member : group->replica().members())
     if (member.id == id) return member.address;
   return {};
 }
 
+Group* ControlService::FindGroup(int shard) const {
+  const auto at = static_cast<std::size_t>(shard);
+  return shard >= 0 && at < groups_.size() ? groups_[at].get() : nullptr;
+}
+
 int ControlService::ShardOf(const std::string& service) const {
   return 1 + static_cast<int>(XXH64(service.data(), service.size(), 0) % kServiceShards);
 }
 
-bool ControlService::InTouch() const { return groups_.front()->replica().InTouch(Now()); }
+bool ControlService::InTouch() const { return groups_.front()->replica().InTouch(SteadyMicros()); }
 
 void ControlService::Stop() {
   if (std::exchange(stopping_, true)) return;
@@ -268,7 +266,7 @@
 // ---- Time ----
 
 void ControlService::Tick() {
-  const Micros now = Now();
+  const Micros now = SteadyMicros();
   for (const auto& group : groups_) group->Tick(now);
   const bool in_touch = InTouch();
   if (!in_touch) in_touch_since_ = 0;
@@ -300,7 +298,6 @@
 }
 
 void ControlService::ReviewMembers(Micros now) {
-  static_assert(kReviewEvery > 0);
   std::vector<std::string> addresses;
   for (const auto& group : groups_) {
     for (const consensus::Member& member : group->replica().members()) addresses.push_back(member.address);
@@ -353,7 +350,7 @@
   const std::optional<Phase> departed = Departed(id);
   if (departed) instance.phase = *departed;
   const std::string service = instance.backend;
-  if (departed != Phase::kGone && table_.Heartbeat(std::move(instance), Now())) pulls_due_ = true;
+  if (departed != Phase::kGone && table_.Heartbeat(std::move(instance), SteadyMicros())) pulls_due_ = true;
   if (draining && !departed) return AnswerLeave(id, service, Phase::kDraining, answer);
   answer({200, "{}", {}});
 }
@@ -366,11 +363,11 @@
 
 void ControlService::AnswerLeave(const std::string& id, const std::string& service, Phase phase,
                                  const http::Answer& answer) {
-  const auto& group = groups_[static_cast<std::size_t>(ShardOf(service))];
-  group->Call(json{{"id", id}, {"phase", phase}}.dump(), Now(), kCallWithin,
-              [answer](const std::optional<std::string>& result) {
-                answer(result ? http::Response{200, "{}", {}} : Unavailable("no quorum has taken it yet"));
-              });
+  FindGroup(ShardOf(service))
+      ->Call(json{{"id", id}, {"phase", phase}}.dump(), SteadyMicros(), kCallWithin,
+             [answer](const std::optional<std::string>& result) {
+               answer(result ? http::Response{200, "{}", {}} : Unavailable("no quorum has taken it yet"));
+             });
 }
 
 void ControlService::OnChange(const http::Request& request, const http::Answer& answer) {
@@ -380,7 +377,7 @@
   if (!json::accept(request.body)) return answer(Problem(400, "document: cannot be read whole as JSON"));
   const json command{{"patch", request.method == "PATCH"}, {"base", base}, {"body", request.body}};
   ConfigurationGroup().Call(
-      command.dump(), Now(), kCallWithin, [answer](const std::optional<std::string>& result) {
+      command.dump(), SteadyMicros(), kCallWithin, [answer](const std::optional<std::string>& result) {
         if (!result) return answer(Unavailable("no quorum has taken it yet; send it again unchanged"));
         const json out = json::parse(*result);
         const int status = out.at("status").get<int>();
@@ -391,7 +388,7 @@
 
 void ControlService::OnReadConfiguration(const http::Answer& answer) {
   ConfigurationGroup().Call(
-      json{{"read", true}}.dump(), Now(), kCallWithin,
+      json{{"read", true}}.dump(), SteadyMicros(), kCallWithin,
       [this, answer](const std::optional<std::string>& result) {
         if (!result) return answer(Unavailable("no quorum answers"));
         if (configuration_.version() == 0) return answer(Problem(404, "there is no configuration yet"));
@@ -417,18 +414,16 @@
 }
 
 void ControlService::OnExchange(const ExchangeRequest& request, const http::Answer& answer) {
-  const Micros now = Now();
+  const Micros now = SteadyMicros();
   peers_->Meet(request.from, now);
   disk_addresses_[request.disk] = request.from.address;
   for (const int shard : request.joins)
-    for (const auto& group : groups_)
-      if (group->shard() == shard) group->replica().AddLearner({request.disk, request.from.address}, now);
+    if (Group* group = FindGroup(shard))
+      group->replica().AddLearner({request.disk, request.from.address}, now);
   for (const ShardMessage& one : request.messages)
-    for (const auto& group : groups_)
-      if (group->shard() == one.shard) group->Step(one.message, now);
+    if (Group* group = FindGroup(one.shard)) group->Step(one.message, now);
   for (const ShardProposal& one : request.proposals)
-    for (const auto& group : groups_)
-      if (group->shard() == one.shard) group->TakeForwarded(one.command, now);
+    if (Group* group = FindGroup(one.shard)) group->TakeForwarded(one.command);
   CountDemand(request.demand);
   ExchangeReply reply;
   reply.source = source_;
@@ -444,7 +439,7 @@
 }
 
 int ControlService::NumberOf(const std::string& name, int& count) const {
-  const Micros now = Now();
+  const Micros now = SteadyMicros();
   int number = 0;
   count = 0;
   for (const auto& [other, sidecar] : sidecars_) {
@@ -457,9 +452,8 @@
 }
 
 void ControlService::OnPull(PullRequest request, const http::Answer& answer) {
-  const Micros now = Now();
+  const Micros now = SteadyMicros();
   Sidecar& sidecar = sidecars_[request.node];
-  sidecar.zone = request.zone;
   sidecar.heard_at = sidecar.heard_directly_at = now;
   CountDemand(request.demand);
   if (AnswerPull(request, answer, false)) return;
@@ -473,7 +467,8 @@
     return true;
   }
   // A list is whole once every server that lives has had the time to say so.
-  const bool settled = in_touch_since_ > 0 && Now() - in_touch_since_ > 2 * settings_.heartbeat_ms * 1000;
+  const bool settled =
+      in_touch_since_ > 0 && SteadyMicros() - in_touch_since_ > 2 * settings_.heartbeat_ms * 1000;
   const bool whole = settled && request.source != source_;
   const bool newer = configuration_.version() > request.configuration;
   if (!now_or_never && !whole && !newer && !table_.Misses(request.known)) return false;
@@ -485,14 +480,14 @@
   if (newer) reply.document = configuration_.document();
   reply.changed = table_.ChangedSince(request.known);
   reply.known = table_.known();
-  reply.controls = peers_->Known(Now());
+  reply.controls = peers_->Known(SteadyMicros());
   reply.number = NumberOf(request.node, reply.sidecars);
   answer({200, json(reply).dump(), {}});
   return true;
 }
 
 void ControlService::WakePulls() {
-  const Micros now = Now();
+  const Micros now = SteadyMicros();
   const bool due = std::exchange(pulls_due_, false);
   const bool in_touch = InTouch();
   for (auto it = parked_.begin(); it != parked_.end();) {
@@ -507,8 +502,8 @@
   if (demand.empty()) return;
   const consensus::Replica& replica = groups_.front()->replica();
   if (replica.leader()) {
-    for (const ModelDemand& one : demand) placer_.CountDemand(one, Now());
-    TickPlacer(Now());
+    for (const ModelDemand& one : demand) placer_.CountDemand(one, SteadyMicros());
+    TickPlacer(SteadyMicros());
   } else if (replica.known_leader()) {
     const std::string address = AddressOf(0, replica.known_leader()->id);
     if (!address.empty()) peers_->Tell(address, demand);
@@ -550,7 +545,7 @@
   if (order.if_revision) body["if_revision"] = *order.if_revision;
   client_.Call(order.address, "POST", "/api/order", body.dump(), kOrderSilence,
                [this, order](int status, const std::string&) {
-                 const Micros now = Now();
+                 const Micros now = SteadyMicros();
                  const bool load = order.kind == PlacementCall::Kind::kLoad;
                  spdlog::debug("order to {}: {} {}/{}: {}", order.instance, load ? "load" : "unload",
                                order.model, order.adapter, status);
@@ -574,7 +569,7 @@
                      spdlog::warn("the report of {} cannot be read: {}", instance, error.what());
                    }
                  }
-                 placer_.OnReport(instance, report, Now());
+                 placer_.OnReport(instance, report, SteadyMicros());
                },
                {{"X-Violetwing-Expected-Instance", call.instance}});
 }
--- a/src/control/service.hpp
+++ b/src/control/service.hpp
@@ -48,12 +48,10 @@
     http::Answer answer;
   };
   struct Sidecar {
-    std::string zone;
     Micros heard_at = 0;
     Micros heard_directly_at = 0;
   };
 
-  static Micros Now();
   void Tick();
   void OnWritten();
   void OnApplied(int shard);
@@ -61,6 +59,7 @@
   void MakeGroups();
   // Where the process with this disk takes internal calls; empty if that is not known.
   std::string AddressOf(int shard, const consensus::ReplicaId& id) const;
+  Group* FindGroup(int shard) const;  // null if there is none
   int ShardOf(const std::string& service) const;
   Group& ConfigurationGroup() { return *groups_.front(); }
   bool InTouch() const;
@@ -118,7 +117,6 @@
   event* tick_ = nullptr;
   event* written_event_ = nullptr;
   int written_pipe_[2] = {-1, -1};
-  Micros started_at_ = 0;
   Micros in_touch_since_ = 0;
   bool pulls_due_ = false;
   bool stopping_ = false;
--- a/src/control/store/store.cpp
+++ b/src/control/store/store.cpp
@@ -165,11 +165,6 @@
   return std::exchange(written_, {});
 }
 
-std::size_t Store::waiting() {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  return queue_.size() + writing_;
-}
-
 void Store::Work() {
   std::unique_lock<std::mutex> lock(mutex_);
   while (true) {
@@ -177,7 +172,6 @@
     if (stopped_) return;
     std::vector<Job> jobs(std::make_move_iterator(queue_.begin()), std::make_move_iterator(queue_.end()));
     queue_.clear();
-    writing_ = jobs.size();
     lock.unlock();
     bool done = WriteAll(jobs);
     while (!done) {
@@ -189,7 +183,6 @@
       done = WriteAll(jobs);
     }
     lock.lock();
-    writing_ = 0;
     for (const Job& job : jobs) written_.push_back(job.token);
     lock.unlock();
     notify_();
--- a/src/control/store/store.hpp
+++ b/src/control/store/store.hpp
@@ -47,8 +47,6 @@
   // Writes after all that was enqueued before; `token` comes back once it would outlive a loss of power.
   void Enqueue(ShardWrite write, std::uint64_t token);
   std::vector<std::uint64_t> TakeWritten();
-  // The time for which the oldest write has waited, in writes: 0 if none waits.
-  std::size_t waiting();
 
  private:
   struct Job {
@@ -75,7 +73,6 @@
   std::condition_variable wake_;
   std::deque<Job> queue_;
   std::vector<std::uint64_t> written_;
-  std::size_t writing_ = 0;
   bool stopped_ = false;
 };
 
--- a/src/dataplane/control_link.cpp
+++ b/src/dataplane/control_link.cpp
@@ -77,7 +77,6 @@
   if (!endpoint) return OnPulled(0, {});
   PullRequest request;
   request.node = settings_.node_name;
-  request.zone = settings_.zone;
   request.source = source_;
   request.configuration = configuration_ == nullptr ? 0 : configuration_->version;
   request.known = known_;
@@ -188,7 +187,6 @@
   sum.requests += demand.requests;
   sum.tokens += demand.tokens;
   sum.waiting += demand.waiting;
-  sum.unserved += demand.unserved;
   if (!urgent || std::exchange(demand_pending_, true)) return;
   demand_soon_.expires_after(kDemandAfter);
   demand_soon_.async_wait([this](const boost::system::error_code& error) {
--- a/src/dataplane/edge.cpp
+++ b/src/dataplane/edge.cpp
@@ -6,6 +6,8 @@
 #include <random>
 #include <utility>
 
+#include "common/steady_time.hpp"
+
 namespace violetwing {
 namespace {
 
@@ -21,24 +23,20 @@
 
 std::uint64_t Seed() { return (std::uint64_t{std::random_device()()} << 32U) | std::random_device()(); }
 
-Micros NowMicros() {
-  return std::chrono::duration_cast<std::chrono::microseconds>(steady_clock::now().time_since_epoch())
-      .count();
-}
-
 }  // namespace
 
 EdgeService::EdgeService(boost::asio::io_context& io, NodeSettings settings)
     : io_(io),
       settings_(std::move(settings)),
-      plane_{io,
-             std::make_shared<const Directory>(),
-             Chooser(Seed()),
-             RetryBudget(settings_.retry_ratio, settings_.retry_slack, settings_.retry_window_s, NowMicros()),
-             UpstreamPool(io),
-             Random(Seed()),
-             nullptr,
-             {}},
+      plane_{
+          io,
+          std::make_shared<const Directory>(),
+          Chooser(Seed()),
+          RetryBudget(settings_.retry_ratio, settings_.retry_slack, settings_.retry_window_s, SteadyMicros()),
+          UpstreamPool(io),
+          Random(Seed()),
+          nullptr,
+          {}},
       ingress_(io,
                [this](const ClientPtr& client, ClientRequest request) {
                  std::make_shared<Forwarder>(plane_, client, std::move(request))->Start();
--- a/src/dataplane/forwarder.cpp
+++ b/src/dataplane/forwarder.cpp
@@ -6,6 +6,8 @@
 #include <cstdio>
 #include <utility>
 
+#include "common/steady_time.hpp"
+
 namespace violetwing {
 namespace {
 
@@ -49,8 +51,6 @@
       deadline_timer_(plane.io),
       pause_(plane.io) {}
 
-Micros Forwarder::NowMicros() { return duration_cast<microseconds>(Clock::now().time_since_epoch()).count(); }
-
 std::int64_t Forwarder::LeftMs() const {
   return duration_cast<milliseconds>(deadline_ - Clock::now()).count();
 }
@@ -70,7 +70,7 @@
   backend_ = PickBackend();
   if (backend_ == nullptr) return Refuse("no service");
   ReadWish();
-  plane_.budget.OnRequest(backend_->name, NowMicros());
+  plane_.budget.OnRequest(backend_->name, SteadyMicros());
   Dispatch();
 }
 
@@ -134,7 +134,7 @@
   const bool models = backend_->runtime != nullptr && !wish_.model.empty();
   const std::vector<const Instance*> candidates =
       models ? now->Holders(backend_->name, wish_.model, wish_.adapter) : now->Servers(backend_->name);
-  const Instance* instance = plane_.chooser.Choose(candidates, *now, wish_, NowMicros());
+  const Instance* instance = plane_.chooser.Choose(candidates, *now, wish_, SteadyMicros());
   if (instance == nullptr) {
     if (models && !now->Servers(backend_->name).empty()) return Hold();
     return Refuse("no server", kStartS / 2);
@@ -193,10 +193,10 @@
   pause_.cancel();
   server_ = instance.id;
   sent_at_ = Clock::now();
-  answered_ = refused_ = false;
+  answered_ = refused_ = wrong_server_ = false;
   ++attempts_;
   wish_.tried.push_back(instance.id);
-  plane_.chooser.OnSent(server_, wish_, NowMicros());
+  plane_.chooser.OnSent(server_, wish_, SteadyMicros());
   UpstreamExchange::Request request;
   request.instance = instance.id;
   request.address = instance.address;
@@ -211,7 +211,7 @@
 }
 
 void Forwarder::OnHead(const AnswerHead& head) {
-  const Micros now = NowMicros();
+  const Micros now = SteadyMicros();
   if (const std::string* load = FindField(head.fields, field::kServerLoad))
     plane_.chooser.OnLoad(server_, ParseLoad(*load), now);
   if (!std::exchange(answered_, true)) plane_.chooser.OnFirstByte(server_, wish_, now);
@@ -219,7 +219,8 @@
   const bool not_run = FindField(head.fields, field::kNotExecuted) != nullptr || head.status == 421;
   if (not_run && Promises(head.status)) {
     refused_ = true;  // decided once its answer is read, so that its connection can serve again
-    if (head.status == 421) wish_.tried.clear();
+    wrong_server_ = head.status == 421;
+    if (wrong_server_) wish_.tried.clear();
     return;
   }
   may_have_run_ = true;
@@ -243,7 +244,7 @@
 
 void Forwarder::EndAttempt(AttemptResult result) {
   exchange_.reset();
-  plane_.chooser.OnEnd(server_, result, wish_, answered_, NowMicros());
+  plane_.chooser.OnEnd(server_, result, wish_, answered_, SteadyMicros());
 }
 
 void Forwarder::OnEnd(ExchangeEnd end) {
@@ -256,8 +257,7 @@
       return RetryOrRefuse();
     case ExchangeEnd::kWhole:
       if (refused_) {
-        const bool wrong = wish_.tried.empty();
-        EndAttempt(wrong ? AttemptResult::kWrongServer : AttemptResult::kRefused);
+        EndAttempt(wrong_server_ ? AttemptResult::kWrongServer : AttemptResult::kRefused);
         ++refusals_;
         return RetryOrRefuse();
       }
@@ -288,7 +288,7 @@
   if (attempts_ >= most || unreachable_ >= kMostUnreachable) return false;
   const Micros wait = RetryWait(refusals_, plane_.random);
   if (wait / 1000 + 5 >= LeftMs()) return false;
-  if (arrived && !plane_.budget.Spend(backend_->name, plane_.directory->sidecars(), NowMicros()))
+  if (arrived && !plane_.budget.Spend(backend_->name, plane_.directory->sidecars(), SteadyMicros()))
     return false;
   pause_.expires_after(microseconds(wait));
   pause_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
--- a/src/dataplane/forwarder.hpp
+++ b/src/dataplane/forwarder.hpp
@@ -73,7 +73,6 @@
 
   bool Repeatable() const { return route_->Repeatable(); }
   std::int64_t LeftMs() const;
-  static Micros NowMicros();
   void CountDemand(bool waiting);
 
   DataPlane& plane_;
@@ -99,8 +98,9 @@
   int refusals_ = 0;
   int unreachable_ = 0;
   bool may_have_run_ = false;
-  bool answered_ = false;  // the attempt at hand has a first byte
-  bool refused_ = false;   // the attempt at hand was turned away
+  bool answered_ = false;      // the attempt at hand has a first byte
+  bool refused_ = false;       // the attempt at hand was turned away
+  bool wrong_server_ = false;  // and has said that it is not the one that was meant, or lacks the model
   bool demanded_ = false;
   bool held_ = false;
   bool over_ = false;
--- a/src/messages/instances.hpp
+++ b/src/messages/instances.hpp
@@ -58,10 +58,8 @@
   double requests = 0;
   double tokens = 0;  // read and put out, in tokens read
   int waiting = 0;    // requests held until a server has it
-  int unserved = 0;   // refused as no server had it
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ModelDemand, backend, model, requests, tokens, waiting,
-                                                unserved)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ModelDemand, backend, model, requests, tokens, waiting)
 
 }  // namespace violetwing
 
--- a/src/messages/peer.hpp
+++ b/src/messages/peer.hpp
@@ -72,15 +72,14 @@
 
 struct PullRequest {
   std::string node;
-  std::string zone;
   std::string source;  // the life of a control process whose whole list is held
   std::int64_t configuration = 0;
   VersionVector known;
   int wait_ms = 0;
   std::vector<ModelDemand> demand;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(PullRequest, node, zone, source, configuration, known,
-                                                wait_ms, demand)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(PullRequest, node, source, configuration, known, wait_ms,
+                                                demand)
 
 struct PullReply {
   std::string source;
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -50,18 +50,12 @@
 void ReadTimeouts(const json& in, NodeSettings& out, std::string& problem) {
   const Fields fields(in, "timeouts.", problem);
   double grace_s = 8;
-  fields.ReadPositive("connected_ms", out.connected_ms);
-  fields.ReadPositive("drain_ms", out.drain_ms);
   fields.ReadPositive("grace_s", grace_s);
   out.grace_ms = static_cast<std::int64_t>(grace_s * 1000);
   fields.Read("retry_ratio", out.retry_ratio);
   fields.ReadPositive("retry_window_s", out.retry_window_s);
   fields.Read("retry_slack", out.retry_slack);
-  fields.Read("fencing", out.fencing);
   fields.Read("lease_ms", out.lease_ms);
-  fields.Read("thaw_ms", out.thaw_ms);
-  fields.ReadPositive("cap_window_s", out.cap_window_s);
-  fields.ReadPositive("rate_cap_overshoot", out.rate_cap_overshoot);
 }
 
 }  // namespace
--- a/src/node/settings.hpp
+++ b/src/node/settings.hpp
@@ -24,17 +24,11 @@
   std::int64_t heartbeat_ms = 1000;
   int tolerated_nodes = 1;  // control processes that may be lost at one time
 
-  std::int64_t connected_ms = 3000;
-  std::int64_t drain_ms = 2000;
   std::int64_t grace_ms = 8000;
   double retry_ratio = 0.2;
   double retry_window_s = 10;
   double retry_slack = 10;
-  bool fencing = false;
   std::int64_t lease_ms = 3000;
-  std::int64_t thaw_ms = 300;
-  double cap_window_s = 5;
-  double rate_cap_overshoot = 1.1;
 
   std::string InternalAddress() const { return ip + ":" + std::to_string(internal_port); }
   // Where the control process at this seed takes internal calls: ports are alike on all machines.
--- a/tests/node/placement_test.cpp
+++ b/tests/node/placement_test.cpp
@@ -45,7 +45,7 @@
     return copies;
   }
   void Ask(const std::string& model, double requests, double tokens, int waiting) {
-    placer_.CountDemand({"llm", model, requests, tokens, waiting, 0}, now_);
+    placer_.CountDemand({"llm", model, requests, tokens, waiting}, now_);
   }
   // Another placer's order, of which this one hears nothing.
   void OrderBehindItsBack(const std::string& id, const std::string& model) {
