Make the test of a stopping sidecar's connections fail without its fix

Cause: without the fix the connection ended all the same after 15 s, the idle time, within the 20 s that the test waits: it passed in both cases.

Change: the connection must end within 5 s.

--- a/tests/node/dataplane_test.cpp
+++ b/tests/node/dataplane_test.cpp
@@ -319,7 +319,9 @@
   CHECK(Has(after, "Connection: close"));
   CHECK(Has(after, "whole"));
   server.peers[0]->Write("0\r\n\r\n");
-  REQUIRE(sidecar.Until([&] { return before->ended; }));
+  // At once, and not when an idle connection's time of 15 s is over.
+  REQUIRE(RunUntil(
+      sidecar.io, [&] { return before->ended; }, 5s));
   CHECK(Has(before, "\r\n0\r\n\r\n"));
   CHECK(sidecar.ingress.busy() == 0);
 }
