Send nothing on for a client that left before its request was read

Such clients wait in the listener's queue; when they are accepted, their request and their close have both come, and the request was sent on between the two reads.

Change: before a request is taken, its socket is asked whether the peer has closed (one poll a request).

--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -381,14 +381,18 @@
   }
 
   void Dispatch() {
-    state_ = State::kBusy;
     RequestHead head = HeadOf(parser_->parser.get());
     if (head.target() == kReadyPath) {
+      state_ = State::kBusy;
       const bool ready = !owner_.draining_ && owner_.events_.ready();
       return Inbound::Respond(shared_from_this(),
                               Plain(ready ? http::status::ok : http::status::service_unavailable,
                                     ready ? "ready\n" : "not yet\n"));
     }
+    // Its close may lie behind what was read: of one that waited in the listener's queue, or while this
+    // process stood still, both came at the same time.
+    if (PeerHasClosed()) return Leave();
+    state_ = State::kBusy;
     const auto waited = body_->ended() ? Waited() : Clock::duration::zero();
     owner_.events_.on_request(shared_from_this(), std::move(head), body_,
                               std::chrono::duration_cast<std::chrono::microseconds>(waited).count());
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -179,6 +179,17 @@
   EXPECT_EQ(client->received, "");
 }
 
+// A client's connection waits in the listener's queue, and it leaves there: its request and its close are
+// read one after the other. Its request was sent on between the two, however long ago it had left.
+TEST_F(EndingsTest, AClientThatLeavesInTheListenersQueueIsNotSentOnFor) {
+  ScriptedServer server(io, Serves("ok"));
+  Start({Entry("s1", server.address)});
+  ASSERT_EQ(Ask(Get("r1")), "200");  // its server's connection is kept, so that the next is written at once
+  Client(Get("r2"))->Close();
+  EXPECT_EQ(Ask(Get("r3")), "200");
+  EXPECT_EQ(server.requests(), 2);
+}
+
 // A long body is not read on while its request waits for another try, and its client's close lies behind it.
 TEST_F(EndingsTest, AClientThatLeavesBehindALongBodyIsNotSentOnFor) {
   ScriptedServer server(
