--- /dev/null
+++ b/src/control/api/handlers.cpp
@@ -0,0 +1,142 @@
+#include "handlers.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace violetwing {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kConfigurationPath = "/api/configuration";
+constexpr const char* kInstancesPath = "/api/instances/";
+
+http::Response Done() { return {200, "{}", {}}; }
+
+http::Response Problem(int status, const std::string& problem) {
+  return {status, json{{"error", problem}}.dump(), {}};
+}
+
+http::Response Unavailable(const std::string& problem) {
+  http::Response response = Problem(503, problem);
+  response.headers.emplace_back("Retry-After", "0.2");
+  return response;
+}
+
+http::Response NotFound(const http::Request& request) {
+  return Problem(404, "there is nothing at " + request.method + " " + request.path);
+}
+
+// `"7"`, `7` or nothing: the version that a change builds upon.
+bool ParseIfMatch(const std::string& text, std::int64_t& out) {
+  std::string digits = text;
+  std::erase_if(digits, [](char c) { return c == '"' || c == ' '; });
+  out = 0;
+  if (digits.empty()) return true;
+  const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), out);
+  return error == std::errc() && end == digits.data() + digits.size() && out >= 0;
+}
+
+int StatusOf(configuration::Outcome outcome) {
+  switch (outcome) {
+    case configuration::Outcome::kTaken:
+      return 200;
+    case configuration::Outcome::kConflict:
+      return 412;
+    case configuration::Outcome::kInvalid:
+      break;
+  }
+  return 400;
+}
+
+ControlCore::OnTaken AnswersTaken(const http::Answer& answer) {
+  return [answer](ControlCore::Taken taken) {
+    answer(taken == ControlCore::Taken::kTaken ? Done() : Unavailable("no quorum has taken it yet"));
+  };
+}
+
+void HandleHeartbeat(ControlCore& core, const std::string& id, const std::string& body,
+                     ControlCore::Micros now, const http::Answer& answer) {
+  Instance instance;
+  bool draining = false;
+  try {
+    const json in = json::parse(body);
+    draining = in.value("phase", std::string("ready")) == "draining";
+    instance = in.get<Instance>();
+  } catch (const json::exception& error) {
+    return answer(Problem(400, error.what()));
+  }
+  if (instance.backend.empty() || instance.address.empty())
+    return answer(Problem(400, "backend or address is missing"));
+  instance.id = id;
+  core.Heartbeat(std::move(instance), draining, now, AnswersTaken(answer));
+}
+
+void HandleChange(ControlCore& core, const http::Request& request, ControlCore::Micros now,
+                  const http::Answer& answer) {
+  configuration::Change change;
+  change.patch = request.method == "PATCH";
+  if (!ParseIfMatch(request.if_match, change.base)) return answer(Problem(400, "If-Match: is no version"));
+  // What cannot be read is refused here: the log holds valid text alone.
+  if (!json::accept(request.body)) return answer(Problem(400, "document: cannot be read whole as JSON"));
+  change.body = request.body;
+  core.Change(change, now, [answer](const std::optional<configuration::Answer>& result) {
+    if (!result) return answer(Unavailable("no quorum has taken it yet; send it again unchanged"));
+    const int status = StatusOf(result->outcome);
+    if (status == 200) return answer({200, json{{"version", result->version}}.dump(), {}});
+    answer(Problem(status, result->problem));
+  });
+}
+
+void HandleRead(ControlCore& core, ControlCore::Micros now, const http::Answer& answer) {
+  core.ReadConfiguration(now, [answer](const std::optional<ControlCore::ConfigurationRead>& read) {
+    if (!read) return answer(Unavailable("no quorum answers"));
+    if (read->version == 0) return answer(Problem(404, "there is no configuration yet"));
+    answer({200, read->document, {{"ETag", std::to_string(read->version)}}});
+  });
+}
+
+void HandlePull(ControlCore& core, PullRequest request, ControlCore::Micros now, const http::Answer& answer) {
+  core.Pull(std::move(request), now, [answer](const std::optional<PullReply>& reply) {
+    if (!reply) return answer(Unavailable("this process is out of touch with the others, or stops"));
+    answer({200, json(*reply).dump(), {}});
+  });
+}
+
+}  // namespace
+
+void HandlePublic(ControlCore& core, const http::Request& request, ControlCore::Micros now,
+                  const http::Answer& answer) {
+  if (request.path == kConfigurationPath) {
+    if (request.method == "GET") return HandleRead(core, now, answer);
+    if (request.method == "PUT" || request.method == "PATCH") return HandleChange(core, request, now, answer);
+  } else if (request.path.rfind(kInstancesPath, 0) == 0) {
+    const std::string id = request.path.substr(std::string(kInstancesPath).size());
+    if (request.method == "PUT") return HandleHeartbeat(core, id, request.body, now, answer);
+    if (request.method == "DELETE") return core.Departure(id, now, AnswersTaken(answer));
+  }
+  answer(NotFound(request));
+}
+
+void HandleInternal(ControlCore& core, const http::Request& request, ControlCore::Micros now,
+                    const http::Answer& answer) {
+  try {
+    if (request.path == kExchangePath) {
+      const auto exchange = json::parse(request.body).get<ExchangeRequest>();
+      return answer({200, json(core.Exchange(exchange, now)).dump(), {}});
+    }
+    if (request.path == kPullPath)
+      return HandlePull(core, json::parse(request.body).get<PullRequest>(), now, answer);
+    if (request.path == kDemandPath) {
+      core.Demand(json::parse(request.body).get<std::vector<ModelDemand>>(), now);
+      return answer(Done());
+    }
+  } catch (const json::exception& error) {
+    return answer(Problem(400, error.what()));
+  }
+  answer(NotFound(request));
+}
+
+}  // namespace violetwing
--- a/src/control/api/http.hpp
+++ b/src/control/api/http.hpp
@@ -15,25 +15,9 @@
 #include <system_error>
 #include <vector>
 
-namespace violetwing::http {
-
-using Headers = std::vector<std::pair<std::string, std::string>>;
-
-struct Request {
-  std::string method;
-  std::string path;  // without the query
-  std::string body;
-  std::string if_match;
-};
+#include "control/api/messages.hpp"
 
-struct Response {
-  int status = 200;
-  std::string body;  // JSON; may be empty
-  Headers headers;
-};
-
-// Takes the answer to one request: to be called once, at any time.
-using Answer = std::function<void(Response)>;
+namespace violetwing::http {
 
 class Server {
  public:
--- /dev/null
+++ b/src/control/core.cpp
@@ -0,0 +1,276 @@
+#include "core.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace violetwing {
+namespace {
+
+// Heartbeats that a server may miss before it is taken for lost.
+constexpr int kMissedHeartbeats = 3;
+// A pull is answered at the latest after so long, whatever the caller asks for.
+constexpr int kMostPullWaitMs = 2'000;
+// Others are told of what this process has heard within so long.
+constexpr ControlCore::Micros kHeardLately = 600'000;
+// Replicas of a shard that are wanted at least.
+constexpr int kLeastReplicas = 3;
+
+// The first disks have names that all can tell from the seeds.
+consensus::Members Founders(const NodeSettings& settings, const std::string& disk) {
+  consensus::Members founders;
+  if (!IsFounder(disk)) return founders;
+  for (const std::string& seed : settings.seeds) {
+    const std::string address = settings.InternalAddressOf(seed);
+    founders.push_back({FounderDisk(address), address});
+  }
+  return founders;
+}
+
+}  // namespace
+
+ControlCore::ControlCore(const NodeSettings& settings, std::string life, Shards::Stored stored,
+                         Outputs outputs, Micros now)
+    : settings_(settings),
+      life_(std::move(life)),
+      outputs_(std::move(outputs)),
+      now_(now),
+      table_(life_, kMissedHeartbeats * settings.heartbeat_ms * 1000),
+      placer_(settings.lease_ms * 1000, {outputs_.order, outputs_.ask_report}),
+      peers_({settings.node_name, settings.zone, settings.InternalAddress(), settings.control_plane},
+             PeerOutputs()),
+      shards_(stored, Founders(settings, stored.disk), life_, ShardOutputs(), now) {
+  SetSeeds(settings.seeds, now);
+}
+
+Peers::Outputs ControlCore::PeerOutputs() {
+  Peers::Outputs outputs;
+  outputs.fill = [this](ExchangeRequest& request) {
+    request.disk = shards_.disk();
+    request.known = table_.known();
+    request.joins = shards_.Joins();
+  };
+  outputs.exchange = outputs_.exchange;
+  return outputs;
+}
+
+Shards::Outputs ControlCore::ShardOutputs() {
+  Shards::Outputs outputs;
+  outputs.send = [this](const std::string& address, ShardMessage message) {
+    peers_.Send(address, std::move(message));
+  };
+  outputs.propose = [this](const std::string& address, ShardProposal proposal) {
+    peers_.Propose(address, std::move(proposal));
+  };
+  outputs.write = outputs_.write;
+  outputs.applied = [this](int shard) {
+    pulls_due_ = true;
+    if (shard == 0) WakePulls();
+  };
+  outputs.left = [this](const std::string& id, Phase phase) { table_.Leave(id, phase, now_); };
+  return outputs;
+}
+
+void ControlCore::SetSeeds(const std::vector<std::string>& seeds, Micros now) {
+  now_ = now;
+  std::vector<ControlNode> nodes;
+  for (const std::string& seed : seeds) nodes.push_back({{}, {}, settings_.InternalAddressOf(seed), seed});
+  peers_.SetSeeds(nodes);
+}
+
+void ControlCore::Stop() {
+  stopping_ = true;
+  for (const ParkedPull& pull : parked_) pull.done(std::nullopt);
+  parked_.clear();
+}
+
+void ControlCore::Tick(Micros now) {
+  now_ = now;
+  shards_.Tick(now);
+  const bool in_touch = InTouch();
+  if (!in_touch) in_touch_since_ = 0;
+  if (in_touch && in_touch_since_ == 0) in_touch_since_ = now;
+  table_.Expire(now, in_touch);
+  const int wanted = std::max(kLeastReplicas, 2 * settings_.tolerated_nodes + 1);
+  peers_.SetMembers(shards_.ReviewMembers(static_cast<std::size_t>(wanted), now));
+  TickPlacer();
+  peers_.Tick(now);
+  WakePulls();
+  Flush();
+}
+
+void ControlCore::Written(std::uint64_t token, Micros now) {
+  now_ = now;
+  shards_.Written(token);
+  Flush();
+}
+
+// ---- Servers and the operator ----
+
+void ControlCore::Heartbeat(Instance instance, bool draining, Micros now, const OnTaken& done) {
+  now_ = now;
+  if (!InTouch()) return done(Taken::kUnavailable);
+  const std::string id = instance.id;
+  const std::string service = instance.backend;
+  const std::optional<Phase> departed = shards_.Departed(id);
+  instance.phase = departed.value_or(Phase::kReady);
+  if (departed != Phase::kGone && table_.Heartbeat(std::move(instance), now)) pulls_due_ = true;
+  if (draining && !departed) return Leave(service, id, Phase::kDraining, done);
+  done(Taken::kTaken);
+}
+
+void ControlCore::Departure(const std::string& id, Micros now, const OnTaken& done) {
+  now_ = now;
+  if (shards_.Departed(id) == Phase::kGone) return done(Taken::kTaken);
+  const InstanceTable::Record* record = table_.Find(id);
+  Leave(record == nullptr ? std::string() : record->instance.backend, id, Phase::kGone, done);
+}
+
+void ControlCore::Leave(const std::string& service, const std::string& id, Phase phase, const OnTaken& done) {
+  shards_.Leave(service, id, phase, now_,
+                [done](bool taken) { done(taken ? Taken::kTaken : Taken::kUnavailable); });
+  Flush();
+}
+
+void ControlCore::Change(const configuration::Change& change, Micros now, const OnChanged& done) {
+  now_ = now;
+  shards_.Change(change, now, done);
+  Flush();
+}
+
+void ControlCore::ReadConfiguration(Micros now, const OnRead& done) {
+  now_ = now;
+  shards_.Read(now, [this, done](bool current) {
+    if (!current) return done(std::nullopt);
+    done(ConfigurationRead{configuration().version(), configuration().document()});
+  });
+  Flush();
+}
+
+// ---- The other control processes ----
+
+ExchangeReply ControlCore::Exchange(const ExchangeRequest& request, Micros now) {
+  now_ = now;
+  peers_.Meet(request.from, now);
+  shards_.Meet(request.disk, request.from.address);
+  for (const int shard : request.joins) shards_.Join(shard, {request.disk, request.from.address}, now);
+  for (const ShardMessage& message : request.messages) shards_.Step(message, now);
+  for (const ShardProposal& proposal : request.proposals) shards_.TakeForwarded(proposal);
+  CountDemand(request.demand);
+  ExchangeReply reply;
+  reply.source = life_;
+  reply.changed = table_.ChangedSince(request.known);
+  reply.known = table_.known();
+  reply.heard = table_.HeardSince(now - kHeardLately, now);
+  reply.edges = sidecars_.HeardSince(now - kHeardLately, now);
+  reply.controls = peers_.Known(now);
+  Flush();
+  return reply;
+}
+
+void ControlCore::Exchanged(const std::string& address, const std::optional<ExchangeReply>& reply,
+                            Micros now) {
+  now_ = now;
+  peers_.OnExchanged(address, reply.has_value(), now);
+  if (reply) Take(*reply);
+  Flush();
+}
+
+void ControlCore::Take(const ExchangeReply& reply) {
+  for (const Instance& instance : reply.changed) table_.Merge(instance, now_);
+  for (const Heard& heard : reply.heard) table_.Hear(heard, now_);
+  for (const Heard& sidecar : reply.edges) sidecars_.HearOf(sidecar, now_);
+  for (const ControlNode& node : reply.controls) peers_.Meet(node, now_);
+  if (!reply.changed.empty()) pulls_due_ = true;
+}
+
+// ---- Sidecars ----
+
+void ControlCore::Pull(PullRequest request, Micros now, const OnPulled& done) {
+  now_ = now;
+  sidecars_.Hear(request.node, now);
+  CountDemand(request.demand);
+  if (!AnswerPull(request, done, false)) {
+    const Micros until = now + std::clamp(request.wait_ms, 0, kMostPullWaitMs) * Micros{1000};
+    parked_.push_back({std::move(request), until, done});
+  }
+  Flush();
+}
+
+bool ControlCore::AnswerPull(const PullRequest& request, const OnPulled& done, bool at_once) {
+  if (!InTouch()) {
+    done(std::nullopt);
+    return true;
+  }
+  // A list is whole once every server that lives has had the time to say so.
+  const bool settled = in_touch_since_ > 0 && now_ - in_touch_since_ > 2 * settings_.heartbeat_ms * 1000;
+  const bool whole = settled && request.source != life_;
+  const bool newer = configuration().version() > request.configuration;
+  if (!at_once && !whole && !newer && !table_.Misses(request.known)) return false;
+  PullReply reply;
+  reply.source = whole || request.source == life_ ? life_ : std::string();
+  reply.whole = whole;
+  if (whole) reply.ids = table_.Ids();
+  reply.configuration = configuration().version();
+  if (newer) reply.document = configuration().document();
+  reply.changed = table_.ChangedSince(request.known);
+  reply.known = table_.known();
+  reply.controls = peers_.Known(now_);
+  const Sidecars::Place place = sidecars_.PlaceOf(request.node, now_);
+  reply.number = place.number;
+  reply.sidecars = place.count;
+  done(reply);
+  return true;
+}
+
+void ControlCore::WakePulls() {
+  const bool due = std::exchange(pulls_due_, false);
+  const bool in_touch = InTouch();
+  for (auto it = parked_.begin(); it != parked_.end();) {
+    const bool over = now_ >= it->until || !in_touch;
+    it = (over || due) && AnswerPull(it->request, it->done, over) ? parked_.erase(it) : std::next(it);
+  }
+}
+
+// ---- Placement ----
+
+void ControlCore::Demand(const std::vector<ModelDemand>& demand, Micros now) {
+  now_ = now;
+  CountDemand(demand);
+  Flush();
+}
+
+// The placer counts it; every other process passes it on.
+void ControlCore::CountDemand(const std::vector<ModelDemand>& demand) {
+  if (demand.empty()) return;
+  if (shards_.configuration_replica().leader()) {
+    placer_.CountDemand(demand, now_);
+    return TickPlacer();
+  }
+  const std::string leader = shards_.ConfigurationLeader();
+  if (!leader.empty()) peers_.Tell(leader, demand);
+}
+
+void ControlCore::TickPlacer() {
+  if (stopping_) return;
+  placer_.Tick(shards_.configuration_replica(), configuration(), table_, now_);
+  if (!table_.Misses(told_)) return;
+  told_ = table_.known();
+  pulls_due_ = true;
+  WakePulls();
+}
+
+void ControlCore::OrderAnswered(const PlacementCall& order, int status, Micros now) {
+  now_ = now;
+  placer_.OnOrderAnswered(order, status, now);
+  TickPlacer();
+  Flush();
+}
+
+void ControlCore::Reported(const std::string& instance, const std::optional<ServerReport>& report,
+                           Micros now) {
+  now_ = now;
+  placer_.OnReport(instance, report, now);
+  Flush();
+}
+
+}  // namespace violetwing
--- /dev/null
+++ b/src/control/core.hpp
@@ -0,0 +1,120 @@
+// What a control process decides: takes the servers' heartbeats and departures and the operator's changes,
+// exchanges with the other control processes, answers the sidecars' pulls and places models. A core: it holds
+// no clock, socket, file or thread; what has to go out leaves through `Outputs`, and what comes of it returns
+// by a call.
+#ifndef VIOLETWING_CONTROL_CORE_HPP_
+#define VIOLETWING_CONTROL_CORE_HPP_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "control/instances/table.hpp"
+#include "control/peers.hpp"
+#include "control/placement/placer_role.hpp"
+#include "control/shards.hpp"
+#include "control/sidecars.hpp"
+#include "messages/peer.hpp"
+#include "node/settings.hpp"
+
+namespace violetwing {
+
+class ControlCore {
+ public:
+  using Micros = consensus::Micros;
+  struct Outputs {
+    std::function<void(ShardWrite, std::uint64_t token)> write;
+    std::function<void(const std::string& address, ExchangeRequest)> exchange;
+    std::function<void(const PlacementCall&, consensus::Term fencing_token)> order;
+    std::function<void(const PlacementCall&)> ask_report;
+  };
+  enum class Taken { kTaken, kUnavailable };
+  // The configuration in force; empty before the first.
+  struct ConfigurationRead {
+    std::int64_t version = 0;
+    std::string document;
+  };
+  using OnTaken = std::function<void(Taken)>;
+  using OnChanged = std::function<void(const std::optional<configuration::Answer>&)>;
+  using OnRead = std::function<void(const std::optional<ConfigurationRead>&)>;
+  using OnPulled = std::function<void(const std::optional<PullReply>&)>;
+
+  // `life` names one life of this process, unlike any other's.
+  ControlCore(const NodeSettings& settings, std::string life, Shards::Stored stored, Outputs outputs,
+              Micros now);
+
+  void SetSeeds(const std::vector<std::string>& seeds, Micros now);
+  void Tick(Micros now);
+  // The write of this token would outlive a loss of power.
+  void Written(std::uint64_t token, Micros now);
+  // Answers all pulls that wait; the process is about to end.
+  void Stop();
+
+  // Calls of servers and of the operator. `done` is called once, with nothing where no quorum has answered in
+  // time: what was asked may yet be done.
+  void Heartbeat(Instance instance, bool draining, Micros now, const OnTaken& done);
+  void Departure(const std::string& id, Micros now, const OnTaken& done);
+  void Change(const configuration::Change& change, Micros now, const OnChanged& done);
+  void ReadConfiguration(Micros now, const OnRead& done);
+
+  // Calls of sidecars. A pull waits for news, as long as it says; it is answered with nothing if this process
+  // is out of touch with the others.
+  void Pull(PullRequest request, Micros now, const OnPulled& done);
+  void Demand(const std::vector<ModelDemand>& demand, Micros now);
+
+  // Calls of the other control processes, and the ends of those to them: without an answer that could be
+  // read, empty.
+  ExchangeReply Exchange(const ExchangeRequest& request, Micros now);
+  void Exchanged(const std::string& address, const std::optional<ExchangeReply>& reply, Micros now);
+
+  // The ends of calls to servers: an HTTP status, 0 without an answer.
+  void OrderAnswered(const PlacementCall& order, int status, Micros now);
+  void Reported(const std::string& instance, const std::optional<ServerReport>& report, Micros now);
+
+  const configuration::State& configuration() const { return shards_.configuration(); }
+  const InstanceTable& table() const { return table_; }
+  const Shards& shards() const { return shards_; }
+
+ private:
+  struct ParkedPull {
+    PullRequest request;
+    Micros until = 0;
+    OnPulled done;
+  };
+
+  Shards::Outputs ShardOutputs();
+  Peers::Outputs PeerOutputs();
+  bool InTouch() const { return shards_.configuration_replica().InTouch(now_); }
+  void Leave(const std::string& service, const std::string& id, Phase phase, const OnTaken& done);
+  // False if the pull has nothing to tell yet.
+  bool AnswerPull(const PullRequest& request, const OnPulled& done, bool at_once);
+  void WakePulls();
+  void CountDemand(const std::vector<ModelDemand>& demand);
+  void TickPlacer();
+  void Take(const ExchangeReply& reply);
+  // Lets out what the event at hand has led to.
+  void Flush() { peers_.Flush(now_); }
+
+  const NodeSettings settings_;
+  const std::string life_;
+  const Outputs outputs_;
+  Micros now_;
+  InstanceTable table_;
+  Sidecars sidecars_;
+  PlacerRole placer_;
+  Peers peers_;
+  Shards shards_;
+  std::deque<ParkedPull> parked_;
+  VersionVector told_;  // what sidecars have been woken for
+  Micros in_touch_since_ = 0;
+  bool pulls_due_ = false;
+  bool stopping_ = false;
+};
+
+}  // namespace violetwing
+
+#endif  // VIOLETWING_CONTROL_CORE_HPP_
--- a/src/control/peers.hpp
+++ b/src/control/peers.hpp
@@ -1,32 +1,28 @@
 // The other control processes: who they are, and the exchange with each, one call at a time. What is to be
 // said to one waits until its last call has ended; what a call did not bring over is lost, and those who sent
-// it repeat it.
+// it repeat it. A core: it holds no clock, socket, file or thread.
 #ifndef VIOLETWING_CONTROL_PEERS_HPP_
 #define VIOLETWING_CONTROL_PEERS_HPP_
 
-#include <event2/event.h>
-
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
-#include "control/api/http.hpp"
 #include "messages/peer.hpp"
-#include "node/settings.hpp"
 
 namespace violetwing {
 
 class Peers {
  public:
   using Micros = std::int64_t;
-  struct Hooks {
+  struct Outputs {
     std::function<void(ExchangeRequest&)> fill;  // adds what every exchange carries
-    std::function<void(const ExchangeReply&)> take;
+    std::function<void(const std::string& address, ExchangeRequest)> exchange;
   };
 
-  Peers(event_base* base, http::Client& client, ControlNode self, Hooks hooks);
-  ~Peers();
+  Peers(ControlNode self, Outputs outputs) : self_(std::move(self)), outputs_(std::move(outputs)) {}
 
   void SetSeeds(const std::vector<ControlNode>& seeds);
   // Replicas of the shards' groups: always talked to.
@@ -36,7 +32,12 @@
   void Send(const std::string& address, ShardMessage message);
   void Propose(const std::string& address, ShardProposal proposal);
   void Tell(const std::string& address, std::vector<ModelDemand> demand);
+  // Begins the exchanges that are due by the clock.
   void Tick(Micros now);
+  // Begins the exchanges for which something was said since.
+  void Flush(Micros now);
+  // An exchange with this address has ended, with an answer that could be read or without.
+  void OnExchanged(const std::string& address, bool answered, Micros now);
 
   // Those heard of lately, this process included.
   std::vector<ControlNode> Known(Micros now) const;
@@ -51,22 +52,15 @@
     bool seed = false;
     bool member = false;
     ExchangeRequest next;
-    bool urgent = false;
+    bool urgent = false;  // `next` holds something that was said
   };
 
   Peer& Get(const std::string& address);
-  void Hurry(Peer& peer);
-  void Exchange(const std::string& address, Peer& peer);
-  void ExchangeUrgent();
+  void Exchange(const std::string& address, Peer& peer, Micros now);
 
-  event_base* const base_;
-  http::Client& client_;
   const ControlNode self_;
-  const Hooks hooks_;
+  const Outputs outputs_;
   std::map<std::string, Peer> peers_;  // by internal address
-  event* soon_ = nullptr;
-  bool soon_pending_ = false;
-  Micros now_ = 0;
 };
 
 }  // namespace violetwing
--- /dev/null
+++ b/src/control/shards.cpp
@@ -0,0 +1,212 @@
+#include "shards.hpp"
+
+#include <spdlog/spdlog.h>
+#include <xxhash.h>
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "control/consensus/member_policy.hpp"
+
+namespace violetwing {
+namespace {
+
+using nlohmann::json;
+
+// One shard for the configuration, and some for the services.
+constexpr int kServiceShards = 2;
+// Callers go elsewhere after a second without an answer.
+constexpr Shards::Micros kCallWithin = 900'000;
+constexpr const char* kFounderPrefix = "founder/";
+
+}  // namespace
+
+std::string FounderDisk(const std::string& address) { return kFounderPrefix + address; }
+
+bool IsFounder(const std::string& disk) { return disk.rfind(kFounderPrefix, 0) == 0; }
+
+// Commands of the configuration's shard: a change of the operator, or a read, which changes nothing.
+class Shards::ConfigurationMachine : public StateMachine {
+ public:
+  explicit ConfigurationMachine(configuration::State& state) : state_(state) {}
+
+  std::string Apply(const std::string& command) override {
+    const json in = json::parse(command, nullptr, /*allow_exceptions=*/false);
+    if (!in.is_object() || in.value("read", false)) return {};
+    const configuration::Answer answer = state_.Apply(
+        {in.value("patch", false), in.value("base", std::int64_t{0}), in.value("body", std::string())});
+    return json{{"outcome", answer.outcome}, {"version", answer.version}, {"problem", answer.problem}}.dump();
+  }
+  std::string Save() const override { return state_.Save(); }
+  void Load(const std::string& saved) override { state_.Load(saved); }
+
+ private:
+  configuration::State& state_;
+};
+
+// Commands of a shard of services: a server leaves.
+class Shards::DeparturesMachine : public StateMachine {
+ public:
+  DeparturesMachine(Departures& state, const Outputs& outputs) : state_(state), outputs_(outputs) {}
+
+  std::string Apply(const std::string& command) override {
+    const json in = json::parse(command, nullptr, /*allow_exceptions=*/false);
+    if (!in.is_object()) return {};
+    const std::string id = in.value("id", std::string());
+    const Phase phase = in.value("phase", Phase::kDraining);
+    state_.Apply(id, phase);
+    outputs_.left(id, phase);
+    return {};
+  }
+  std::string Save() const override { return state_.Save(); }
+  void Load(const std::string& saved) override {
+    state_.Load(saved);
+    for (const auto& [id, phase] : state_.all()) outputs_.left(id, phase);
+  }
+
+ private:
+  Departures& state_;
+  const Outputs& outputs_;
+};
+
+Shards::Shards(Stored stored, const consensus::Members& founders, const std::string& life, Outputs outputs,
+               Micros now)
+    : disk_(std::move(stored.disk)), outputs_(std::move(outputs)), departures_(kServiceShards + 1) {
+  for (int shard = 0; shard <= kServiceShards; ++shard) {
+    if (shard == 0)
+      machines_.push_back(std::make_unique<ConfigurationMachine>(configuration_));
+    else
+      machines_.push_back(
+          std::make_unique<DeparturesMachine>(departures_[static_cast<std::size_t>(shard)], outputs_));
+    const std::uint64_t seed = XXH64(life.data(), life.size(), static_cast<std::uint64_t>(shard));
+    MakeGroup(shard, *machines_.back(),
+              consensus::Replica(disk_, founders, std::move(stored.shards[shard]), {}, seed, now));
+  }
+}
+
+void Shards::MakeGroup(int shard, StateMachine& machine, consensus::Replica replica) {
+  Group::Outputs outputs;
+  outputs.send = [this](int at, const consensus::Message& message) {
+    const std::string address = AddressOf(at, message.to);
+    if (!address.empty()) outputs_.send(address, {at, message});
+  };
+  outputs.forward = [this](int at, const consensus::Member& leader, const std::string& command) {
+    const std::string address = AddressOf(at, leader.id);
+    if (!address.empty()) outputs_.propose(address, {at, command});
+  };
+  outputs.write = [this](ShardWrite write, std::uint64_t token) {
+    writes_[token] = Find(write.shard);
+    outputs_.write(std::move(write), token);
+  };
+  outputs.writes_wait = [this] { return !writes_.empty(); };
+  outputs.next_token = [this] { return ++token_; };
+  outputs.applied = [this](int at) { outputs_.applied(at); };
+  groups_.push_back(std::make_unique<Group>(shard, std::move(replica), machine, std::move(outputs)));
+}
+
+Group* Shards::Find(int shard) const {
+  const auto at = static_cast<std::size_t>(shard);
+  return shard >= 0 && at < groups_.size() ? groups_[at].get() : nullptr;
+}
+
+Group& Shards::OfService(const std::string& service) const {
+  return *groups_[1 + XXH64(service.data(), service.size(), 0) % kServiceShards];
+}
+
+std::string Shards::AddressOf(int shard, const consensus::ReplicaId& id) const {
+  const auto met = addresses_.find(id);
+  if (met != addresses_.end()) return met->second;
+  const Group* group = Find(shard);
+  if (group == nullptr) return {};  // its replica is only being made
+  for (const consensus::Member& member : group->replica().members())
+    if (member.id == id) return member.address;
+  return {};
+}
+
+std::string Shards::ConfigurationLeader() const {
+  const auto& leader = configuration_replica().known_leader();
+  return leader ? AddressOf(0, leader->id) : std::string();
+}
+
+// ---- The log ----
+
+void Shards::Tick(Micros now) {
+  for (const auto& group : groups_) group->Tick(now);
+}
+
+void Shards::Written(std::uint64_t token) {
+  const auto write = writes_.find(token);
+  if (write == writes_.end()) return;
+  Group* const group = write->second;
+  writes_.erase(write);
+  group->Written(token);
+}
+
+void Shards::Step(const ShardMessage& message, Micros now) {
+  if (Group* group = Find(message.shard)) group->Step(message.message, now);
+}
+
+void Shards::TakeForwarded(const ShardProposal& proposal) {
+  if (Group* group = Find(proposal.shard)) group->TakeForwarded(proposal.command);
+}
+
+void Shards::Join(int shard, const consensus::Member& learner, Micros now) {
+  if (Group* group = Find(shard)) group->replica().AddLearner(learner, now);
+}
+
+std::vector<int> Shards::Joins() const {
+  std::vector<int> out;
+  for (const auto& group : groups_)
+    if (!group->replica().IsMember(disk_)) out.push_back(group->shard());
+  return out;
+}
+
+std::vector<std::string> Shards::ReviewMembers(std::size_t wanted, Micros now) {
+  std::vector<std::string> addresses;
+  consensus::MemberPolicy policy;
+  policy.wanted = wanted;
+  for (const auto& group : groups_) {
+    for (const consensus::Member& member : group->replica().members()) addresses.push_back(member.address);
+    const auto next = consensus::NextMembers(group->replica(), policy, now);
+    if (!next || !group->replica().ProposeMembers(*next)) continue;
+    spdlog::info("shard {}: the group changes to {} replicas", group->shard(), next->size());
+    group->Tick(now);
+  }
+  return addresses;
+}
+
+// ---- Commands ----
+
+void Shards::Change(const configuration::Change& change, Micros now,
+                    std::function<void(const std::optional<configuration::Answer>&)> done) {
+  const json command{{"patch", change.patch}, {"base", change.base}, {"body", change.body}};
+  groups_.front()->Call(command.dump(), now, kCallWithin,
+                        [done = std::move(done)](const std::optional<std::string>& result) {
+                          if (!result) return done(std::nullopt);
+                          const json out = json::parse(*result);
+                          done(configuration::Answer{out.at("outcome").get<configuration::Outcome>(),
+                                                     out.at("version").get<std::int64_t>(),
+                                                     out.at("problem").get<std::string>()});
+                        });
+}
+
+void Shards::Read(Micros now, std::function<void(bool current)> done) {
+  groups_.front()->Call(
+      json{{"read", true}}.dump(), now, kCallWithin,
+      [done = std::move(done)](const std::optional<std::string>& result) { done(result.has_value()); });
+}
+
+void Shards::Leave(const std::string& service, const std::string& id, Phase phase, Micros now,
+                   std::function<void(bool taken)> done) {
+  OfService(service).Call(
+      json{{"id", id}, {"phase", phase}}.dump(), now, kCallWithin,
+      [done = std::move(done)](const std::optional<std::string>& result) { done(result.has_value()); });
+}
+
+std::optional<Phase> Shards::Departed(const std::string& id) const {
+  for (const Departures& shard : departures_)
+    if (const auto phase = shard.Find(id)) return phase;
+  return std::nullopt;
+}
+
+}  // namespace violetwing
--- /dev/null
+++ b/src/control/sidecars.hpp
@@ -0,0 +1,44 @@
+// The sidecars that the control processes have heard lately, and the number that each has among them. All
+// control processes that have heard the same give the same numbers. A core: it holds no clock, socket, file
+// or thread.
+#ifndef VIOLETWING_CONTROL_SIDECARS_HPP_
+#define VIOLETWING_CONTROL_SIDECARS_HPP_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "messages/peer.hpp"
+
+namespace violetwing {
+
+class Sidecars {
+ public:
+  using Micros = std::int64_t;
+  // The place of one sidecar among all, from 0, and how many there are.
+  struct Place {
+    int number = 0;
+    int count = 1;
+  };
+
+  // A call of the sidecar to this process.
+  void Hear(const std::string& name, Micros now);
+  // A call to another control process, as that one tells.
+  void HearOf(const Heard& heard, Micros now);
+  Place PlaceOf(const std::string& name, Micros now) const;
+  // Those that this process itself has heard after `since`.
+  std::vector<Heard> HeardSince(Micros since, Micros now) const;
+
+ private:
+  struct Sidecar {
+    Micros heard_at = 0;           // by any control process
+    Micros heard_directly_at = 0;  // by this one; 0 if never
+  };
+
+  std::map<std::string, Sidecar> sidecars_;  // by name
+};
+
+}  // namespace violetwing
+
+#endif  // VIOLETWING_CONTROL_SIDECARS_HPP_
--- /dev/null
+++ b/src/dataplane/control_choice.cpp
@@ -0,0 +1,44 @@
+#include "control_choice.hpp"
+
+#include <algorithm>
+
+namespace violetwing {
+
+const std::string& ControlChoice::Current(const std::vector<ControlNode>& known) {
+  if (current_.empty()) Pick(known);
+  return current_;
+}
+
+void ControlChoice::OnFailed(const std::vector<ControlNode>& known) {
+  if (!current_.empty()) failed_.push_back(current_);
+  Pick(known);
+}
+
+// Those of the own zone first, then the others that are known, then the seeds.
+std::vector<std::string> ControlChoice::Candidates(const std::vector<ControlNode>& known) const {
+  std::vector<std::string> out;
+  const auto add = [&](const std::string& address) {
+    if (std::find(out.begin(), out.end(), address) == out.end()) out.push_back(address);
+  };
+  for (const ControlNode& node : known)
+    if (node.zone == zone_) add(node.address);
+  for (const ControlNode& node : known) add(node.address);
+  for (const std::string& seed : seeds_) add(seed);
+  return out;
+}
+
+void ControlChoice::Pick(const std::vector<ControlNode>& known) {
+  const std::vector<std::string> candidates = Candidates(known);
+  std::vector<std::string> untried;
+  for (const std::string& address : candidates)
+    if (std::find(failed_.begin(), failed_.end(), address) == failed_.end()) untried.push_back(address);
+  if (untried.empty()) {
+    failed_.clear();
+    untried = candidates;
+  }
+  if (untried.empty()) return;
+  // Seeds are taken by chance, so that not all sidecars ask the first.
+  current_ = known.empty() ? untried[random_.Below(untried.size())] : untried.front();
+}
+
+}  // namespace violetwing
--- /dev/null
+++ b/src/dataplane/control_choice.hpp
@@ -0,0 +1,40 @@
+// Which control process a sidecar asks: one of its own zone where it knows of any, else another that it knows
+// of, else a seed; the next when that one has failed. A core: it holds no clock, socket, file or thread.
+#ifndef VIOLETWING_DATAPLANE_CONTROL_CHOICE_HPP_
+#define VIOLETWING_DATAPLANE_CONTROL_CHOICE_HPP_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "common/random.hpp"
+#include "messages/peer.hpp"
+
+namespace violetwing {
+
+class ControlChoice {
+ public:
+  // `name` draws apart the sidecars that know nothing but the seeds.
+  ControlChoice(std::string zone, const std::string& name) : zone_(std::move(zone)), random_(1, name) {}
+
+  // Internal addresses of the seeds, in the order of the settings.
+  void SetSeeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
+  // The internal address to ask; empty while none is known.
+  const std::string& Current(const std::vector<ControlNode>& known);
+  void OnAnswered() { failed_.clear(); }
+  void OnFailed(const std::vector<ControlNode>& known);
+
+ private:
+  std::vector<std::string> Candidates(const std::vector<ControlNode>& known) const;
+  void Pick(const std::vector<ControlNode>& known);
+
+  const std::string zone_;
+  Random random_;
+  std::vector<std::string> seeds_;
+  std::vector<std::string> failed_;  // since one last answered
+  std::string current_;
+};
+
+}  // namespace violetwing
+
+#endif  // VIOLETWING_DATAPLANE_CONTROL_CHOICE_HPP_
--- a/src/dataplane/control_link.hpp
+++ b/src/dataplane/control_link.hpp
@@ -1,5 +1,6 @@
 // A sidecar's link to the control plane: pulls what it misses from one control process at a time, and goes on
-// to the next when that one is silent or out of touch. It never goes back to an older configuration.
+// to the next when that one is silent or out of touch. Sockets and timers only: what is known is in
+// system_view.hpp, who is asked in control_choice.hpp.
 #ifndef VIOLETWING_DATAPLANE_CONTROL_LINK_HPP_
 #define VIOLETWING_DATAPLANE_CONTROL_LINK_HPP_
 
@@ -12,8 +13,9 @@
 #include <vector>
 
 #include "common/http_client.hpp"
-#include "common/random.hpp"
+#include "dataplane/control_choice.hpp"
 #include "dataplane/directory.hpp"
+#include "dataplane/system_view.hpp"
 #include "messages/peer.hpp"
 #include "node/settings.hpp"
 
@@ -26,7 +28,7 @@
 
   void Start();
   void Stop();
-  void Reload(const NodeSettings& settings) { settings_.seeds = settings.seeds; }
+  void Reload(const NodeSettings& settings);
 
   // Counts towards the next report; what waits is reported at once.
   void CountDemand(const ModelDemand& demand, bool urgent);
@@ -34,16 +36,11 @@
  private:
   void Pull();
   void OnPulled(int status, const std::string& body);
-  void Take(const PullReply& reply);
-  void Merge(const Instance& instance);
-  void Publish();
-  void Next(bool failed);
-  std::vector<std::string> Candidates() const;
+  bool Take(const std::string& body);
   std::vector<ModelDemand> TakeDemand();
   void SendDemand();
 
   boost::asio::io_context& io_;
-  NodeSettings settings_;
   const std::function<void(DirectoryPtr)> changed_;
   boost::asio::steady_timer pause_;
   boost::asio::steady_timer guard_;
@@ -51,18 +48,10 @@
   bool demand_pending_ = false;
   std::shared_ptr<HttpExchange> call_;
   std::string answer_;
-  std::string target_;               // address of the control process in use
-  std::vector<std::string> failed_;  // since one last answered
-  Random random_;
   bool stopped_ = false;
 
-  std::string source_;
-  VersionVector known_;
-  std::shared_ptr<const configuration::Configuration> configuration_;
-  std::map<std::string, Instance> instances_;
-  std::vector<ControlNode> controls_;
-  int number_ = 0;
-  int sidecars_ = 1;
+  SystemView view_;
+  ControlChoice choice_;
   std::map<std::pair<std::string, std::string>, ModelDemand> demand_;
 };
 
--- /dev/null
+++ b/src/dataplane/system_view.cpp
@@ -0,0 +1,79 @@
+#include "system_view.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace violetwing {
+namespace {
+
+bool Leaves(Phase phase) { return phase == Phase::kGone || phase == Phase::kDraining; }
+
+}  // namespace
+
+PullRequest SystemView::NextPull(int wait_ms, std::vector<ModelDemand> demand) const {
+  PullRequest request;
+  request.node = node_;
+  request.source = source_;
+  request.configuration = version();
+  request.known = known_;
+  request.wait_ms = wait_ms;
+  request.demand = std::move(demand);
+  return request;
+}
+
+bool SystemView::Take(const PullReply& reply) {
+  const bool moved = reply.number != number_ || reply.sidecars != sidecars_;
+  const bool configured = TakeConfiguration(reply);
+  const bool listed = TakeInstances(reply);
+  source_ = reply.source;
+  controls_ = reply.controls;
+  number_ = reply.number;
+  sidecars_ = reply.sidecars;
+  return moved || configured || listed;
+}
+
+bool SystemView::TakeConfiguration(const PullReply& reply) {
+  if (reply.configuration <= version() || reply.document.empty()) return false;
+  configuration::ReadResult read = configuration::Read(reply.document);
+  if (read.configuration == nullptr) {
+    spdlog::error("version {} cannot be read: {}", reply.configuration, ToText(read.findings));
+    return false;
+  }
+  configuration_ = std::move(read.configuration);
+  return true;
+}
+
+bool SystemView::TakeInstances(const PullReply& reply) {
+  for (const Instance& instance : reply.changed) Merge(instance);
+  for (const auto& [origin, counter] : reply.known) known_[origin] = std::max(known_[origin], counter);
+  if (!reply.whole) return !reply.changed.empty();
+  const std::size_t before = instances_.size();
+  std::erase_if(instances_, [&](const auto& entry) {
+    return std::find(reply.ids.begin(), reply.ids.end(), entry.first) == reply.ids.end();
+  });
+  // Lives of control processes that are over leave nothing behind.
+  known_ = reply.known;
+  return !reply.changed.empty() || instances_.size() != before;
+}
+
+void SystemView::Merge(const Instance& instance) {
+  const auto it = instances_.find(instance.id);
+  if (it == instances_.end()) {
+    if (instance.phase != Phase::kGone) instances_[instance.id] = instance;
+    return;
+  }
+  Instance& known = it->second;
+  if (instance.sequence < known.sequence && !Leaves(instance.phase)) return;
+  // A drain is for good, whichever control process has not heard of it yet.
+  const Phase phase = Leaves(known.phase) ? std::max(known.phase, instance.phase) : instance.phase;
+  known = instance;
+  known.phase = phase;
+}
+
+DirectoryPtr SystemView::MakeDirectory() const {
+  return std::make_shared<const Directory>(configuration_, instances_, number_, sidecars_);
+}
+
+}  // namespace violetwing
--- /dev/null
+++ b/src/dataplane/system_view.hpp
@@ -0,0 +1,48 @@
+// What a sidecar knows of the system by the answers of the control processes: the configuration, the servers,
+// the control processes themselves, and its own number among the sidecars. Knowledge only grows: an answer
+// that knows less than an earlier one takes nothing back. A core: it holds no clock, socket, file or thread.
+#ifndef VIOLETWING_DATAPLANE_SYSTEM_VIEW_HPP_
+#define VIOLETWING_DATAPLANE_SYSTEM_VIEW_HPP_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "dataplane/directory.hpp"
+#include "messages/peer.hpp"
+
+namespace violetwing {
+
+class SystemView {
+ public:
+  explicit SystemView(std::string node) : node_(std::move(node)) {}
+
+  // A pull that asks for what is missing here.
+  PullRequest NextPull(int wait_ms, std::vector<ModelDemand> demand) const;
+  // Takes an answer in. True if what requests go by has changed.
+  bool Take(const PullReply& reply);
+  // What requests go by, as it stands now.
+  DirectoryPtr MakeDirectory() const;
+
+  std::int64_t version() const { return configuration_ == nullptr ? 0 : configuration_->version; }
+  const std::vector<ControlNode>& controls() const { return controls_; }
+
+ private:
+  bool TakeConfiguration(const PullReply& reply);
+  bool TakeInstances(const PullReply& reply);
+  void Merge(const Instance& instance);
+
+  const std::string node_;
+  std::string source_;  // the life of the control process whose whole list is held
+  VersionVector known_;
+  std::shared_ptr<const configuration::Configuration> configuration_;
+  std::map<std::string, Instance> instances_;
+  std::vector<ControlNode> controls_;
+  int number_ = 0;
+  int sidecars_ = 1;
+};
+
+}  // namespace violetwing
+
+#endif  // VIOLETWING_DATAPLANE_SYSTEM_VIEW_HPP_
--- a/tests/node/cluster.hpp
+++ b/tests/node/cluster.hpp
@@ -18,6 +18,7 @@
 #include "common/random.hpp"
 #include "control/consensus/core.hpp"
 #include "control/consensus/member_policy.hpp"
+#include "virtual_disk.hpp"
 
 namespace violetwing::consensus {
 
@@ -181,23 +182,8 @@
   std::string NewDisk() { return "disk/" + std::to_string(++disks_); }
 
   static void Store(Machine& machine, const Effects& effects) {
-    StoredState& disk = machine.disk;
-    if (effects.hard) disk.hard = *effects.hard;
-    if (effects.replaces_log) disk.entries.clear();
-    if (effects.first > 0) {
-      const Index base = effects.replaces_log ? effects.snapshot->index : disk.snapshot.index;
-      if (effects.first > base)
-        disk.entries.resize(std::min<std::size_t>(disk.entries.size(), effects.first - base - 1));
-      for (const Entry& entry : effects.entries) disk.entries.push_back(entry);
-    }
-    if (!effects.snapshot) return;
-    if (!effects.replaces_log) {
-      const Index gone = effects.snapshot->index - disk.snapshot.index;
-      disk.entries.erase(
-          disk.entries.begin(),
-          disk.entries.begin() + static_cast<std::ptrdiff_t>(std::min<Index>(gone, disk.entries.size())));
-    }
-    disk.snapshot = *effects.snapshot;
+    testing::ApplyWrite(machine.disk, {0, effects.hard, effects.replaces_log, effects.first, effects.entries,
+                                       effects.snapshot});
   }
 
   void Carry(std::size_t i) {
--- /dev/null
+++ b/tests/node/system_test.cpp
@@ -0,0 +1,356 @@
+// Three control processes and two sidecars on a virtual clock: what is acknowledged reaches all, whichever
+// single message is lost, doubled, late or damaged, and whichever process ends or stands still.
+#include <catch2/catch.hpp>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+
+#include "virtual_system.hpp"
+
+namespace violetwing {
+namespace {
+
+using nlohmann::json;
+using testing::Letter;
+using testing::VirtualSystem;
+using Micros = VirtualSystem::Micros;
+
+constexpr Micros kSecond = 1'000'000;
+constexpr Micros kHeartbeat = 500'000;
+
+std::string Document(std::int64_t version) {
+  return json{{"version", version},
+              {"routes", json::array()},
+              {"backends", {{{"name", "s"}, {"health_check", "/healthz"}}}}}
+      .dump();
+}
+
+// Sends one change until it has a clear answer, as the operator does: to the next process after each failure.
+class Operator {
+ public:
+  Operator(VirtualSystem& system, std::int64_t version, std::int64_t base, std::size_t first)
+      : system_(system), version_(version), base_(base), next_(first) {
+    Send();
+  }
+  int status() const { return *status_; }
+  bool Answered() const { return *status_ != 0; }
+
+ private:
+  void Send() {
+    system_.CallPublic(next_++ % system_.controls(), "PUT", "/api/configuration", Document(version_), base_,
+                       [this, alive = std::weak_ptr<int>(status_)](int status, const std::string&) {
+                         if (alive.expired()) return;
+                         if (status == 0 || status >= 500) return Send();
+                         *status_ = status;
+                       });
+  }
+
+  VirtualSystem& system_;
+  const std::int64_t version_;
+  const std::int64_t base_;
+  std::size_t next_;
+  const std::shared_ptr<int> status_ = std::make_shared<int>(0);
+};
+
+// A server that sends heartbeats to one process, to the next after a failure, and can be told to leave.
+class Server {
+ public:
+  Server(VirtualSystem& system, std::string id, std::string address)
+      : system_(system), id_(std::move(id)), address_(std::move(address)) {}
+
+  // To be called at each turn of the system.
+  void Turn() {
+    if (*calling_ || system_.now() < next_at_) return;
+    *calling_ = true;
+    const json body{{"backend", "s"},
+                    {"address", address_},
+                    {"zone", "zone"},
+                    {"capacity", 4},
+                    {"phase", draining_ ? "draining" : "ready"},
+                    {"sequence", ++sequence_}};
+    system_.CallPublic(
+        at_ % system_.controls(), "PUT", "/api/instances/" + id_, body.dump(), 0,
+        [this, calling = std::weak_ptr<bool>(calling_), said = draining_](int status, const std::string&) {
+          if (calling.expired()) return;
+          *calling_ = false;
+          next_at_ = system_.now() + (status == 200 ? kHeartbeat : 0);
+          if (status != 200) ++at_;
+          if (status == 200 && said) drain_acknowledged_ = true;
+        });
+  }
+  void Drain() { draining_ = true; }
+  bool drain_acknowledged() const { return drain_acknowledged_; }
+
+ private:
+  VirtualSystem& system_;
+  const std::string id_;
+  const std::string address_;
+  const std::shared_ptr<bool> calling_ = std::make_shared<bool>(false);
+  Micros next_at_ = 0;
+  std::size_t at_ = 0;
+  std::int64_t sequence_ = 0;
+  bool draining_ = false;
+  bool drain_acknowledged_ = false;
+};
+
+// A system with two servers; the stages of one short life of it.
+class Play {
+ public:
+  explicit Play(std::uint64_t seed = 1)
+      : system(3, 2, seed),
+        stays_(system, "i-stays", "10.1.0.1:80"),
+        leaves_(system, "i-leaves", "10.1.0.2:80") {}
+
+  // Runs until `done` holds; fails the test if it does not within ten seconds.
+  void Await(const std::string& what, const std::function<bool()>& done) {
+    const bool held = system.RunUntil(
+        [&] {
+          stays_.Turn();
+          leaves_.Turn();
+          return done();
+        },
+        10 * kSecond);
+    INFO("awaited: " << what);
+    CHECK(held);
+  }
+  bool AllSidecars(const std::function<bool(const SystemView&)>& holds) {
+    for (std::size_t i = 0; i < system.sidecars(); ++i)
+      if (!holds(*system.sidecar(i).view)) return false;
+    return true;
+  }
+  void Configure(std::int64_t version, std::int64_t base, std::size_t first = 0) {
+    const Operator change(system, version, base, first);
+    Await("an answer to version " + std::to_string(version), [&] { return change.Answered(); });
+    CHECK(change.status() == 200);
+    Await("version " + std::to_string(version) + " at all sidecars",
+          [&] { return AllSidecars([&](const SystemView& view) { return view.version() >= version; }); });
+  }
+  void AwaitServers(std::size_t count) {
+    Await(std::to_string(count) + " servers at all sidecars", [&] {
+      return AllSidecars(
+          [&](const SystemView& view) { return view.MakeDirectory()->Servers("s").size() == count; });
+    });
+  }
+  void Drain() {
+    leaves_.Drain();
+    Await("the drain's acknowledgement", [&] { return leaves_.drain_acknowledged(); });
+    AwaitServers(1);
+  }
+  // A process that does not lead the configuration's shard.
+  std::size_t Follower() {
+    std::size_t i = 0;
+    while (system.control(i).core->shards().configuration_replica().leader()) ++i;
+    return i;
+  }
+  // The whole life: a configuration, servers, a drain, another configuration, and all agree.
+  void Whole() {
+    Configure(3, 0);
+    AwaitServers(2);
+    Drain();
+    Configure(8, 3, 1);
+    Await("version 8 at all control processes", [&] {
+      for (std::size_t i = 0; i < system.controls(); ++i)
+        if (system.Up(i) && system.control(i).core->configuration().version() != 8) return false;
+      return true;
+    });
+    CHECK(system.violations().empty());
+  }
+
+  VirtualSystem system;
+
+ private:
+  Server stays_;
+  Server leaves_;
+};
+
+// Changes the n-th message of a path and direction.
+class TamperOnce {
+ public:
+  TamperOnce(std::string path, bool answer, int at, std::function<void(Letter&)> change)
+      : path_(std::move(path)), answer_(answer), at_(at), change_(std::move(change)) {}
+  void operator()(Letter& letter) {
+    if (letter.path != path_ || letter.answer != answer_ || seen_++ != at_) return;
+    change_(letter);
+  }
+
+ private:
+  const std::string path_;
+  const bool answer_;
+  const int at_;
+  const std::function<void(Letter&)> change_;
+  int seen_ = 0;
+};
+
+const char* const kPaths[] = {kExchangePath, kPullPath};
+// Early messages elect and join, later ones carry the changes and the drain.
+constexpr int kPlaces[] = {0, 1, 2, 5, 12, 25, 60};
+
+void PlayTampered(const std::string& path, bool answer, int at, const std::function<void(Letter&)>& change) {
+  INFO(path << (answer ? " answer " : " call ") << at);
+  Play play;
+  play.system.tamper = TamperOnce(path, answer, at, change);
+  play.Whole();
+}
+
+}  // namespace
+
+TEST_CASE("Cores: a change, servers and a drain reach all sidecars") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    INFO("seed " << seed);
+    Play play(seed);
+    play.Whole();
+  }
+}
+
+TEST_CASE("Cores: one message of each kind is lost, doubled or late, and nothing is lost by it") {
+  for (const char* path : kPaths)
+    for (const bool answer : {false, true})
+      for (const int at : kPlaces) {
+        PlayTampered(path, answer, at, [](Letter& letter) { letter.copies = 0; });
+        PlayTampered(path, answer, at, [](Letter& letter) { letter.copies = 2; });
+        PlayTampered(path, answer, at, [](Letter& letter) { letter.held_up = 300'000; });
+        PlayTampered(path, answer, at, [](Letter& letter) { letter.held_up = 2 * kSecond; });
+        PlayTampered(path, answer, at, [](Letter& letter) { letter.body.resize(letter.body.size() / 2); });
+      }
+}
+
+TEST_CASE("Cores: one message of each kind lacks a field or has one of another type") {
+  // The fields that each kind has, from messages with every field filled.
+  const std::pair<const char*, std::vector<json>> kinds[] = {
+      {kExchangePath, {json(ExchangeRequest{}), json(ExchangeReply{})}},
+      {kPullPath, {json(PullRequest{}), json(PullReply{})}}};
+  for (const auto& [path, forms] : kinds)
+    for (const bool answer : {false, true})
+      for (const auto& [key, value] : forms[answer ? 1 : 0].items())
+        for (const int at : {1, 12, 40}) {
+          INFO("field " << key);
+          PlayTampered(path, answer, at, [key = key](Letter& letter) {
+            json body = json::parse(letter.body);
+            body.erase(key);
+            letter.body = body.dump();
+          });
+          PlayTampered(path, answer, at, [key = key](Letter& letter) {
+            json body = json::parse(letter.body);
+            body[key] = json::array({json::array({1})});
+            letter.body = body.dump();
+          });
+        }
+}
+
+TEST_CASE("Cores: a process ends while it takes a change, and the change is acknowledged exactly once") {
+  for (Micros after = 0; after <= 60'000; after += VirtualSystem::kStep)
+    for (const bool power : {false, true}) {
+      INFO("ends after " << after << " us" << (power ? ", without power" : ""));
+      Play play;
+      play.Configure(3, 0);
+      const Operator change(play.system, 8, 3, 0);
+      play.system.Run(after);
+      power ? play.system.PowerOff(0) : play.system.Kill(0);
+      play.Await("an answer", [&] { return change.Answered(); });
+      CHECK(change.status() == 200);
+      play.system.Start(0);
+      play.Await("version 8 at the process that ended",
+                 [&] { return play.system.control(0).core->configuration().version() == 8; });
+      // Another one on the same version comes too late, wherever it is sent.
+      const Operator other(play.system, 9, 3, 0);
+      play.Await("an answer to the other", [&] { return other.Answered(); });
+      CHECK(other.status() == 412);
+      CHECK(play.system.violations().empty());
+    }
+}
+
+TEST_CASE("Cores: a change that is lost on its way to the leader is sent there again within the same call") {
+  Play play;
+  play.Configure(3, 0);
+  bool lost = false;
+  play.system.tamper = [&](Letter& letter) {
+    if (lost || letter.path != kExchangePath || letter.answer) return;
+    if (json::parse(letter.body).at("proposals").empty()) return;
+    lost = true;
+    letter.copies = 0;
+  };
+  int status = 0;
+  const Micros silence = std::exchange(play.system.silence, 2 * kSecond);
+  play.system.CallPublic(play.Follower(), "PUT", "/api/configuration", Document(8), 3,
+                         [&](int got, const std::string&) { status = got; });
+  play.system.silence = silence;
+  play.Await("an answer", [&] { return status != 0; });
+  CHECK(lost);
+  CHECK(status == 200);
+}
+
+TEST_CASE("Cores: a drain outlives the process that has acknowledged it") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    INFO("seed " << seed);
+    Play play(seed);
+    play.Configure(3, 0);
+    play.AwaitServers(2);
+    const std::size_t taker = play.Follower();
+    const auto heartbeat = [&](std::size_t at, const char* phase, int sequence,
+                               std::function<void(int)> done) {
+      const json body{{"backend", "s"},
+                      {"address", "10.1.0.2:80"},
+                      {"capacity", 4},
+                      {"phase", phase},
+                      {"sequence", sequence}};
+      play.system.CallPublic(at, "PUT", "/api/instances/i-leaves", body.dump(), 0,
+                             [done = std::move(done)](int status, const std::string&) { done(status); });
+    };
+    // It ends in the moment of its answer; a heartbeat from before the drain comes late to another one.
+    int status = 0;
+    heartbeat(taker, "draining", 1000, [&](int got) {
+      status = got;
+      play.system.Kill(taker);
+    });
+    REQUIRE(play.system.RunUntil([&] { return status != 0; }, kSecond));
+    REQUIRE(status == 200);
+    heartbeat((taker + 1) % 3, "ready", 999, [](int) {});
+    play.system.Run(kSecond);
+    CHECK(play.AllSidecars([](const SystemView& view) {
+      return view.MakeDirectory()->Find("i-leaves")->phase == Phase::kDraining;
+    }));
+  }
+}
+
+TEST_CASE("Cores: two changes on the same version through processes that are cut off in turn: one wins") {
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    INFO("seed " << seed);
+    Play play(seed);
+    play.Configure(3, 0);
+    const Operator one(play.system, 7, 3, 0);
+    const Operator other(play.system, 8, 3, 1);
+    play.system.Cut(seed % 3);
+    play.system.Run(static_cast<Micros>(seed) * 50'000);
+    play.system.Heal();
+    play.Await("both answers", [&] { return one.Answered() && other.Answered(); });
+    CHECK(((one.status() == 200) != (other.status() == 200)));
+    CHECK(one.status() + other.status() == 200 + 412);
+  }
+}
+
+TEST_CASE("Cores: a process that stood still answers nothing old") {
+  Play play;
+  play.Configure(3, 0);
+  for (std::size_t i = 0; i < 3; ++i) {
+    INFO("process " << i);
+    const auto version = static_cast<std::int64_t>(4 + i);
+    play.system.Freeze(i, 3 * kSecond);
+    // A read that comes meanwhile is answered as it wakes.
+    const Micros silence = std::exchange(play.system.silence, 5 * kSecond);
+    int status = 0;
+    std::string read;
+    play.system.CallPublic(i, "GET", "/api/configuration", "", 0, [&](int got, const std::string& body) {
+      status = got;
+      read = body;
+    });
+    play.system.silence = silence;
+    play.Configure(version, version - 1, i + 1);
+    play.system.Run(4 * kSecond);
+    CHECK(status != 0);
+    CHECK((status != 200 || json::parse(read).at("version") == version));
+  }
+  CHECK(play.system.violations().empty());
+}
+
+}  // namespace violetwing
--- /dev/null
+++ b/tests/node/virtual_disk.hpp
@@ -0,0 +1,31 @@
+// What a write of a replica leaves on a disk of the deterministic harnesses.
+#ifndef VIOLETWING_TESTS_NODE_VIRTUAL_DISK_HPP_
+#define VIOLETWING_TESTS_NODE_VIRTUAL_DISK_HPP_
+
+#include <algorithm>
+
+#include "control/store/store.hpp"
+
+namespace violetwing::testing {
+
+inline void ApplyWrite(consensus::StoredState& disk, const ShardWrite& write) {
+  if (write.hard) disk.hard = *write.hard;
+  if (write.replaces_log) disk.entries.clear();
+  if (write.first > 0) {
+    const consensus::Index base = write.replaces_log ? write.snapshot->index : disk.snapshot.index;
+    if (write.first > base)
+      disk.entries.resize(std::min<std::size_t>(disk.entries.size(), write.first - base - 1));
+    disk.entries.insert(disk.entries.end(), write.entries.begin(), write.entries.end());
+  }
+  if (!write.snapshot) return;
+  if (!write.replaces_log) {
+    const auto gone =
+        std::min<consensus::Index>(write.snapshot->index - disk.snapshot.index, disk.entries.size());
+    disk.entries.erase(disk.entries.begin(), disk.entries.begin() + static_cast<std::ptrdiff_t>(gone));
+  }
+  disk.snapshot = *write.snapshot;
+}
+
+}  // namespace violetwing::testing
+
+#endif  // VIOLETWING_TESTS_NODE_VIRTUAL_DISK_HPP_
--- /dev/null
+++ b/tests/node/virtual_system.hpp
@@ -0,0 +1,303 @@
+// A deterministic system: the cores of control processes and of sidecars' links on a virtual clock, with a
+// network that delays, cuts, and may lose, double, hold up or change one message, and disks that lose what
+// was not synced. What is said between the cores goes through its JSON form, as between real processes.
+#ifndef VIOLETWING_TESTS_NODE_VIRTUAL_SYSTEM_HPP_
+#define VIOLETWING_TESTS_NODE_VIRTUAL_SYSTEM_HPP_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "common/random.hpp"
+#include "control/api/handlers.hpp"
+#include "control/core.hpp"
+#include "dataplane/control_choice.hpp"
+#include "dataplane/system_view.hpp"
+#include "virtual_disk.hpp"
+
+namespace violetwing::testing {
+
+// One message on its way: the body of a call, or of the answer to one.
+struct Letter {
+  std::string path;
+  bool answer = false;
+  std::string body;
+  int copies = 1;  // 0: lost
+  std::int64_t held_up = 0;
+};
+
+class VirtualSystem {
+ public:
+  using Micros = std::int64_t;
+  static constexpr Micros kStep = 10'000;
+  static constexpr Micros kTick = 50'000;
+  static constexpr int kPullWaitMs = 400;
+
+  struct Control {
+    std::string address;  // for internal calls
+    std::string public_address;
+    std::string disk;
+    std::map<int, consensus::StoredState> stored;
+    std::deque<std::pair<Micros, std::pair<ShardWrite, std::uint64_t>>> writes;  // under way, by their end
+    std::unique_ptr<ControlCore> core;
+    int life = 0;
+    Micros frozen_until = 0;
+  };
+  struct Sidecar {
+    std::unique_ptr<SystemView> view;
+    std::unique_ptr<ControlChoice> choice;
+    bool pulling = false;
+    Micros pull_at = 0;
+    std::int64_t highest = 0;  // version that it has held
+  };
+
+  VirtualSystem(std::size_t controls, std::size_t sidecars, std::uint64_t seed) : random_(seed) {
+    for (std::size_t i = 0; i < controls; ++i) {
+      Control control;
+      control.address = "10.0.0." + std::to_string(i + 1) + ":100";
+      control.public_address = "10.0.0." + std::to_string(i + 1) + ":99";
+      control.disk = FounderDisk(control.address);
+      controls_.push_back(std::move(control));
+    }
+    for (std::size_t i = 0; i < controls; ++i) Start(i);
+    sidecars_.resize(sidecars);
+    for (std::size_t i = 0; i < sidecars; ++i) {
+      const std::string name = "edge-" + std::to_string(i);
+      sidecars_[i].view = std::make_unique<SystemView>(name);
+      sidecars_[i].choice = std::make_unique<ControlChoice>("zone", name);
+      std::vector<std::string> seeds;
+      for (const Control& control : controls_) seeds.push_back(control.address);
+      sidecars_[i].choice->SetSeeds(std::move(seeds));
+    }
+  }
+
+  Micros now() const { return now_; }
+  Control& control(std::size_t i) { return controls_[i]; }
+  Sidecar& sidecar(std::size_t i) { return sidecars_[i]; }
+  std::size_t controls() const { return controls_.size(); }
+  std::size_t sidecars() const { return sidecars_.size(); }
+  const std::vector<std::string>& violations() const { return violations_; }
+  Micros silence = 600'000;  // after which a call has failed
+  // May change any message on its way.
+  std::function<void(Letter&)> tamper;
+
+  // ---- Faults ----
+
+  void Start(std::size_t i) {
+    Control& control = controls_[i];
+    NodeSettings settings;
+    settings.node_name = "control-" + std::to_string(i);
+    settings.ip = control.address.substr(0, control.address.find(':'));
+    settings.zone = "zone";
+    settings.internal_port = 100;
+    settings.control_plane = control.public_address;
+    for (const Control& one : controls_) settings.seeds.push_back(one.public_address);
+    settings.heartbeat_ms = 500;
+    settings.lease_ms = 1000;
+    ControlCore::Outputs outputs;
+    outputs.write = [this, i](ShardWrite write, std::uint64_t token) {
+      const Micros last = controls_[i].writes.empty() ? now_ : controls_[i].writes.back().first;
+      controls_[i].writes.push_back({last + Draw(8'000), {std::move(write), token}});
+    };
+    outputs.exchange = [this, i](const std::string& to, const ExchangeRequest& request) {
+      CallInternal(controls_[i].address, to, kExchangePath, nlohmann::json(request).dump(),
+                   [this, i, to, life = controls_[i].life](int status, const std::string& body) {
+                     if (controls_[i].core == nullptr || controls_[i].life != life) return;
+                     controls_[i].core->Exchanged(to, Read<ExchangeReply>(status, body), now_);
+                   });
+    };
+    outputs.order = [](const PlacementCall&, consensus::Term) {};
+    outputs.ask_report = [](const PlacementCall&) {};
+    ++control.life;
+    control.core =
+        std::make_unique<ControlCore>(settings, settings.node_name + "/" + std::to_string(control.life),
+                                      Shards::Stored{control.disk, control.stored}, std::move(outputs), now_);
+  }
+  bool Up(std::size_t i) const { return controls_[i].core != nullptr; }
+  // The process ends; what it had handed to the system is kept.
+  void Kill(std::size_t i) {
+    for (const auto& write : controls_[i].writes) Store(controls_[i], write.second.first);
+    PowerOff(i);
+  }
+  void PowerOff(std::size_t i) {
+    controls_[i].core.reset();
+    controls_[i].writes.clear();
+  }
+  void Freeze(std::size_t i, Micros span) { controls_[i].frozen_until = now_ + span; }
+  void Cut(std::size_t i) { cut_.insert(controls_[i].address); }
+  void Heal() { cut_.clear(); }
+
+  // ---- Calls from outside ----
+
+  // `done` gets an HTTP status, 0 if there was no answer.
+  void CallPublic(std::size_t i, const std::string& method, const std::string& path, const std::string& body,
+                  std::int64_t base, std::function<void(int status, const std::string&)> done) {
+    http::Request request{method, path, body, std::to_string(base)};
+    Carry("outside", i, std::move(request), /*internal=*/false, std::move(done));
+  }
+
+  // ---- Time ----
+
+  void Run(Micros span) {
+    for (const Micros until = now_ + span; now_ < until;) Step();
+  }
+  bool RunUntil(const std::function<bool()>& done, Micros most) {
+    for (const Micros until = now_ + most; now_ < until && !done();) Step();
+    return done();
+  }
+
+ private:
+  struct Event {
+    Micros at = 0;
+    std::uint64_t number = 0;
+    std::function<void()> act;
+    bool operator<(const Event& other) const {
+      return std::tie(at, number) < std::tie(other.at, other.number);
+    }
+  };
+
+  Micros Draw(Micros bound) {
+    return 1 + static_cast<Micros>(random_.Below(static_cast<std::uint64_t>(bound)));
+  }
+
+  void At(Micros at, std::function<void()> act) { events_.insert({at, ++events_made_, std::move(act)}); }
+
+  template <class Reply>
+  static std::optional<Reply> Read(int status, const std::string& body) {
+    if (status != 200) return std::nullopt;
+    try {
+      return nlohmann::json::parse(body).get<Reply>();
+    } catch (const nlohmann::json::exception&) {
+      return std::nullopt;
+    }
+  }
+
+  static void Store(Control& control, const ShardWrite& write) {
+    ApplyWrite(control.stored[write.shard], write);
+  }
+
+  bool Cutoff(const std::string& from, const std::string& to) const {
+    return cut_.count(from) > 0 || cut_.count(to) > 0;
+  }
+
+  // Sends a message of `from` to `to`, as often as it arrives.
+  void Post(const std::string& from, const std::string& to, Letter letter,
+            const std::function<void(const std::string& body)>& arrive) {
+    if (tamper) tamper(letter);
+    for (int copy = 0; copy < letter.copies; ++copy)
+      At(now_ + Draw(3'000) + letter.held_up, [this, from, to, arrive, body = letter.body] {
+        if (!Cutoff(from, to)) arrive(body);
+      });
+  }
+
+  void CallInternal(const std::string& from, const std::string& to, const std::string& path, std::string body,
+                    std::function<void(int, const std::string&)> done) {
+    for (std::size_t i = 0; i < controls_.size(); ++i)
+      if (controls_[i].address == to)
+        return Carry(from, i, {"POST", path, std::move(body), {}}, /*internal=*/true, std::move(done));
+    done(0, {});
+  }
+
+  void Carry(const std::string& from, std::size_t to, http::Request request, bool internal,
+             std::function<void(int, const std::string&)> done) {
+    auto over = std::make_shared<bool>(false);
+    const auto end = [over, done = std::move(done)](int status, const std::string& body) {
+      if (!std::exchange(*over, true)) done(status, body);
+    };
+    At(now_ + silence, [end] { end(0, {}); });
+    const std::string path = request.path;
+    const std::string address = controls_[to].address;
+    Letter letter{path, false, request.body};
+    Post(from, address, std::move(letter), [=, this](const std::string& body) {
+      http::Request arrived = request;
+      arrived.body = body;
+      Deliver(to, arrived, internal, [=, this](const http::Response& response) {
+        Letter answer{path, true, response.body};
+        Post(address, from, std::move(answer),
+             [end, status = response.status](const std::string& text) { end(status, text); });
+      });
+    });
+  }
+
+  void Deliver(std::size_t to, const http::Request& request, bool internal, const http::Answer& answer) {
+    Control& control = controls_[to];
+    if (control.core == nullptr) return;
+    if (control.frozen_until > now_)
+      return At(control.frozen_until + 1, [=, this] { Deliver(to, request, internal, answer); });
+    if (internal)
+      HandleInternal(*control.core, request, now_, answer);
+    else
+      HandlePublic(*control.core, request, now_, answer);
+  }
+
+  void Step() {
+    now_ += kStep;
+    while (!events_.empty() && events_.begin()->at <= now_) {
+      const Event event = *events_.begin();
+      events_.erase(events_.begin());
+      event.act();
+    }
+    for (std::size_t i = 0; i < controls_.size(); ++i) {
+      if (!Up(i) || controls_[i].frozen_until > now_) continue;
+      FinishWrites(controls_[i]);
+      if (now_ % kTick == 0) controls_[i].core->Tick(now_);
+    }
+    for (std::size_t i = 0; i < sidecars_.size(); ++i)
+      if (!sidecars_[i].pulling && now_ >= sidecars_[i].pull_at) Pull(i);
+  }
+
+  void FinishWrites(Control& control) {
+    while (!control.writes.empty() && control.writes.front().first <= now_) {
+      const auto write = std::move(control.writes.front().second);
+      control.writes.pop_front();
+      Store(control, write.first);
+      control.core->Written(write.second, now_);
+    }
+  }
+
+  void Pull(std::size_t i) {
+    Sidecar& sidecar = sidecars_[i];
+    sidecar.pulling = true;
+    const std::string to = sidecar.choice->Current(sidecar.view->controls());
+    CallInternal("edge-" + std::to_string(i), to, kPullPath,
+                 nlohmann::json(sidecar.view->NextPull(kPullWaitMs, {})).dump(),
+                 [this, i](int status, const std::string& body) { OnPulled(i, status, body); });
+  }
+
+  void OnPulled(std::size_t i, int status, const std::string& body) {
+    Sidecar& sidecar = sidecars_[i];
+    sidecar.pulling = false;
+    if (const auto reply = Read<PullReply>(status, body)) {
+      sidecar.view->Take(*reply);
+      sidecar.choice->OnAnswered();
+      sidecar.pull_at = now_;
+    } else {
+      sidecar.choice->OnFailed(sidecar.view->controls());
+      sidecar.pull_at = now_ + 100'000;
+    }
+    if (sidecar.view->version() < sidecar.highest)
+      violations_.push_back("sidecar " + std::to_string(i) + " went back from version " +
+                            std::to_string(sidecar.highest));
+    sidecar.highest = std::max(sidecar.highest, sidecar.view->version());
+  }
+
+  Micros now_ = 1'000'000;
+  Random random_;
+  std::vector<Control> controls_;
+  std::vector<Sidecar> sidecars_;
+  std::set<std::string> cut_;  // addresses that nothing reaches or leaves
+  std::set<Event> events_;
+  std::uint64_t events_made_ = 0;
+  std::vector<std::string> violations_;
+};
+
+}  // namespace violetwing::testing
+
+#endif  // VIOLETWING_TESTS_NODE_VIRTUAL_SYSTEM_HPP_
