--- a/tests/node/processes_test.cpp
+++ b/tests/node/processes_test.cpp
@@ -90,29 +90,43 @@
     if (head == std::string::npos) return {};
     return {std::atoi(peer->received.substr(9, 3).c_str()), peer->received.substr(head + 4)};
   }
+  static std::string Document(std::int64_t version) {
+    return json{{"version", version},
+                {"routes",
+                 {{{"name", "r"},
+                   {"hostname", "a.example"},
+                   {"path_prefix", "/x/"},
+                   {"type", "idempotent"},
+                   {"timeout_ms", 2000},
+                   {"backend", "s"},
+                   {"max_attempts", 2}}}},
+                {"backends", {{{"name", "s"}, {"health_check", "/healthz"}, {"max_connections", 10}}}}}
+        .dump();
+  }
+  static std::string IfMatch(std::int64_t base) { return "If-Match: " + std::to_string(base) + "\r\n"; }
   // Sends the same change to one process after the other until it is acknowledged, as the operator does.
   int Configure(std::int64_t version, std::int64_t base, int except = -1) {
-    const json document{
-        {"version", version},
-        {"routes",
-         {{{"name", "r"},
-           {"hostname", "a.example"},
-           {"path_prefix", "/x/"},
-           {"type", "idempotent"},
-           {"timeout_ms", 2000},
-           {"backend", "s"},
-           {"max_attempts", 2}}}},
-        {"backends", {{{"name", "s"}, {"health_check", "/healthz"}, {"max_connections", 10}}}}};
     Answered last;
     RunUntil(io, [&] {
       next_ = (next_ + 1) % kControls;
       if (next_ == except) return false;
-      last = Call(controls_[static_cast<std::size_t>(next_)], "PUT", "/api/configuration", document.dump(),
-                  "If-Match: " + std::to_string(base) + "\r\n");
+      last = Call(controls_[static_cast<std::size_t>(next_)], "PUT", "/api/configuration", Document(version),
+                  IfMatch(base));
       return last.status == 200 || last.status == 412 || last.status == 400;
     });
     return last.status;
   }
+  // Sends a change to one process and waits for nothing.
+  std::shared_ptr<Peer> Begin(int at, std::int64_t version, std::int64_t base) {
+    auto peer = std::make_shared<Peer>(boost::asio::ip::tcp::socket(io));
+    boost::system::error_code error;
+    peer->socket.connect(*ParseEndpoint(controls_[static_cast<std::size_t>(at)]), error);
+    const std::string body = Document(version);
+    if (!error)
+      peer->Write("PUT /api/configuration HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                  std::to_string(body.size()) + "\r\n" + IfMatch(base) + "\r\n" + body);
+    return peer;
+  }
   int Register(const ScriptedServer& server, std::int64_t sequence, int at) {
     const json body{{"backend", "s"},   {"address", "127.0.0.1:" + std::to_string(server.address.port())},
                     {"zone", "here"},   {"capacity", 4},
@@ -176,6 +190,27 @@
   for (const auto& process : system.processes) CHECK(process->Stop() == 0);
 }
 
+// The process is killed at once, or so many calls of others later that the change is at another of its
+// stages.
+TEST_CASE("A control process is killed while it takes a change, which is acknowledged and lost nowhere") {
+  System system;
+  std::int64_t version = 3;
+  REQUIRE(system.Configure(version, 0) == 200);
+  for (int round = 0; round < 9; ++round) {
+    const int taker = round % kControls;
+    INFO("round " << round);
+    const auto change = system.Begin(taker, version + 2, version);
+    for (int call = 0; call < round; ++call) system.ReadVersion((taker + 1) % kControls);
+    system.processes[static_cast<std::size_t>(taker)]->Kill();
+    REQUIRE(system.Configure(version + 2, version, taker) == 200);
+    CHECK(system.Configure(version + 3, version, taker) == 412);
+    version += 2;
+    system.processes[static_cast<std::size_t>(taker)]->Start();
+    for (int i = 0; i < kControls; ++i)
+      CHECK(RunUntil(system.io, [&] { return system.ReadVersion(i) == version; }));
+  }
+}
+
 // A process that loads a snapshot does so before anything has asked it, whatever is parked or waits there.
 TEST_CASE("After more changes than a log keeps, a process starts from its snapshot") {
   System system;
