Pull from the control process of the sidecar's own zone

Change: after an answer it goes to its own zone's control process, 5 s after a failure at the earliest.

--- a/src/dataplane/control_choice.cpp
+++ b/src/dataplane/control_choice.cpp
@@ -3,13 +3,31 @@
 #include <algorithm>
 
 namespace violetwing {
+namespace {
+
+// After a failure the own zone's control process is not asked again for so long.
+constexpr ControlChoice::Micros kComeBackAfter = 5'000'000;
+
+}  // namespace
 
 const std::string& ControlChoice::Current(const std::vector<ControlNode>& known) {
   if (current_.empty()) Pick(known);
   return current_;
 }
 
-void ControlChoice::OnFailed(const std::vector<ControlNode>& known) {
+bool ControlChoice::InOwnZone(const std::string& address, const std::vector<ControlNode>& known) const {
+  return std::any_of(known.begin(), known.end(),
+                     [&](const ControlNode& node) { return node.zone == zone_ && node.address == address; });
+}
+
+void ControlChoice::OnAnswered(const std::vector<ControlNode>& known, Micros now) {
+  failed_.clear();
+  const bool lately = failed_at_ > 0 && now - failed_at_ < kComeBackAfter;
+  if (!lately && !InOwnZone(current_, known)) Pick(known);
+}
+
+void ControlChoice::OnFailed(const std::vector<ControlNode>& known, Micros now) {
+  failed_at_ = now;
   if (!current_.empty()) failed_.push_back(current_);
   Pick(known);
 }
--- a/src/dataplane/control_choice.hpp
+++ b/src/dataplane/control_choice.hpp
@@ -1,5 +1,6 @@
 // Which control process a sidecar asks: one of its own zone where it knows of any, else another that it knows
-// of, else a seed; the next when that one has failed. A core: it holds no clock, socket, file or thread.
+// of, else a seed; the next when that one has failed. It comes back to its own zone some time after a failure
+// there, as bytes between zones are dear. A core: it holds no clock, socket, file or thread.
 #ifndef VIOLETWING_DATAPLANE_CONTROL_CHOICE_HPP_
 #define VIOLETWING_DATAPLANE_CONTROL_CHOICE_HPP_
 
@@ -14,6 +15,8 @@
 
 class ControlChoice {
  public:
+  using Micros = std::int64_t;
+
   // `name` draws apart the sidecars that know nothing but the seeds.
   ControlChoice(std::string zone, const std::string& name) : zone_(std::move(zone)), random_(1, name) {}
 
@@ -21,18 +24,21 @@
   void SetSeeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
   // The internal address to ask; empty while none is known.
   const std::string& Current(const std::vector<ControlNode>& known);
-  void OnAnswered() { failed_.clear(); }
-  void OnFailed(const std::vector<ControlNode>& known);
+  void OnAnswered(const std::vector<ControlNode>& known, Micros now);
+  void OnFailed(const std::vector<ControlNode>& known, Micros now);
 
  private:
   std::vector<std::string> Candidates(const std::vector<ControlNode>& known) const;
   void Pick(const std::vector<ControlNode>& known);
 
+  bool InOwnZone(const std::string& address, const std::vector<ControlNode>& known) const;
+
   const std::string zone_;
   Random random_;
   std::vector<std::string> seeds_;
   std::vector<std::string> failed_;  // since one last answered
   std::string current_;
+  Micros failed_at_ = 0;  // when one last failed
 };
 
 }  // namespace violetwing
--- a/src/dataplane/control_link.cpp
+++ b/src/dataplane/control_link.cpp
@@ -6,6 +6,8 @@
 #include <chrono>
 #include <utility>
 
+#include "common/steady_time.hpp"
+
 namespace violetwing {
 namespace {
 
@@ -79,11 +81,11 @@
 void ControlLink::OnPulled(int status, const std::string& body) {
   if (stopped_) return;
   if (status == 200 && Take(body)) {
-    choice_.OnAnswered();
+    choice_.OnAnswered(view_.controls(), SteadyMicros());
     boost::asio::post(io_, [this] { Pull(); });
     return;
   }
-  choice_.OnFailed(view_.controls());
+  choice_.OnFailed(view_.controls(), SteadyMicros());
   pause_.expires_after(kPauseAfterFailure);
   pause_.async_wait([this](const boost::system::error_code& error) {
     if (!error) Pull();
--- a/tests/node/routing_test.cpp
+++ b/tests/node/routing_test.cpp
@@ -3,6 +3,7 @@
 #include <set>
 
 #include "dataplane/chooser.hpp"
+#include "dataplane/control_choice.hpp"
 #include "dataplane/directory.hpp"
 #include "dataplane/http_text.hpp"
 #include "dataplane/retry.hpp"
@@ -29,6 +30,38 @@
 
 }  // namespace
 
+TEST_CASE("A sidecar that began at a seed of another zone asks its own zone's control process") {
+  const std::vector<ControlNode> known{{"c1", "far", "far:1", ""}, {"c2", "near", "near:1", ""}};
+  ControlChoice choice("near", "edge-1");
+  choice.SetSeeds({"far:1"});
+  REQUIRE(choice.Current({}) == "far:1");
+  choice.OnAnswered(known, kSecond);
+  CHECK(choice.Current(known) == "near:1");
+}
+
+TEST_CASE("After a failure in its own zone a sidecar asks elsewhere, and comes back some time later") {
+  const std::vector<ControlNode> known{{"c1", "far", "far:1", ""}, {"c2", "near", "near:1", ""}};
+  ControlChoice choice("near", "edge-1");
+  REQUIRE(choice.Current(known) == "near:1");
+  choice.OnFailed(known, kSecond);
+  CHECK(choice.Current(known) == "far:1");
+  choice.OnAnswered(known, 2 * kSecond);
+  CHECK(choice.Current(known) == "far:1");
+  choice.OnAnswered(known, 10 * kSecond);
+  CHECK(choice.Current(known) == "near:1");
+}
+
+TEST_CASE("Where the own zone has no control process, one that answers is kept") {
+  const std::vector<ControlNode> known{{"c1", "far", "far:1", ""}, {"c2", "further", "further:1", ""}};
+  ControlChoice choice("near", "edge-1");
+  choice.SetSeeds({"far:1"});
+  REQUIRE(choice.Current({}) == "far:1");
+  for (Micros now = kSecond; now < 20 * kSecond; now += kSecond) {
+    choice.OnAnswered(known, now);
+    CHECK(choice.Current(known) == "far:1");
+  }
+}
+
 TEST_CASE("The route of the host with the longest prefix is taken") {
   const auto read = configuration::Read(R"({"version": 1, "backends": [{"name": "s"}], "routes": [
     {"name": "short", "hostname": "A.example", "path_prefix": "/x/", "type": "idempotent", "timeout_ms": 1, "backend": "s"},
--- a/tests/node/virtual_system.hpp
+++ b/tests/node/virtual_system.hpp
@@ -276,10 +276,10 @@
     sidecar.pulling = false;
     if (const auto reply = Read<PullReply>(status, body)) {
       sidecar.view->Take(*reply);
-      sidecar.choice->OnAnswered();
+      sidecar.choice->OnAnswered(sidecar.view->controls(), now_);
       sidecar.pull_at = now_;
     } else {
-      sidecar.choice->OnFailed(sidecar.view->controls());
+      sidecar.choice->OnFailed(sidecar.view->controls(), now_);
       sidecar.pull_at = now_ + 100'000;
     }
     if (sidecar.view->version() < sidecar.highest)
