Keep a model that was just loaded, and give up one of many copies before a rare model's last

What a busy model's copy is missed by was taken to be all of its requests, though they run at the other copies.

Change: a model loaded within 2 s is no victim; a copy of many counts by the share of its requests that is late without it (0.15), a last copy by its rate over 15 s.

--- a/src/control/placement/demand.cpp
+++ b/src/control/placement/demand.cpp
@@ -8,16 +8,21 @@
 
 // Demand is remembered over so long: it moves to other models within seconds.
 constexpr double kMemoryS = 1.5;
+// For models that are asked for once in some seconds.
+constexpr double kSteadyMemoryS = 15;
 // A request that waits is told of every few hundred ms.
 constexpr Demand::Micros kWaitingFor = 1'000'000;
 
-double Decay(Demand::Micros span) { return std::exp(-static_cast<double>(span) / 1e6 / kMemoryS); }
+double Decay(Demand::Micros span, double memory_s) {
+  return std::exp(-static_cast<double>(span) / 1e6 / memory_s);
+}
 
 }  // namespace
 
 void Demand::Add(Entry& entry, const ModelDemand& demand, Micros now) {
-  const double decay = Decay(now - entry.counted_at);
+  const double decay = Decay(now - entry.counted_at, kMemoryS);
   entry.requests = entry.requests * decay + demand.requests;
+  entry.steady = entry.steady * Decay(now - entry.counted_at, kSteadyMemoryS) + demand.requests;
   entry.tokens = entry.tokens * decay + demand.tokens;
   entry.counted_at = now;
   entry.asked_at = now;
@@ -40,8 +45,9 @@
   const auto it = service->second.find(name);
   if (it == service->second.end()) return {};
   const Entry& entry = it->second;
-  const double decay = Decay(now - entry.counted_at) / kMemoryS;
-  return {entry.requests * decay, entry.tokens * decay, entry.asked_at, entry.waiting_at};
+  const double decay = Decay(now - entry.counted_at, kMemoryS) / kMemoryS;
+  const double steady = entry.steady * Decay(now - entry.counted_at, kSteadyMemoryS) / kSteadyMemoryS;
+  return {entry.requests * decay, steady, entry.tokens * decay, entry.asked_at, entry.waiting_at};
 }
 
 std::vector<std::string> Demand::Waiting(const std::string& backend, Micros now) const {
--- a/src/control/placement/demand.hpp
+++ b/src/control/placement/demand.hpp
@@ -16,8 +16,9 @@
   using Micros = std::int64_t;
 
   struct Of {
-    double requests = 0;    // a second
-    double tokens = 0;      // a second
+    double requests = 0;    // a second, lately
+    double steady = 0;      // the same over a longer time
+    double tokens = 0;      // a second, lately
     Micros asked_at = 0;    // last, 0 for never
     Micros waiting_at = 0;  // when a request was last told to wait for it
   };
@@ -32,6 +33,7 @@
  private:
   struct Entry {
     double requests = 0;  // decayed sums
+    double steady = 0;
     double tokens = 0;
     Micros counted_at = 0;
     Micros asked_at = 0;
--- a/src/control/placement/order_book.cpp
+++ b/src/control/placement/order_book.cpp
@@ -23,6 +23,8 @@
 constexpr OrderBook::Micros kAskReportAgain = 250'000;
 constexpr OrderBook::Micros kSilentReportAgain = 1'000'000;
 constexpr OrderBook::Micros kGiveUpAfter = 12'000'000;
+// Who waited for a model has begun to run there after so long.
+constexpr OrderBook::Micros kServesWaiting = 2'000'000;
 
 void SetHeld(std::vector<HeldModel>& models, const std::string& model, const std::string& adapter,
              bool held) {
@@ -53,6 +55,11 @@
   return std::any_of(models.begin(), models.end(), [&](const HeldModel& held) { return held.name == model; });
 }
 
+bool OrderBook::Server::JustLoaded(const std::string& model, Micros now) const {
+  const auto it = loaded_at.find(model);
+  return it != loaded_at.end() && now - it->second < kServesWaiting;
+}
+
 std::size_t OrderBook::Server::Adapters() const {
   std::size_t count = 0;
   for (const HeldModel& held : models) count += held.adapters.size();
@@ -194,6 +201,7 @@
   const PlacementCall& order = work.order;
   const bool load = order.kind == Kind::kLoad;
   SetHeld(server.models, order.model, order.adapter, load);
+  if (load && order.adapter.empty()) server.loaded_at[order.model] = now;
   if (load) return Arrived{server.service, order.model, order.adapter};
   if (work.then) StartLoad(order.instance, *work.then, now);
   return std::nullopt;
--- a/src/control/placement/order_book.hpp
+++ b/src/control/placement/order_book.hpp
@@ -67,10 +67,13 @@
     Micros ask_at = 0;                     // 0 while a report is awaited
     std::vector<HeldModel> models;
     std::set<std::string> ever_held;
+    std::map<std::string, Micros> loaded_at;  // of models that this placer had loaded
     std::optional<Work> work;
 
     bool Free() const { return revision && !work; }
     bool Holds(const std::string& model) const;
+    // Whether the model came so lately that those who waited for it may yet have to be served.
+    bool JustLoaded(const std::string& model, Micros now) const;
     std::size_t Adapters() const;
   };
   // Weights that a server holds since its last answer.
--- a/src/control/placement/placer.cpp
+++ b/src/control/placement/placer.cpp
@@ -109,8 +109,8 @@
 bool Placer::PlaceModel(ServiceView& service, ServiceView::Model& model, bool waited_for, Micros now) {
   const std::optional<Place> place = FindPlace(service, model);
   if (!place) return false;
-  const double gain = model.demand.requests / std::max(1, model.copies);
-  if (!waited_for && place->victim && gain < kWorthMore * place->victim->cost) return false;
+  const bool pays = !place->victim || service.GainOfCopy(model) >= kWorthMore * place->victim->cost;
+  if (!waited_for && !pays) return false;
   if (!place->warm) loads_left_ -= 1;
   const OrderBook::Load load{
       model.spec->name, {}, model.spec->load_time_s * (place->warm ? kWarmShare : 1.0)};
--- a/src/control/placement/service_view.cpp
+++ b/src/control/placement/service_view.cpp
@@ -12,6 +12,8 @@
 constexpr double kNeverAskedS = 1e3;
 // Copies beyond the wanted ones that count as used: what is wanted varies by one from moment to moment.
 constexpr int kSpareCopies = 1;
+// Where one of several copies goes, its requests run elsewhere: the share of them that is late for it.
+constexpr double kLateWithoutCopy = 0.15;
 // What an unused copy, and a used one at least, is missed by.
 constexpr double kUnusedCopy = 0.01;
 constexpr double kUsedCopy = 0.02;
@@ -86,21 +88,27 @@
   return it == places_.end() ? nullptr : &models_[it->second];
 }
 
+// One copy of many is missed by the work that it takes off the others; the last one by all who ask.
 double ServiceView::CostOfLosing(const Model& model) const {
   const int held = std::max(model.copies, 1);
-  // One copy of many is missed by the work that it takes off the others; the last one by all who ask.
+  const Demand::Of& demand = model.demand;
   if (held > 1) {
     if (held > std::max(model.wanted + kSpareCopies, 1)) return kUnusedCopy / held;
-    return std::max(model.demand.requests / held, kUsedCopy);
+    return std::max(kLateWithoutCopy * demand.requests / held, kUsedCopy);
   }
   const double idle_s =
-      model.demand.asked_at == 0 ? kNeverAskedS : static_cast<double>(now_ - model.demand.asked_at) / 1e6;
-  return model.demand.requests + 1 / (kRecentS + idle_s);
+      demand.asked_at == 0 ? kNeverAskedS : static_cast<double>(now_ - demand.asked_at) / 1e6;
+  return std::max(demand.requests, demand.steady) + 1 / (kRecentS + idle_s);
+}
+
+double ServiceView::GainOfCopy(const Model& model) const {
+  return kLateWithoutCopy * model.demand.requests / std::max(model.copies, 1);
 }
 
 std::optional<ServiceView::Victim> ServiceView::LeastMissed(const Server& server) const {
   std::optional<Victim> least;
   for (const std::size_t place : server.held) {
+    if (server.state->JustLoaded(models_[place].spec->name, now_)) continue;
     const double cost = CostOfLosing(models_[place]);
     if (!least || cost < least->cost) least = Victim{place, cost};
   }
--- a/src/control/placement/service_view.hpp
+++ b/src/control/placement/service_view.hpp
@@ -49,6 +49,8 @@
 
   // What losing a copy would cost, in requests a second.
   double CostOfLosing(const Model& model) const;
+  // What one copy more would save, likewise.
+  double GainOfCopy(const Model& model) const;
   // The least missed model that a server holds; empty if it holds none.
   std::optional<Victim> LeastMissed(const Server& server) const;
   // Tokens a second that fall to a server.
