Take in all changes that another control process tells, in whatever order they come

Cause: each record was compared with the version vector as the record before it had left it, so of changes that come in no order most were passed over: of 50 servers known to one process another took in 5, and learnt of the others by their own heartbeats, or not at all. A model's unloading stayed unknown to the sidecars of other zones, which went on asking there. Change: a batch is compared with the vector as it was before.

--- a/src/control/core.cpp
+++ b/src/control/core.cpp
@@ -176,7 +176,7 @@
 }
 
 void ControlCore::Take(const ExchangeReply& reply) {
-  for (const Instance& instance : reply.changed) table_.Merge(instance, now_);
+  table_.Merge(reply.changed, now_);
   for (const Heard& heard : reply.heard) table_.Hear(heard, now_);
   for (const Heard& sidecar : reply.edges) sidecars_.HearOf(sidecar, now_);
   for (const ControlNode& node : reply.controls) peers_.Meet(node, now_);
--- a/src/control/instances/table.cpp
+++ b/src/control/instances/table.cpp
@@ -72,10 +72,19 @@
   return true;
 }
 
+void InstanceTable::Merge(const std::vector<Instance>& changed, Micros now) {
+  // By what was known before: the changes of one process come in any order.
+  const VersionVector known = known_;
+  for (const Instance& instance : changed) {
+    const auto seen = known.find(instance.origin);
+    if (seen != known.end() && instance.counter <= seen->second) continue;
+    std::uint64_t& counter = known_[instance.origin];
+    counter = std::max(counter, instance.counter);
+    Merge(instance, now);
+  }
+}
+
 void InstanceTable::Merge(const Instance& instance, Micros now) {
-  const std::uint64_t seen = known_[instance.origin];
-  known_[instance.origin] = std::max(seen, instance.counter);
-  if (instance.counter <= seen) return;
   const auto it = records_.find(instance.id);
   if (it == records_.end()) return Insert(instance, now, 0);
   records_.modify(it, [&](Record& record) {
--- a/src/control/instances/table.hpp
+++ b/src/control/instances/table.hpp
@@ -38,8 +38,8 @@
 
   // A heartbeat that this process has taken. False if it is older than one that is known.
   bool Heartbeat(Instance instance, Micros now);
-  // What another control process knows.
-  void Merge(const Instance& instance, Micros now);
+  // All that this table misses of what another control process knows.
+  void Merge(const std::vector<Instance>& changed, Micros now);
   void Hear(const Heard& heard, Micros now);
   // It leaves, or has left; this holds for good.
   void Leave(const std::string& id, Phase phase, Micros now);
@@ -71,6 +71,7 @@
               boost::multi_index::tag<ByAddress>,
               boost::multi_index::member<Record, std::string, &Record::address>>>>;
 
+  void Merge(const Instance& instance, Micros now);
   void Insert(Instance instance, Micros heard_at, Micros heard_directly_at);
   void Stamp(Instance& instance);
   void RetireOthersAt(const std::string& address, const std::string& id, Micros now);
--- a/tests/node/instances_test.cpp
+++ b/tests/node/instances_test.cpp
@@ -1,4 +1,5 @@
 // What control processes know of servers, and how they share it.
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "control/instances/departures.hpp"
@@ -23,7 +24,7 @@
 
 // One exchange: `to` takes what it misses from `from`.
 void Exchange(const InstanceTable& from, InstanceTable& to, std::int64_t now) {
-  for (const Instance& instance : from.ChangedSince(to.known())) to.Merge(instance, now);
+  to.Merge(from.ChangedSince(to.known()), now);
   for (const Heard& heard : from.HeardSince(0, now)) to.Hear(heard, now);
 }
 
@@ -122,6 +123,23 @@
   CHECK(a.ChangedSince(b.known())[0].id == "i3");
 }
 
+TEST_CASE("All that is missing is brought over, in whatever order it comes") {
+  InstanceTable a("a", kLostAfter);
+  for (int i = 0; i < 50; ++i)
+    a.Heartbeat(Server("i" + std::to_string(i * 7919 % 1000), 1, "10.0.0.1:" + std::to_string(i)), kSecond);
+  std::vector<Instance> changed = a.ChangedSince({});
+  REQUIRE(changed.size() == 50);
+  const auto by_counter = [](const Instance& x, const Instance& y) { return x.counter < y.counter; };
+  std::sort(changed.begin(), changed.end(), by_counter);
+  for (const bool reversed : {false, true}) {
+    if (reversed) std::reverse(changed.begin(), changed.end());
+    InstanceTable b("b", kLostAfter);
+    b.Merge(changed, kSecond);
+    CHECK(b.size() == 50);
+    CHECK_FALSE(a.Misses(b.known()));
+  }
+}
+
 TEST_CASE("Departures outlive the process that took them") {
   Departures departures;
   departures.Apply("i", Phase::kDraining);
