Give overloaded models copies before single requests get their models

Its second copy was not urgent (two wanted, 0.9 of that rounds down to one), and the weight store's places (6 at once) were always taken by rare models that single requests waited for. Change: models whose copies have 1.3 times the mean work of a server go first, the busiest first. The new test fails without the change.

--- a/src/control/placement/placer.cpp
+++ b/src/control/placement/placer.cpp
@@ -15,8 +15,9 @@
 constexpr double kWarmShare = 0.22;
 // A model is unloaded for a further copy of another one only if that is worth clearly more.
 constexpr double kWorthMore = 1.5;
-// With fewer than this share of its copies a busy model goes before those that single requests wait for.
-constexpr double kUrgentShare = 0.9;
+// A model whose copies have so many times the work of a server in the mean goes before those that single
+// requests wait for: all who ask for it are late.
+constexpr double kOverloaded = 1.3;
 // What a server that has twice the mean of all work to do counts as, beside one with the mean, in requests a
 // second.
 constexpr double kLoadCost = 0.1;
@@ -52,9 +53,9 @@
   for (const configuration::Backend& backend : configuration.backends) {
     if (backend.runtime == nullptr) continue;
     ServiceView service(backend, orders_, demand_, now);
-    PlaceCopies(service, true, now);
+    PlaceCopies(service, kOverloaded, now);
     PlaceWaiting(service, now);
-    PlaceCopies(service, false, now);
+    PlaceCopies(service, 0, now);
   }
   orders_.Publish(table);
   return orders_.DueCalls(now);
@@ -72,12 +73,18 @@
   }
 }
 
-void Placer::PlaceCopies(ServiceView& service, bool urgent, Micros now) {
-  for (ServiceView::Model& model : service.models()) {
-    const int enough = urgent ? static_cast<int>(kUrgentShare * model.wanted) : model.wanted;
-    while (model.copies > 0 && model.copies < enough)
-      if (!PlaceModel(service, model, false, now)) break;
-  }
+void Placer::PlaceCopies(ServiceView& service, double least_load, Micros now) {
+  const auto short_of = [&](const ServiceView::Model& model) {
+    return model.copies > 0 && model.copies < model.wanted && service.LoadOfCopy(model) >= least_load;
+  };
+  std::vector<ServiceView::Model*> models;
+  for (ServiceView::Model& model : service.models())
+    if (short_of(model)) models.push_back(&model);
+  std::sort(models.begin(), models.end(),
+            [&](const auto* a, const auto* b) { return service.LoadOfCopy(*a) > service.LoadOfCopy(*b); });
+  for (ServiceView::Model* model : models)
+    while (short_of(*model))
+      if (!PlaceModel(service, *model, false, now)) break;
 }
 
 std::optional<Placer::Place> Placer::FindPlace(ServiceView& service, const ServiceView::Model& model) const {
--- a/src/control/placement/placer.hpp
+++ b/src/control/placement/placer.hpp
@@ -51,8 +51,9 @@
 
   void Refill(const configuration::Configuration& configuration, Micros now);
   void PlaceWaiting(ServiceView& service, Micros now);
-  // `urgent`: only models that have less than nearly all copies that they should.
-  void PlaceCopies(ServiceView& service, bool urgent, Micros now);
+  // Further copies of models that lack some, of those whose copies have at least so much work, in that of a
+  // server in the mean; the busiest first.
+  void PlaceCopies(ServiceView& service, double least_load, Micros now);
   bool PlaceModel(ServiceView& service, ServiceView::Model& model, bool waited_for, Micros now);
   std::optional<Place> FindPlace(ServiceView& service, const ServiceView::Model& model) const;
   bool PlaceAdapter(ServiceView& service, const ServiceView::Model& model, const std::string& adapter,
--- a/src/control/placement/service_view.hpp
+++ b/src/control/placement/service_view.hpp
@@ -4,6 +4,7 @@
 #ifndef VIOLETWING_CONTROL_PLACEMENT_SERVICE_VIEW_HPP_
 #define VIOLETWING_CONTROL_PLACEMENT_SERVICE_VIEW_HPP_
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -55,7 +56,11 @@
   std::optional<Victim> LeastMissed(const Server& server) const;
   // Tokens a second that fall to a server.
   double WorkAt(const Server& server) const;
-  // The same of all servers, in the mean; not 0.
+  // Work of each copy of a model, in that of a server in the mean.
+  double LoadOfCopy(const Model& model) const {
+    return model.demand.tokens / std::max(model.copies, 1) / mean_work_;
+  }
+  // Tokens a second of a server in the mean; not 0.
   double MeanWork() const { return mean_work_; }
 
  private:
--- a/tests/node/placement_test.cpp
+++ b/tests/node/placement_test.cpp
@@ -241,6 +241,21 @@
   CHECK(world.Copies("m2") == 1);
 }
 
+TEST_CASE("A model whose one copy is overloaded gets a second one before single requests get theirs") {
+  World world(4);
+  world.Held("s0") = {{"m0", 1, {}}, {"m1", 1, {}}};
+  for (const char* id : {"s1", "s2", "s3"}) world.Held(id) = {{"m1", 1, {}}};
+  world.Run(2 * kSecond);
+  // Rare models are waited for all the time, more of them than the weight store can bring at once.
+  for (int i = 0; i < 24; ++i) {
+    world.Ask("m0", 1, 1000, 0);
+    world.Ask("m1", 1, 1000, 0);
+    for (const char* rare : {"m2", "m3", "m4", "m5"}) world.Ask(rare, 0.1, 10, 1);
+    world.Run(kSecond / 10);
+  }
+  CHECK(world.Copies("m0") >= 2);
+}
+
 TEST_CASE("Loads keep the rate of the weight store, also over a change of the placer") {
   World world(12);
   world.Run(2 * kSecond);
