Push what changes at one control process to the others at once

Change: an exchange also carries what the other process misses by what it last said that it knows, and begins at once when something was changed here, every 20 ms to each at most; what comes wakes the sidecars that wait.

--- a/src/control/core.cpp
+++ b/src/control/core.cpp
@@ -44,10 +44,11 @@
 
 Peers::Outputs ControlCore::PeerOutputs() {
   Peers::Outputs outputs;
-  outputs.fill = [this](ExchangeRequest& request) {
+  outputs.fill = [this](ExchangeRequest& request, const VersionVector* known) {
     request.disk = shards_.disk();
     request.known = table_.known();
     request.joins = shards_.Joins();
+    if (known != nullptr) request.changed = table_.ChangedSince(*known);
   };
   outputs.exchange = outputs_.exchange;
   return outputs;
@@ -151,6 +152,8 @@
 ExchangeReply ControlCore::Exchange(const ExchangeRequest& request, Micros now) {
   now_ = now;
   peers_.Meet(request.from, now);
+  peers_.Knows(request.from.address, request.known);
+  table_.Merge(request.changed, now);
   shards_.Meet(request.disk, request.from.address);
   for (const int shard : request.joins) shards_.Join(shard, {request.disk, request.from.address}, now);
   for (const ShardMessage& message : request.messages) shards_.Step(message, now);
@@ -163,6 +166,7 @@
   reply.heard = table_.HeardSince(now - kHeardLately, now);
   reply.edges = sidecars_.HeardSince(now - kHeardLately, now);
   reply.controls = peers_.Known(now);
+  TellNews();
   Flush();
   return reply;
 }
@@ -171,7 +175,11 @@
                             Micros now) {
   now_ = now;
   peers_.OnExchanged(address, reply.has_value(), now);
-  if (reply) Take(*reply);
+  if (reply) {
+    peers_.Knows(address, reply->known);
+    Take(*reply);
+    TellNews();
+  }
   Flush();
 }
 
@@ -180,7 +188,6 @@
   for (const Heard& heard : reply.heard) table_.Hear(heard, now_);
   for (const Heard& sidecar : reply.edges) sidecars_.HearOf(sidecar, now_);
   for (const ControlNode& node : reply.controls) peers_.Meet(node, now_);
-  if (!reply.changed.empty()) pulls_due_ = true;
 }
 
 // ---- Sidecars ----
@@ -253,10 +260,19 @@
 void ControlCore::TickPlacer() {
   if (stopping_) return;
   placer_.Tick(shards_.configuration_replica(), configuration(), table_, now_);
+  TellNews();
+}
+
+// What has changed in the table goes to the sidecars that wait here, and what was changed here to the other
+// control processes as well: they tell it to theirs.
+void ControlCore::TellNews() {
   if (!table_.Misses(told_)) return;
   told_ = table_.known();
   pulls_due_ = true;
   WakePulls();
+  if (told_[life_] <= spread_) return;
+  spread_ = told_[life_];
+  peers_.SpreadNews(now_);
 }
 
 void ControlCore::OrderAnswered(const PlacementCall& order, int status, Micros now) {
--- a/src/control/core.hpp
+++ b/src/control/core.hpp
@@ -95,6 +95,7 @@
   void WakePulls();
   void CountDemand(const std::vector<ModelDemand>& demand);
   void TickPlacer();
+  void TellNews();
   void Take(const ExchangeReply& reply);
   // Lets out what the event at hand has led to.
   void Flush() { peers_.Flush(now_); }
@@ -109,7 +110,8 @@
   Peers peers_;
   Shards shards_;
   std::deque<ParkedPull> parked_;
-  VersionVector told_;  // what sidecars have been woken for
+  VersionVector told_;        // what sidecars have been woken for
+  std::uint64_t spread_ = 0;  // the last change of this process that the others were to hear of
   Micros in_touch_since_ = 0;
   bool pulls_due_ = false;
   bool stopping_ = false;
--- a/src/control/peers.cpp
+++ b/src/control/peers.cpp
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr Peers::Micros kExchangeEvery = 150'000;
+// News is told at once, but not more often than this to each.
+constexpr Peers::Micros kNewsEvery = 20'000;
 // An address that did not answer the last time.
 constexpr Peers::Micros kRetryEvery = 400'000;
 // One that was neither seed nor member and was not heard for so long is forgotten.
@@ -66,10 +68,21 @@
   peer.urgent = true;
 }
 
+void Peers::Knows(const std::string& address, const VersionVector& known) {
+  const auto it = peers_.find(address);
+  if (it != peers_.end()) it->second.known = known;
+}
+
+void Peers::SpreadNews(Micros now) {
+  for (auto& [address, peer] : peers_) peer.news = true;
+  Flush(now);
+}
+
 void Peers::Flush(Micros now) {
-  for (auto& [address, peer] : peers_)
-    if (peer.urgent && !peer.busy && (!peer.failed || now - peer.tried_at >= kRetryEvery))
-      Exchange(address, peer, now);
+  for (auto& [address, peer] : peers_) {
+    if (peer.busy || (peer.failed && now - peer.tried_at < kRetryEvery)) continue;
+    if (peer.urgent || (peer.news && now - peer.tried_at >= kNewsEvery)) Exchange(address, peer, now);
+  }
 }
 
 void Peers::Tick(Micros now) {
@@ -88,9 +101,9 @@
 void Peers::Exchange(const std::string& address, Peer& peer, Micros now) {
   ExchangeRequest request = std::exchange(peer.next, {});
   request.from = self_;
-  outputs_.fill(request);
+  outputs_.fill(request, peer.known ? &*peer.known : nullptr);
   peer.busy = true;
-  peer.urgent = false;
+  peer.urgent = peer.news = false;
   peer.tried_at = now;
   outputs_.exchange(address, std::move(request));
 }
--- a/src/control/peers.hpp
+++ b/src/control/peers.hpp
@@ -18,7 +18,9 @@
  public:
   using Micros = std::int64_t;
   struct Outputs {
-    std::function<void(ExchangeRequest&)> fill;  // adds what every exchange carries
+    // Adds what every exchange carries; `known` is what the other one last said that it knows, null if it has
+    // said nothing yet.
+    std::function<void(ExchangeRequest&, const VersionVector* known)> fill;
     std::function<void(const std::string& address, ExchangeRequest)> exchange;
   };
 
@@ -32,6 +34,10 @@
   void Send(const std::string& address, ShardMessage message);
   void Propose(const std::string& address, ShardProposal proposal);
   void Tell(const std::string& address, std::vector<ModelDemand> demand);
+  // What the process at this address knows, by its own word.
+  void Knows(const std::string& address, const VersionVector& known);
+  // There is news of this process that all others should have soon.
+  void SpreadNews(Micros now);
   // Begins the exchanges that are due by the clock.
   void Tick(Micros now);
   // Begins the exchanges for which something was said since.
@@ -53,6 +59,8 @@
     bool member = false;
     ExchangeRequest next;
     bool urgent = false;  // `next` holds something that was said
+    bool news = false;    // it should hear what has changed here
+    std::optional<VersionVector> known;
   };
 
   Peer& Get(const std::string& address);
--- a/src/messages/peer.hpp
+++ b/src/messages/peer.hpp
@@ -53,11 +53,12 @@
   std::string disk;        // id of the sender's replicas
   std::vector<int> joins;  // shards in which that disk has no vote
   VersionVector known;
+  std::vector<Instance> changed;  // what the other one misses, by what it last said that it knows
   std::vector<ShardMessage> messages;
   std::vector<ShardProposal> proposals;
   std::vector<ModelDemand> demand;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ExchangeRequest, from, disk, joins, known, messages,
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ExchangeRequest, from, disk, joins, known, changed, messages,
                                                 proposals, demand)
 
 struct ExchangeReply {
