--- a/src/control/core.cpp
+++ b/src/control/core.cpp
@@ -28,7 +28,7 @@
 
 }  // namespace
 
-ControlCore::ControlCore(const NodeSettings& settings, std::string life, Shards::Stored stored,
+ControlCore::ControlCore(const NodeSettings& settings, std::string life, const Shards::Stored& stored,
                          Outputs outputs, Micros now)
     : settings_(settings),
       life_(std::move(life)),
@@ -74,6 +74,7 @@
 void ControlCore::SetSeeds(const std::vector<std::string>& seeds, Micros now) {
   now_ = now;
   std::vector<ControlNode> nodes;
+  nodes.reserve(seeds.size());
   for (const std::string& seed : seeds) nodes.push_back({{}, {}, settings_.InternalAddressOf(seed), seed});
   peers_.SetSeeds(nodes);
 }
--- a/src/control/core.hpp
+++ b/src/control/core.hpp
@@ -44,7 +44,7 @@
   using OnPulled = std::function<void(const std::optional<PullReply>&)>;
 
   // `life` names one life of this process, unlike any other's.
-  ControlCore(const NodeSettings& settings, std::string life, Shards::Stored stored, Outputs outputs,
+  ControlCore(const NodeSettings& settings, std::string life, const Shards::Stored& stored, Outputs outputs,
               Micros now);
 
   void SetSeeds(const std::vector<std::string>& seeds, Micros now);
--- a/src/dataplane/control_link.cpp
+++ b/src/dataplane/control_link.cpp
@@ -23,7 +23,7 @@
 
 }  // namespace
 
-ControlLink::ControlLink(boost::asio::io_context& io, NodeSettings settings,
+ControlLink::ControlLink(boost::asio::io_context& io, const NodeSettings& settings,
                          std::function<void(DirectoryPtr)> changed)
     : io_(io),
       changed_(std::move(changed)),
--- a/src/dataplane/control_link.hpp
+++ b/src/dataplane/control_link.hpp
@@ -24,7 +24,8 @@
 class ControlLink {
  public:
   // `changed` is called with each new directory.
-  ControlLink(boost::asio::io_context& io, NodeSettings settings, std::function<void(DirectoryPtr)> changed);
+  ControlLink(boost::asio::io_context& io, const NodeSettings& settings,
+              std::function<void(DirectoryPtr)> changed);
 
   void Start();
   void Stop();
