--- a/src/control/core.cpp
+++ b/src/control/core.cpp
@@ -10,6 +10,9 @@
 constexpr int kMissedHeartbeats = 3;
 // A pull is answered at the latest after so long, whatever the caller asks for.
 constexpr int kMostPullWaitMs = 2'000;
+// Sidecars that wait are woken for changes of servers and what they hold not more often than this: each wake
+// costs each of them a call and a new directory.
+constexpr ControlCore::Micros kWakeEvery = 50'000;
 // Others are told of what this process has heard within so long.
 constexpr ControlCore::Micros kHeardLately = 600'000;
 // Replicas of a shard that are wanted at least.
@@ -65,7 +68,7 @@
   outputs.write = outputs_.write;
   outputs.applied = [this](int shard) {
     pulls_due_ = true;
-    if (shard == 0) WakePulls();
+    if (shard == 0) WakePulls(/*at_once=*/true);
   };
   outputs.left = [this](const std::string& id, Phase phase) { table_.Leave(id, phase, now_); };
   return outputs;
@@ -96,7 +99,7 @@
   peers_.SetMembers(shards_.ReviewMembers(static_cast<std::size_t>(wanted), now));
   TickPlacer();
   peers_.Tick(now);
-  WakePulls();
+  WakePulls(/*at_once=*/false);
   Flush();
 }
 
@@ -230,8 +233,12 @@
   return true;
 }
 
-void ControlCore::WakePulls() {
-  const bool due = std::exchange(pulls_due_, false);
+void ControlCore::WakePulls(bool at_once) {
+  const bool due = pulls_due_ && (at_once || now_ - woken_at_ >= kWakeEvery);
+  if (due) {
+    pulls_due_ = false;
+    woken_at_ = now_;
+  }
   const bool in_touch = InTouch();
   for (auto it = parked_.begin(); it != parked_.end();) {
     const bool over = now_ >= it->until || !in_touch;
@@ -270,7 +277,7 @@
   if (!table_.Misses(told_)) return;
   told_ = table_.known();
   pulls_due_ = true;
-  WakePulls();
+  WakePulls(/*at_once=*/false);
   if (told_[life_] <= spread_) return;
   spread_ = told_[life_];
   peers_.SpreadNews(now_);
--- a/src/control/core.hpp
+++ b/src/control/core.hpp
@@ -92,7 +92,8 @@
   void Leave(const std::string& service, const std::string& id, Phase phase, const OnTaken& done);
   // False if the pull has nothing to tell yet.
   bool AnswerPull(const PullRequest& request, const OnPulled& done, bool at_once);
-  void WakePulls();
+  // `at_once`: whenever the last ones were woken.
+  void WakePulls(bool at_once);
   void CountDemand(const std::vector<ModelDemand>& demand);
   void TickPlacer();
   void TellNews();
@@ -114,6 +115,7 @@
   std::uint64_t spread_ = 0;  // the last change of this process that the others were to hear of
   Micros in_touch_since_ = 0;
   bool pulls_due_ = false;
+  Micros woken_at_ = 0;
   bool stopping_ = false;
 };
 
