--- a/src/control/core.cpp
+++ b/src/control/core.cpp
@@ -10,9 +10,11 @@
 constexpr int kMissedHeartbeats = 3;
 // A pull is answered at the latest after so long, whatever the caller asks for.
 constexpr int kMostPullWaitMs = 2'000;
-// Sidecars that wait are woken for changes of servers and what they hold not more often than this: each wake
-// costs each of them a call and a new directory.
-constexpr ControlCore::Micros kWakeEvery = 50'000;
+// Each wake for a change of servers costs every sidecar a call and a new directory: the more there are, the
+// more changes go into one.
+constexpr ControlCore::Micros kWakePerSidecar = 750;
+constexpr ControlCore::Micros kWakeLeast = 5'000;
+constexpr ControlCore::Micros kWakeMost = 50'000;
 // Others are told of what this process has heard within so long.
 constexpr ControlCore::Micros kHeardLately = 600'000;
 // Replicas of a shard that are wanted at least.
@@ -95,6 +97,7 @@
   if (!in_touch) in_touch_since_ = 0;
   if (in_touch && in_touch_since_ == 0) in_touch_since_ = now;
   table_.Expire(now, in_touch);
+  wake_every_ = std::clamp(sidecars_.Count(now) * kWakePerSidecar, kWakeLeast, kWakeMost);
   const int wanted = std::max(kLeastReplicas, 2 * settings_.tolerated_nodes + 1);
   peers_.SetMembers(shards_.ReviewMembers(static_cast<std::size_t>(wanted), now));
   TickPlacer();
@@ -234,7 +237,7 @@
 }
 
 void ControlCore::WakePulls(bool at_once) {
-  const bool due = pulls_due_ && (at_once || now_ - woken_at_ >= kWakeEvery);
+  const bool due = pulls_due_ && (at_once || now_ - woken_at_ >= wake_every_);
   if (due) {
     pulls_due_ = false;
     woken_at_ = now_;
--- a/src/control/core.hpp
+++ b/src/control/core.hpp
@@ -116,6 +116,7 @@
   Micros in_touch_since_ = 0;
   bool pulls_due_ = false;
   Micros woken_at_ = 0;
+  Micros wake_every_ = 0;
   bool stopping_ = false;
 };
 
--- a/src/control/peers.cpp
+++ b/src/control/peers.cpp
@@ -7,7 +7,7 @@
 
 constexpr Peers::Micros kExchangeEvery = 150'000;
 // News is told at once, but not more often than this to each.
-constexpr Peers::Micros kNewsEvery = 40'000;
+constexpr Peers::Micros kNewsEvery = 20'000;
 // An address that did not answer the last time.
 constexpr Peers::Micros kRetryEvery = 400'000;
 // One that was neither seed nor member and was not heard for so long is forgotten.
--- a/src/control/sidecars.hpp
+++ b/src/control/sidecars.hpp
@@ -26,6 +26,7 @@
   void Hear(const std::string& name, Micros now);
   // A call to another control process, as that one tells.
   void HearOf(const Heard& heard, Micros now);
+  int Count(Micros now) const { return PlaceOf({}, now).count; }
   Place PlaceOf(const std::string& name, Micros now) const;
   // Those that this process itself has heard after `since`.
   std::vector<Heard> HeardSince(Micros since, Micros now) const;
