State in one place that a server which has left stays so

Cause: the rule by which phases are merged stood in the control processes' table and, with the new core of the sidecar's view, once more there. Change: LaterPhase beside Phase; nothing decides otherwise. The comment on waking says what it does not space.

--- a/src/control/core.cpp
+++ b/src/control/core.cpp
@@ -10,8 +10,9 @@
 constexpr int kMissedHeartbeats = 3;
 // A pull is answered at the latest after so long, whatever the caller asks for.
 constexpr int kMostPullWaitMs = 2'000;
-// Each wake for a change of servers costs every sidecar a call and a new directory: the more there are, the
-// more changes go into one.
+// Each wake for a change of servers costs every sidecar that waits a call and a new directory: the more
+// sidecars there are, the more changes go into one. A pull that comes while there is news is answered at
+// once.
 constexpr ControlCore::Micros kWakePerSidecar = 750;
 constexpr ControlCore::Micros kWakeLeast = 5'000;
 constexpr ControlCore::Micros kWakeMost = 50'000;
--- a/src/control/instances/table.cpp
+++ b/src/control/instances/table.cpp
@@ -11,11 +11,6 @@
 // A pause between two looks at the table by which this process itself stood still.
 constexpr InstanceTable::Micros kStoodStill = 700'000;
 
-bool Leaves(Phase phase) { return phase == Phase::kDraining || phase == Phase::kGone; }
-
-// What has left stays so, whatever a later or reordered message says.
-Phase Later(Phase known, Phase told) { return Leaves(known) ? std::max(known, told) : told; }
-
 }  // namespace
 
 void InstanceTable::Stamp(Instance& instance) {
@@ -58,7 +53,7 @@
   if (instance.sequence < it->instance.sequence) return false;
   records_.modify(it, [&](Record& record) {
     Instance& known = record.instance;
-    const Phase phase = Later(known.phase, instance.phase);
+    const Phase phase = LaterPhase(known.phase, instance.phase);
     const bool changed = phase != known.phase || instance.models != known.models ||
                          instance.address != known.address || instance.capacity != known.capacity;
     record.heard_at = record.heard_directly_at = now;
@@ -89,7 +84,7 @@
   if (it == records_.end()) return Insert(instance, now, 0);
   records_.modify(it, [&](Record& record) {
     Instance& known = record.instance;
-    const Phase phase = Later(known.phase, instance.phase);
+    const Phase phase = LaterPhase(known.phase, instance.phase);
     if (instance.sequence < known.sequence) {
       // It is known better here: readers of the other process are to hear that.
       if (phase != known.phase || instance.phase == Phase::kLost) {
@@ -122,7 +117,7 @@
 
 void InstanceTable::Leave(const std::string& id, Phase phase, Micros now) {
   const auto it = records_.find(id);
-  if (it == records_.end() || Later(it->instance.phase, phase) == it->instance.phase) return;
+  if (it == records_.end() || LaterPhase(it->instance.phase, phase) == it->instance.phase) return;
   records_.modify(it, [&](Record& record) {
     record.instance.phase = phase;
     if (phase == Phase::kGone) record.heard_at = now;
--- a/src/dataplane/system_view.cpp
+++ b/src/dataplane/system_view.cpp
@@ -6,12 +6,6 @@
 #include <utility>
 
 namespace violetwing {
-namespace {
-
-bool Leaves(Phase phase) { return phase == Phase::kGone || phase == Phase::kDraining; }
-
-}  // namespace
-
 PullRequest SystemView::NextPull(int wait_ms, std::vector<ModelDemand> demand) const {
   PullRequest request;
   request.node = node_;
@@ -66,8 +60,7 @@
   }
   Instance& known = it->second;
   if (instance.sequence < known.sequence && !Leaves(instance.phase)) return;
-  // A drain is for good, whichever control process has not heard of it yet.
-  const Phase phase = Leaves(known.phase) ? std::max(known.phase, instance.phase) : instance.phase;
+  const Phase phase = LaterPhase(known.phase, instance.phase);
   known = instance;
   known.phase = phase;
 }
--- a/src/messages/instances.hpp
+++ b/src/messages/instances.hpp
@@ -2,6 +2,7 @@
 #ifndef VIOLETWING_MESSAGES_INSTANCES_HPP_
 #define VIOLETWING_MESSAGES_INSTANCES_HPP_
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -22,6 +23,10 @@
                                      {Phase::kDraining, "draining"},
                                      {Phase::kGone, "gone"}})
 
+inline bool Leaves(Phase phase) { return phase == Phase::kDraining || phase == Phase::kGone; }
+// What has left stays so, whatever a later or reordered message says.
+inline Phase LaterPhase(Phase known, Phase told) { return Leaves(known) ? std::max(known, told) : told; }
+
 // Weights that a server holds, with the adapters of them.
 struct HeldModel {
   std::string name;
