--- /dev/null
+++ b/examples/loopback/stand_in.cpp
@@ -0,0 +1,26 @@
+// A stand-in for a server: answers every request with its method and path. For the example and for trying
+// things.
+#include <event2/event.h>
+
+#include <cstdio>
+
+#include "control/api/http.hpp"
+
+int main(int argc, char** argv) {
+  using violetwing::http::Answer;
+  using violetwing::http::Request;
+  if (argc != 2) {
+    std::fprintf(stderr, "usage: violetwing-stand-in HOST:PORT\n");
+    return 2;
+  }
+  event_base* base = event_base_new();
+  violetwing::http::Server server(base, [](const Request& request, const Answer& answer) {
+    answer({200, "{\"method\": \"" + request.method + "\", \"path\": \"" + request.path + "\"}", {}});
+  });
+  if (const std::error_code error = server.Listen(argv[1])) {
+    std::fprintf(stderr, "violetwing-stand-in: %s: %s\n", argv[1], error.message().c_str());
+    return 1;
+  }
+  event_base_dispatch(base);
+  return 0;
+}
--- /dev/null
+++ b/tests/node/node_process.hpp
@@ -0,0 +1,65 @@
+// Starts and ends processes of the system for tests and scale runs. VIOLETWING_NODE is the path of the
+// binary.
+#ifndef VIOLETWING_TESTS_NODE_NODE_PROCESS_HPP_
+#define VIOLETWING_TESTS_NODE_NODE_PROCESS_HPP_
+
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <system_error>
+#include <utility>
+
+namespace violetwing::testing {
+
+// A process of the system with a folder and an address of its own.
+class NodeProcess {
+ public:
+  NodeProcess(const std::filesystem::path& folder, std::string role, const nlohmann::json& settings)
+      : role_(std::move(role)), settings_file_((folder / "settings.json").string()) {
+    std::filesystem::create_directories(folder / "data");
+    nlohmann::json all = settings;
+    all["data_dir"] = (folder / "data").string();
+    std::ofstream(settings_file_) << all.dump();
+    Start();
+  }
+  ~NodeProcess() { Kill(); }
+  NodeProcess(const NodeProcess&) = delete;
+  NodeProcess& operator=(const NodeProcess&) = delete;
+
+  void Start() {
+    const std::string variable = "VIOLETWING_SETTINGS=" + settings_file_;
+    char* environment[] = {const_cast<char*>(variable.c_str()), nullptr};
+    const char* arguments[] = {VIOLETWING_NODE, role_.c_str(), "--log-level", "warn", nullptr};
+    const int error =
+        posix_spawn(&id_, VIOLETWING_NODE, nullptr, nullptr, const_cast<char**>(arguments), environment);
+    if (error != 0) throw std::system_error(error, std::generic_category(), VIOLETWING_NODE);
+  }
+  void Kill() {
+    if (id_ == 0) return;
+    kill(id_, SIGKILL);
+    waitpid(std::exchange(id_, 0), nullptr, 0);
+  }
+  // Its exit status after SIGTERM; -1 if it did not end by itself.
+  int Stop() {
+    kill(id_, SIGTERM);
+    int status = 0;
+    waitpid(std::exchange(id_, 0), &status, 0);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
+
+  pid_t id() const { return id_; }
+
+ private:
+  const std::string role_;
+  const std::string settings_file_;
+  pid_t id_ = 0;
+};
+
+}  // namespace violetwing::testing
+
+#endif  // VIOLETWING_TESTS_NODE_NODE_PROCESS_HPP_
