Elect at once where all voters of a group have started anew

Cause: a replica that starts holds its vote back for 600 ms, as it may have confirmed a lease in its life before, and asked for votes only after 600 to 1,000 ms, others' rounds failing meanwhile. Change: a replica that has started asks for pre-votes every 40 to 140 ms; a voter that has neither led nor heard a leader since, and is no candidate, says so at the candidate's own term. With that word of every voter the candidate is elected without the hold-off. A leader's lease counts only followers that hold an entry of its term. Elections are in a file of their own. The cluster of the tests lets a killed process's unfinished writes reach its next life no more, as no disk does.

--- a/src/control/consensus/core.cpp
+++ b/src/control/consensus/core.cpp
@@ -26,7 +26,8 @@
       applied_(snapshot_.index),
       written_(snapshot_.index + entries_.size()),
       now_(now),
-      leader_heard_at_(now) {  // it may have promised a lease just before it was restarted
+      leader_heard_at_(now),  // it may have promised a lease just before it was restarted
+      started_at_(now) {
   FindMembers();
   if (snapshot_.index > 0) effects_.load = snapshot_;
   ResetElection(now);
@@ -42,104 +43,6 @@
   return At(index).term;
 }
 
-// ---- Time and roles ----
-
-void Replica::Tick(Micros now) {
-  now_ = now;
-  if (leader()) {
-    if (!HasLease(now) && now - led_since_ > timing_.election_least) return BecomeFollower(hard_.term, {});
-    if (now >= heartbeat_at_) SendHeartbeats(now);
-    for (auto& [id, follower] : followers_)
-      if (follower.match < last()) SendAppend(follower, now);
-    return;
-  }
-  if (now >= election_at_ && IsMember(id_)) Campaign(false, now);
-}
-
-void Replica::ResetElection(Micros now) {
-  election_at_ = now + timing_.election_least +
-                 static_cast<Micros>(random_.Below(
-                     static_cast<std::uint64_t>(timing_.election_most - timing_.election_least) + 1));
-}
-
-void Replica::BecomeFollower(Term term, std::optional<Member> leader) {
-  role_ = Role::kFollower;
-  known_leader_ = std::move(leader);
-  followers_.clear();
-  if (term > hard_.term) {
-    hard_ = {term, {}};
-    effects_.hard = hard_;
-  }
-  ResetElection(now_);
-}
-
-void Replica::Campaign(bool real, Micros now) {
-  ResetElection(now);
-  known_leader_.reset();
-  role_ = real ? Role::kCandidate : Role::kPreCandidate;
-  if (real) {
-    hard_ = {hard_.term + 1, id_};
-    effects_.hard = hard_;
-  }
-  votes_ = {id_};
-  for (const Member& member : members_) {
-    if (member.id == id_) continue;
-    Message message = Make(real ? MessageKind::kVote : MessageKind::kPreVote, member.id);
-    message.term = real ? hard_.term : hard_.term + 1;
-    message.index = last();
-    message.log_term = TermAt(last());
-    effects_.messages_after_write.push_back(std::move(message));
-  }
-  CountVotes(now);
-}
-
-void Replica::CountVotes(Micros now) {
-  std::size_t granted = 0;
-  for (const Member& member : members_) granted += votes_.count(member.id);
-  if (granted < Quorum()) return;
-  if (role_ == Role::kPreCandidate) return Campaign(true, now);
-  if (role_ == Role::kCandidate) BecomeLeader(now);
-}
-
-void Replica::BecomeLeader(Micros now) {
-  role_ = Role::kLeader;
-  led_since_ = now;
-  written_ = 0;  // counted anew, as writes of this term are told
-  followers_.clear();
-  for (const Member& member : members_)
-    if (member.id == id_) known_leader_ = member;
-  SyncFollowers(now);
-  Append({hard_.term, EntryKind::kNoop, {}, {}});
-  SendHeartbeats(now);
-  Broadcast(now);
-}
-
-Micros Replica::LeaseStart() const {
-  std::vector<Micros> confirmed;
-  for (const Member& member : members_) {
-    if (member.id == id_) {
-      confirmed.push_back(now_);
-      continue;
-    }
-    const auto it = followers_.find(member.id);
-    confirmed.push_back(it == followers_.end() ? 0 : it->second.confirmed_at);
-  }
-  if (confirmed.size() < Quorum()) return 0;
-  std::sort(confirmed.rbegin(), confirmed.rend());
-  return confirmed[Quorum() - 1];
-}
-
-bool Replica::HasLease(Micros now) const {
-  if (!leader()) return false;
-  const Micros start = members_.size() == 1 ? now : LeaseStart();
-  return start > 0 && now - start < timing_.lease;
-}
-
-bool Replica::InTouch(Micros now) const {
-  if (leader()) return HasLease(now);
-  return known_leader_.has_value() && current_at_ > 0 && now - current_at_ < timing_.lease;
-}
-
 // ---- Messages ----
 
 Message Replica::Make(MessageKind kind, const ReplicaId& to) const {
@@ -156,8 +59,9 @@
   if (message.to != id_) return;  // meant for another disk
   switch (message.kind) {
     case MessageKind::kPreVote:
+      return OnPreVote(message, now);
     case MessageKind::kVote:
-      return OnVoteRequest(message, now);
+      return OnVote(message, now);
     case MessageKind::kPreVoteReply:
     case MessageKind::kVoteReply:
       return OnVoteReply(message, now);
@@ -174,43 +78,6 @@
   }
 }
 
-bool Replica::UpToDate(const Message& candidate) const {
-  const Term own = TermAt(last());
-  return candidate.log_term > own || (candidate.log_term == own && candidate.index >= last());
-}
-
-void Replica::OnVoteRequest(const Message& message, Micros now) {
-  // While a leader's lease may hold, nobody else is elected, and terms do not rise.
-  if (HeardLately(now) || (leader() && HasLease(now))) return;
-  if (message.kind == MessageKind::kPreVote) {
-    Message reply = Make(MessageKind::kPreVoteReply, message.from);
-    reply.term = message.term;
-    reply.granted = message.term > hard_.term && UpToDate(message);
-    effects_.messages.push_back(std::move(reply));
-    return;
-  }
-  if (message.term > hard_.term) BecomeFollower(message.term, {});
-  Message reply = Make(MessageKind::kVoteReply, message.from);
-  reply.granted = message.term == hard_.term && role_ == Role::kFollower && UpToDate(message) &&
-                  (hard_.vote.empty() || hard_.vote == message.from);
-  if (reply.granted && hard_.vote.empty()) {
-    hard_.vote = message.from;
-    effects_.hard = hard_;
-  }
-  if (reply.granted) ResetElection(now);
-  effects_.messages_after_write.push_back(std::move(reply));
-}
-
-void Replica::OnVoteReply(const Message& message, Micros now) {
-  const bool pre = message.kind == MessageKind::kPreVoteReply;
-  if (!pre && message.term > hard_.term) return BecomeFollower(message.term, {});
-  const bool awaited = pre ? role_ == Role::kPreCandidate && message.term == hard_.term + 1
-                           : role_ == Role::kCandidate && message.term == hard_.term;
-  if (!awaited || !message.granted) return;
-  votes_.insert(message.from);
-  CountVotes(now);
-}
-
 void Replica::HearLeader(const Message& message, Micros now) {
   Member leader{message.from, {}};
   for (const Member& member : members_)
@@ -219,6 +86,7 @@
     BecomeFollower(message.term, leader);
   else
     known_leader_ = leader;
+  met_leader_ = true;
   leader_heard_at_ = now;
   ResetElection(now);
 }
--- a/src/control/consensus/core.hpp
+++ b/src/control/consensus/core.hpp
@@ -78,7 +78,9 @@
   Index commit = 0;
   Index leader_commit = 0;  // of heartbeats: all that is committed, held by the receiver or not
   bool granted = false;     // of replies
-  Micros sent_at = 0;       // by the leader's clock; heartbeat replies return it
+  bool leaderless =
+      false;           // kPreVoteReply: the sender knows of no leader, see Timing::settle; kVote: all say so
+  Micros sent_at = 0;  // by the leader's clock; heartbeat replies return it
   std::vector<Entry> entries;
   std::optional<Snapshot> snapshot;
 };
@@ -95,6 +97,13 @@
   Micros election_least = 600'000;  // no vote within this time of a leader's word
   Micros election_most = 1'000'000;
   Micros lease = 450'000;  // from the sending of heartbeats that a quorum answered; below election_least
+  // A process that has started looks for votes at once, and often, until it has heard a leader. Where all
+  // voters have started so and none leads or is a candidate, no lease can hold: they elect without waiting
+  // for its end.
+  Micros settle = 200'000;  // first after this: a reader without a vote may trust the old leader for `lease`
+  Micros start_least = 40'000;  // between its rounds of votes; longer with each that asked for real votes
+  Micros start_most = 140'000;
+  Micros start_for = 5'000'000;  // after that rounds come as in any election
 };
 
 // What the shell has to do after an event, in this order.
@@ -175,16 +184,21 @@
   Term TermAt(Index index) const;
   const Entry& At(Index index) const { return entries_[index - snapshot_.index - 1]; }
   std::size_t Quorum() const { return members_.size() / 2 + 1; }
-  bool HeardLately(Micros now) const { return now - leader_heard_at_ < timing_.election_least; }
+  // A lease may hold that this replica has confirmed, or that it holds itself.
+  bool LeaseMayHold(Micros now) const;
   bool UpToDate(const Message& candidate) const;
 
   void BecomeFollower(Term term, std::optional<Member> leader);
   void Campaign(bool real, Micros now);
+  bool Starting(Micros now) const { return !met_leader_ && now - started_at_ < timing_.start_for; }
+  bool KnowsNoLeader(Micros now) const;
+  bool AllKnowNoLeader() const;
   void CountVotes(Micros now);
   void BecomeLeader(Micros now);
   void ResetElection(Micros now);
 
-  void OnVoteRequest(const Message& message, Micros now);
+  void OnPreVote(const Message& message, Micros now);
+  void OnVote(const Message& message, Micros now);
   void OnVoteReply(const Message& message, Micros now);
   void OnHeartbeat(const Message& message, Micros now);
   void OnHeartbeatReply(const Message& message, Micros now);
@@ -228,7 +242,12 @@
   Micros election_at_ = 0;
   Micros heartbeat_at_ = 0;
   Micros led_since_ = 0;
+  Index term_start_ = 0;  // of the leader's first entry in its term
+  Micros started_at_ = 0;
+  bool met_leader_ = false;  // has led, or heard a leader, since the process began
+  int campaigns_ = 0;        // for real votes, since the process began
   std::set<ReplicaId> votes_;
+  std::set<ReplicaId> leaderless_;  // those that know of no leader, in this round
   std::map<ReplicaId, Follower> followers_;
   std::map<ReplicaId, Member> learners_;
 
--- a/src/messages/consensus.cpp
+++ b/src/messages/consensus.cpp
@@ -56,10 +56,12 @@
     case MessageKind::kVote:
       out["index"] = message.index;
       out["log_term"] = message.log_term;
+      out["leaderless"] = message.leaderless;
       break;
     case MessageKind::kPreVoteReply:
     case MessageKind::kVoteReply:
       out["granted"] = message.granted;
+      out["leaderless"] = message.leaderless;
       break;
     case MessageKind::kAppend:
       out["index"] = message.index;
@@ -97,10 +99,13 @@
     case MessageKind::kVote:
       in.at("index").get_to(message.index);
       in.at("log_term").get_to(message.log_term);
+      message.leaderless =
+          in.value("leaderless", false);  // a process of an earlier version says nothing of it
       break;
     case MessageKind::kPreVoteReply:
     case MessageKind::kVoteReply:
       in.at("granted").get_to(message.granted);
+      message.leaderless = in.value("leaderless", false);
       break;
     case MessageKind::kAppend:
       in.at("index").get_to(message.index);
--- a/tests/node/cluster.hpp
+++ b/tests/node/cluster.hpp
@@ -71,7 +71,8 @@
     Carry(i);
   }
   bool Up(std::size_t i) const { return machines_[i].replica != nullptr; }
-  void Kill(std::size_t i) { machines_[i].replica.reset(); }
+  // Its writes under way end with it: the next process never sees one come later.
+  void Kill(std::size_t i) { PowerOff(i); }
   // Of the writes that were not synced, a run from the start may have reached the disk.
   void PowerOff(std::size_t i) {
     Machine& machine = machines_[i];
--- a/tests/node/consensus_test.cpp
+++ b/tests/node/consensus_test.cpp
@@ -25,7 +25,7 @@
     cluster.Run(kSecond / 10);
     if (cluster.acknowledged().count(command) > 0) return;
   }
-  FAIL("not committed: " << command);
+  FAIL("not committed: " << command << cluster.Describe());
 }
 
 std::size_t OtherThan(std::size_t a, std::size_t b) {
@@ -153,6 +153,91 @@
   }
 }
 
+// Nobody can hold a lease then: they need not wait until one would be over.
+TEST_CASE("All voters start again at once: they elect without waiting for a lease") {
+  // The settling time of 200 ms, a round of pre-votes and one of votes, with a write each of up to 20 ms.
+  // Votes may be split; then it takes another round.
+  constexpr Micros kInOneRound = 400'000;
+  int in_one_round = 0;
+  Micros longest = 0;
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+    Cluster cluster(5, 5, seed);
+    const std::size_t leader = AwaitLeader(cluster);
+    cluster.Propose(leader, "last");
+    while (cluster.acknowledged().count("last") == 0) cluster.Run(Cluster::kStep);
+    for (std::size_t i = 0; i < cluster.size(); ++i) cluster.PowerOff(i);
+    cluster.Run(kSecond);
+    for (std::size_t i = 0; i < cluster.size(); ++i) cluster.Start(i);
+    const Micros started = cluster.now();
+    while (!cluster.Leader() && cluster.now() - started < 5 * kSecond) cluster.Run(Cluster::kStep);
+    longest = std::max(longest, cluster.now() - started);
+    in_one_round += cluster.now() - started <= kInOneRound;
+    CHECK(cluster.violations().empty());
+  }
+  CHECK(in_one_round >= 85);
+  CHECK(longest <= 900'000);
+}
+
+// One voter did not stop: it may hold a lease that the others have confirmed before they stopped.
+TEST_CASE("A leader that lives keeps its lease while all others start again") {
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    INFO("seed " << seed);
+    Cluster cluster(5, 5, seed);
+    const std::size_t leader = AwaitLeader(cluster);
+    cluster.Run(kSecond);
+    for (std::size_t i = 0; i < cluster.size(); ++i) {
+      if (i == leader) continue;
+      cluster.Cut(leader, i);  // it does not hear that they start, nor they that it leads
+      cluster.Kill(i);
+      cluster.Start(i);
+    }
+    cluster.Run(2 * kSecond);
+    cluster.Heal();
+    Commit(cluster, "after");
+    CHECK(cluster.violations().empty());
+  }
+}
+
+// Any may be killed at any time and be back at once, also while the group changes and messages are late.
+TEST_CASE("Processes that are killed and come back at once never make two leaders at a time") {
+  for (std::uint64_t seed = 1; seed <= 400; ++seed) {
+    INFO("seed " << seed);
+    Cluster cluster(4 + seed % 2, 3 + 2 * (seed % 2), seed);
+    cluster.most_delay = seed % 3 == 0 ? 120'000 : 3'000;
+    cluster.double_share = seed % 4 == 0 ? 0.2 : 0;
+    Random& random = cluster.random();
+    int proposed = 0;
+    for (int round = 0; round < 30; ++round) {
+      if (cluster.size() == 4 && round % 10 == 9) {  // the fourth takes the place of a lost disk
+        for (int i = 0; i < 30 && !cluster.Whole(); ++i) cluster.Run(kSecond / 2);
+        REQUIRE(cluster.Whole());
+        const std::size_t victim = random.Below(cluster.size());
+        cluster.LoseDisk(victim);
+        cluster.Start(victim);
+        for (int i = 0; i < 30 && !cluster.Whole(); ++i) cluster.Run(kSecond / 2);
+      }
+      const std::size_t spared = random.Below(cluster.size() + 2);  // often none
+      for (std::size_t i = 0; i < cluster.size(); ++i) {
+        if (i == spared || random.Below(6) == 0) continue;
+        random.Below(2) == 0 ? cluster.Kill(i) : cluster.PowerOff(i);
+      }
+      if (spared < cluster.size() && random.Below(3) == 0)
+        cluster.Freeze(spared, static_cast<Micros>(random.Below(kSecond)));
+      for (std::size_t i = 0; i < cluster.size(); ++i) {
+        if (random.Below(2) == 0) cluster.Run(static_cast<Micros>(random.Below(200'000)));
+        if (!cluster.Up(i)) cluster.Start(i);
+      }
+      for (std::size_t i = 0; i < cluster.size(); ++i) cluster.Propose(i, std::to_string(proposed++));
+      cluster.Run(static_cast<Micros>(random.Below(600'000)));
+    }
+    Commit(cluster, "end");
+    cluster.Run(4 * kSecond);
+    for (const std::string& violation : cluster.violations()) UNSCOPED_INFO(violation);
+    REQUIRE(cluster.violations().empty());
+    REQUIRE(cluster.HoldsAll(AwaitLeader(cluster)));
+  }
+}
+
 TEST_CASE("A thawed leader has no lease, and its late messages change nothing") {
   Cluster cluster(3, 3, 6);
   const std::size_t old = AwaitLeader(cluster);
@@ -311,6 +396,13 @@
   message.entries = {{7, EntryKind::kCommand, "x\"\n", {}}, {7, EntryKind::kMembers, {}, {{"a", "1:2"}}}};
   const auto back = nlohmann::json::parse(nlohmann::json(message).dump()).get<Message>();
   CHECK(back.index == 3);
+  Message reply;
+  reply.kind = MessageKind::kPreVoteReply;
+  reply.leaderless = true;
+  CHECK(nlohmann::json(reply).get<Message>().leaderless);
+  Message vote = reply;
+  vote.kind = MessageKind::kVote;
+  CHECK(nlohmann::json(vote).get<Message>().leaderless);
   CHECK(back.entries[0].command == "x\"\n");
   CHECK(back.entries[1].members == message.entries[1].members);
   nlohmann::json unknown = message;
