Place models where no run has to end before there is room

Cause: an unload waits for the model's runs. Change: the cost of a place has the chance that a request runs on what would go, times half of the new model's worth.

--- a/src/control/placement/placer.cpp
+++ b/src/control/placement/placer.cpp
@@ -24,6 +24,9 @@
 // A load from the weight store costs, in requests a second that go without their model, what its time and its
 // price do; one from the server's own disk much less.
 constexpr double kColdCost = 0.05;
+// An unload waits for the model's runs, 2 to 3 s where there are any; without its victim a server goes
+// without what the victim serves for some 5 s. So much of the new model's worth is lost by waiting.
+constexpr double kWaitForRuns = 0.5;
 
 std::string NameOf(const std::string& model, const std::string& adapter) {
   return adapter.empty() ? model : model + "/" + adapter;
@@ -87,7 +90,8 @@
       if (!PlaceModel(service, *model, false, now)) break;
 }
 
-std::optional<Placer::Place> Placer::FindPlace(ServiceView& service, const ServiceView::Model& model) const {
+std::optional<Placer::Place> Placer::FindPlace(ServiceView& service, const ServiceView::Model& model,
+                                               double worth) const {
   const std::string& name = model.spec->name;
   const configuration::Runtime& runtime = service.runtime();
   const int at_once = std::max(1, static_cast<int>(std::ceil(runtime.loads_per_s * model.spec->load_time_s)));
@@ -100,11 +104,11 @@
     place.warm = server.state->ever_held.count(name) > 0;
     if (!place.warm && !cold_allowed) continue;
     if (server.free_mb < model.spec->weights_mb) {
-      place.victim = service.LeastMissed(server);
+      place.victim = service.LeastMissed(server, kWaitForRuns * worth);
       if (!place.victim) continue;
       const double freed = service.models()[place.victim->model].spec->weights_mb;
       if (server.free_mb + freed < model.spec->weights_mb) continue;
-      place.cost += place.victim->cost;
+      place.cost += place.victim->cost + kWaitForRuns * worth * place.victim->busy;
     }
     if (!place.warm) place.cost += kColdCost;
     place.cost += kLoadCost * service.WorkAt(server) / service.MeanWork();
@@ -114,9 +118,11 @@
 }
 
 bool Placer::PlaceModel(ServiceView& service, ServiceView::Model& model, bool waited_for, Micros now) {
-  const std::optional<Place> place = FindPlace(service, model);
+  const double gain = service.GainOfCopy(model);
+  const std::optional<Place> place =
+      FindPlace(service, model, waited_for ? std::max(gain, model.demand.requests) : gain);
   if (!place) return false;
-  const bool pays = !place->victim || service.GainOfCopy(model) >= kWorthMore * place->victim->cost;
+  const bool pays = !place->victim || gain >= kWorthMore * place->victim->cost;
   if (!waited_for && !pays) return false;
   if (!place->warm) loads_left_ -= 1;
   const OrderBook::Load load{
--- a/src/control/placement/placer.hpp
+++ b/src/control/placement/placer.hpp
@@ -46,7 +46,7 @@
     ServiceView::Server* server = nullptr;
     std::optional<ServiceView::Victim> victim;
     bool warm = false;  // the server has held it before: its own disk has it
-    double cost = 0;
+    double cost = 0;    // in requests a second
   };
 
   void Refill(const configuration::Configuration& configuration, Micros now);
@@ -55,7 +55,8 @@
   // server in the mean; the busiest first.
   void PlaceCopies(ServiceView& service, double least_load, Micros now);
   bool PlaceModel(ServiceView& service, ServiceView::Model& model, bool waited_for, Micros now);
-  std::optional<Place> FindPlace(ServiceView& service, const ServiceView::Model& model) const;
+  // `worth`: requests a second that the model saves once it is there.
+  std::optional<Place> FindPlace(ServiceView& service, const ServiceView::Model& model, double worth) const;
   bool PlaceAdapter(ServiceView& service, const ServiceView::Model& model, const std::string& adapter,
                     Micros now);
   // Of a server's adapters, the one that was asked for longest ago.
--- a/src/control/placement/service_view.cpp
+++ b/src/control/placement/service_view.cpp
@@ -17,6 +17,8 @@
 // What an unused copy, and a used one at least, is missed by.
 constexpr double kUnusedCopy = 0.01;
 constexpr double kUsedCopy = 0.02;
+// A request runs for so long, streams in the mean.
+constexpr double kRunS = 1.5;
 // Requests a second below which a further copy of a model would stand idle.
 constexpr double kRequestsPerCopy = 0.5;
 
@@ -105,12 +107,17 @@
   return kLateWithoutCopy * model.demand.requests / std::max(model.copies, 1);
 }
 
-std::optional<ServiceView::Victim> ServiceView::LeastMissed(const Server& server) const {
+double ServiceView::Busy(const Model& model) const {
+  return std::min(1.0, model.demand.requests / std::max(model.copies, 1) * kRunS);
+}
+
+std::optional<ServiceView::Victim> ServiceView::LeastMissed(const Server& server, double wait_cost) const {
+  const auto whole = [&](const Victim& victim) { return victim.cost + wait_cost * victim.busy; };
   std::optional<Victim> least;
   for (const std::size_t place : server.held) {
     if (server.state->JustLoaded(models_[place].spec->name, now_)) continue;
-    const double cost = CostOfLosing(models_[place]);
-    if (!least || cost < least->cost) least = Victim{place, cost};
+    const Victim victim{place, CostOfLosing(models_[place]), Busy(models_[place])};
+    if (!least || whole(victim) < whole(*least)) least = victim;
   }
   return least;
 }
--- a/src/control/placement/service_view.hpp
+++ b/src/control/placement/service_view.hpp
@@ -37,6 +37,7 @@
   struct Victim {
     std::size_t model = 0;
     double cost = 0;
+    double busy = 0;  // the chance that a request runs there, for whose end the unload would wait
   };
 
   ServiceView(const configuration::Backend& backend, const OrderBook& orders, const Demand& demand,
@@ -52,8 +53,9 @@
   double CostOfLosing(const Model& model) const;
   // What one copy more would save, likewise.
   double GainOfCopy(const Model& model) const;
-  // The least missed model that a server holds; empty if it holds none.
-  std::optional<Victim> LeastMissed(const Server& server) const;
+  // The model that a server can do without at the least cost; empty if it holds none. With `wait_cost` for
+  // waiting until the runs of a model have ended, in requests a second.
+  std::optional<Victim> LeastMissed(const Server& server, double wait_cost) const;
   // Tokens a second that fall to a server.
   double WorkAt(const Server& server) const;
   // Work of each copy of a model, in that of a server in the mean.
@@ -67,6 +69,7 @@
   void TakeModels(const Demand& demand);
   void TakeServers(const OrderBook& orders);
   void CountWanted();
+  double Busy(const Model& model) const;
 
   const configuration::Backend& backend_;
   const Micros now_;
--- a/tests/node/placement_test.cpp
+++ b/tests/node/placement_test.cpp
@@ -279,6 +279,27 @@
   }
 }
 
+// An unload waits for the model's runs, for seconds on a busy server: a model that many ask for goes where
+// none runs.
+TEST_CASE("A rising model takes the place of an idle one before that of a spare copy on which requests run") {
+  World world(3);
+  for (int i = 0; i < 3; ++i)
+    world.Held("s" + std::to_string(i)) = {{"m0", 1, {}}, {"m" + std::to_string(1 + i), 1, {}}};
+  for (int i = 1; i <= 3; ++i) world.Ask("m" + std::to_string(i), 1, 100, 0);
+  world.Run(5 * kSecond);
+  for (int i = 0; i < 10; ++i) {
+    world.Ask("m0", 0.1, 1, 0);
+    world.Run(kSecond / 10);
+  }
+  for (int i = 0; i < 30 && world.Copies("m5") == 0; ++i) {
+    world.Ask("m0", 0.1, 1, 0);
+    world.Ask("m5", 0.5, 1000, 1);
+    world.Run(kSecond / 10);
+  }
+  CHECK(world.Copies("m5") == 1);
+  CHECK(world.Copies("m0") == 3);
+}
+
 TEST_CASE("Loads keep the rate of the weight store, also over a change of the placer") {
   World world(12);
   world.Run(2 * kSecond);
