--- a/tests/node/placement_test.cpp
+++ b/tests/node/placement_test.cpp
@@ -286,14 +286,14 @@
   for (int i = 0; i < 3; ++i)
     world.Held("s" + std::to_string(i)) = {{"m0", 1, {}}, {"m" + std::to_string(1 + i), 1, {}}};
   for (int i = 1; i <= 3; ++i) world.Ask("m" + std::to_string(i), 1, 100, 0);
-  world.Run(5 * kSecond);
+  world.Run(20 * kSecond);
   for (int i = 0; i < 10; ++i) {
     world.Ask("m0", 0.1, 1, 0);
     world.Run(kSecond / 10);
   }
+  world.Ask("m5", 1, 1000, 1);
   for (int i = 0; i < 30 && world.Copies("m5") == 0; ++i) {
     world.Ask("m0", 0.1, 1, 0);
-    world.Ask("m5", 0.5, 1000, 1);
     world.Run(kSecond / 10);
   }
   CHECK(world.Copies("m5") == 1);
