Give a sidecar the whole list of servers where it comes from another process

A list called whole held the ids of all servers, but of the servers only what the caller had not heard of. A sidecar that held one as lost, or had dropped it, by the word of a process that ended before it told the others, never got it again: plain servers change nothing, so nobody told of them anew. Found beside it, by a test that elections at once have moved: an answer without its changes, but with what is known by them, was taken. Change: a whole list has all servers, and replaces what was held, departures kept. Exchanges and answers to pulls without one of their fields are refused.

--- a/src/control/core.cpp
+++ b/src/control/core.cpp
@@ -224,10 +224,11 @@
   PullReply reply;
   reply.source = whole || request.source == life_ ? life_ : std::string();
   reply.whole = whole;
-  if (whole) reply.ids = table_.Ids();
   reply.configuration = configuration().version();
   if (newer) reply.document = configuration().document();
-  reply.changed = table_.ChangedSince(request.known);
+  // Another process's list is in the caller's hands until then: what it has heard says nothing of what it
+  // holds.
+  reply.changed = table_.ChangedSince(whole ? VersionVector() : request.known);
   reply.known = table_.known();
   reply.controls = peers_.Known(now_);
   const Sidecars::Place place = sidecars_.PlaceOf(request.node, now_);
--- a/src/control/instances/table.cpp
+++ b/src/control/instances/table.cpp
@@ -179,14 +179,6 @@
   return out;
 }
 
-std::vector<std::string> InstanceTable::Ids() const {
-  std::vector<std::string> out;
-  for (const Record& record : records_)
-    if (record.instance.phase == Phase::kReady || record.instance.phase == Phase::kDraining)
-      out.push_back(record.id);
-  return out;
-}
-
 void InstanceTable::ForEach(const std::function<void(const Record&)>& visit) const {
   for (const Record& record : records_) visit(record);
 }
--- a/src/control/instances/table.hpp
+++ b/src/control/instances/table.hpp
@@ -53,7 +53,6 @@
   std::vector<Instance> ChangedSince(const VersionVector& known) const;
   bool Misses(const VersionVector& known) const;
   std::vector<Heard> HeardSince(Micros since, Micros now) const;
-  std::vector<std::string> Ids() const;
   void ForEach(const std::function<void(const Record&)>& visit) const;
   const VersionVector& known() const { return known_; }
   const std::string& origin() const { return origin_; }
--- a/src/dataplane/system_view.cpp
+++ b/src/dataplane/system_view.cpp
@@ -41,16 +41,26 @@
 }
 
 bool SystemView::TakeInstances(const PullReply& reply) {
+  if (reply.whole) {
+    Replace(reply);
+    return true;
+  }
   for (const Instance& instance : reply.changed) Merge(instance);
   for (const auto& [origin, counter] : reply.known) known_[origin] = std::max(known_[origin], counter);
-  if (!reply.whole) return !reply.changed.empty();
-  const std::size_t before = instances_.size();
-  std::erase_if(instances_, [&](const auto& entry) {
-    return std::find(reply.ids.begin(), reply.ids.end(), entry.first) == reply.ids.end();
-  });
+  return !reply.changed.empty();
+}
+
+// What another control process had told goes, but that a server leaves: this one may hear of it later.
+void SystemView::Replace(const PullReply& reply) {
+  const std::map<std::string, Instance> before = std::exchange(instances_, {});
+  for (const Instance& instance : reply.changed) {
+    const auto known = before.find(instance.id);
+    const bool leaves = known != before.end() && Leaves(known->second.phase);
+    if (leaves) instances_[instance.id] = known->second;
+    Merge(instance);
+  }
   // Lives of control processes that are over leave nothing behind.
   known_ = reply.known;
-  return !reply.changed.empty() || instances_.size() != before;
 }
 
 void SystemView::Merge(const Instance& instance) {
--- a/src/dataplane/system_view.hpp
+++ b/src/dataplane/system_view.hpp
@@ -31,6 +31,7 @@
  private:
   bool TakeConfiguration(const PullReply& reply);
   bool TakeInstances(const PullReply& reply);
+  void Replace(const PullReply& reply);
   void Merge(const Instance& instance);
 
   const std::string node_;
--- a/src/messages/peer.hpp
+++ b/src/messages/peer.hpp
@@ -1,4 +1,6 @@
 // Internal calls: between control processes (exchange), and from a sidecar to one of them (pull, demand).
+// Exchanges and answers to pulls name all of their fields: one that lacks its changes, but not what is known
+// with them, would have its reader miss these for good.
 #ifndef VIOLETWING_MESSAGES_PEER_HPP_
 #define VIOLETWING_MESSAGES_PEER_HPP_
 
@@ -58,8 +60,8 @@
   std::vector<ShardProposal> proposals;
   std::vector<ModelDemand> demand;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ExchangeRequest, from, disk, joins, known, changed, messages,
-                                                proposals, demand)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ExchangeRequest, from, disk, joins, known, changed, messages, proposals,
+                                   demand)
 
 struct ExchangeReply {
   std::string source;  // one life of the answering process
@@ -69,7 +71,7 @@
   std::vector<Heard> edges;  // sidecars
   std::vector<ControlNode> controls;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ExchangeReply, source, changed, known, heard, edges, controls)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ExchangeReply, source, changed, known, heard, edges, controls)
 
 struct PullRequest {
   std::string node;
@@ -84,8 +86,7 @@
 
 struct PullReply {
   std::string source;
-  bool whole = false;  // `ids` names all servers that are there
-  std::vector<std::string> ids;
+  bool whole = false;  // `changed` has all servers, whatever the caller has heard of them before
   std::int64_t configuration = 0;
   std::string document;  // the configuration, if the caller's is older
   std::vector<Instance> changed;
@@ -94,8 +95,8 @@
   int number = 0;  // of the caller among the sidecars
   int sidecars = 1;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(PullReply, source, whole, ids, configuration, document,
-                                                changed, known, controls, number, sidecars)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PullReply, source, whole, configuration, document, changed, known,
+                                   controls, number, sidecars)
 
 }  // namespace violetwing
 
--- a/tests/node/control_link_test.cpp
+++ b/tests/node/control_link_test.cpp
@@ -140,6 +140,18 @@
   CHECK_FALSE(link.Serves());
 }
 
+TEST_CASE("A whole list replaces what another control process had told, but not that a server leaves") {
+  json whole = Good(5, Server(Phase::kReady, 3, 1));
+  whole["source"] = "another";
+  whole["whole"] = true;
+  Link lost;
+  lost.Play({Ok(Good(5, Server(Phase::kLost, 4, 1))), Ok(whole)});
+  CHECK(lost.Serves());
+  Link leaving;
+  leaving.Play({Ok(Good(5, Server(Phase::kDraining, 4, 1))), Ok(whole)});
+  CHECK_FALSE(leaving.Serves());
+}
+
 TEST_CASE("An answer that comes twice is taken once") {
   Link link;
   const std::string answer = Ok(Good(5, Server(Phase::kReady, 1, 1)));
