--- a/bench/http_stacks.cpp
+++ b/bench/http_stacks.cpp
@@ -38,17 +38,17 @@
 
 void ServeByEvhttp() {
   event_base* base = event_base_new();
-  violetwing::http::Server server(base,
-                                  [](violetwing::http::Request, const violetwing::http::Answer& answer) {
-                                    answer({200, std::string(kAnswerBytes, 'x'), {}});
-                                  });
+  violetwing::http::Server server(
+      base, [](const violetwing::http::Request&, const violetwing::http::Answer& answer) {
+        answer({200, std::string(kAnswerBytes, 'x'), {}});
+      });
   if (server.Listen(kEvhttpAddress)) std::_Exit(1);
   event_base_dispatch(base);
 }
 
 void ServeByBeast() {
   asio::io_context io(1);
-  violetwing::Ingress ingress(io, [](const violetwing::ClientPtr& client, violetwing::ClientRequest) {
+  violetwing::Ingress ingress(io, [](const violetwing::ClientPtr& client, const violetwing::ClientRequest&) {
     client->Answer(200, "OK", {}, std::string(kAnswerBytes, 'x'));
   });
   if (ingress.Listen(kBeastAddress)) std::_Exit(1);
@@ -100,6 +100,7 @@
   }
   asio::io_context io(1);
   std::vector<Tcp::socket> sockets;
+  sockets.reserve(kConnections);
   std::vector<std::string> buffers(kConnections);
   for (int i = 0; i < kConnections; ++i) sockets.push_back(Connect(io, address));
   for (int i = 0; i < requests; ++i) {
--- a/src/control/group.cpp
+++ b/src/control/group.cpp
@@ -17,7 +17,7 @@
 // And bytes of work: a process that starts applies the entries again before it can lead or answer, with no
 // word to the others meanwhile. Some 50 ms of a control process's share at 17 MB a second (a patch of 189 kB:
 // 11 ms).
-constexpr std::size_t kCompactAfterBytes = 512 * 1024;
+constexpr std::size_t kCompactAfterBytes = std::size_t{512} * 1024;
 // A command that was not applied by then is offered again: the leader or the way to it may be gone.
 constexpr Group::Micros kOfferAgain = 500'000;
 
--- a/tests/node/system_test.cpp
+++ b/tests/node/system_test.cpp
@@ -264,7 +264,7 @@
   constexpr int kRoutes = 600;
   constexpr std::int64_t kChanges = 30;
   // Six changes of 80 kB, and the next snapshot may be on its way to the disk.
-  constexpr std::size_t kMostWork = 1024 * 1024;
+  constexpr std::size_t kMostWork = std::size_t{1024} * 1024;
   Play play;
   for (std::int64_t version = 1; version <= kChanges; ++version)
     play.Configure(version, version - 1, 0, kRoutes);
