Find what a quorum has reached in one place, and a victim's wait once

Cause: the lease and the commit index each sorted the group's values by themselves; the cost of waiting for a victim's runs was worked out in two places; votes were counted before a return that did not need them. Change: ReachedByQuorum; the wait is part of what LeastMissed returns; one condition for a pre-candidate.

--- a/src/control/consensus/core.cpp
+++ b/src/control/consensus/core.cpp
@@ -310,18 +310,7 @@
 }
 
 void Replica::AdvanceCommit() {
-  std::vector<Index> held;
-  for (const Member& member : members_) {
-    if (member.id == id_) {
-      held.push_back(written_);
-      continue;
-    }
-    const auto it = followers_.find(member.id);
-    held.push_back(it == followers_.end() ? 0 : it->second.match);
-  }
-  if (held.size() < Quorum()) return;
-  std::sort(held.rbegin(), held.rend());
-  const Index index = held[Quorum() - 1];
+  const Index index = ReachedByQuorum(written_, [](const Follower& follower) { return follower.match; });
   // Entries of earlier terms are committed only by one of this term that follows them.
   if (index <= commit_ || TermAt(index) != hard_.term) return;
   CommitUpTo(index);
--- a/src/control/consensus/core.hpp
+++ b/src/control/consensus/core.hpp
@@ -8,6 +8,7 @@
 #ifndef VIOLETWING_CONTROL_CONSENSUS_CORE_HPP_
 #define VIOLETWING_CONTROL_CONSENSUS_CORE_HPP_
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -78,8 +79,8 @@
   Index commit = 0;
   Index leader_commit = 0;  // of heartbeats: all that is committed, held by the receiver or not
   bool granted = false;     // of replies
-  bool leaderless =
-      false;           // kPreVoteReply: the sender knows of no leader, see Timing::settle; kVote: all say so
+  // kPreVoteReply: the sender knows of no leader, see Timing::settle. kVote: all voters have said so.
+  bool leaderless = false;
   Micros sent_at = 0;  // by the leader's clock; heartbeat replies return it
   std::vector<Entry> entries;
   std::optional<Snapshot> snapshot;
@@ -104,8 +105,8 @@
   // Then they take turns, in the order of the group's members, so that votes are not split. Longer than a
   // tick of the shell and a round of votes.
   Micros start_turn = 100'000;
-  std::size_t start_first =
-      0;  // of the members, modulo their number: groups differ, so that their leaders do
+  // Whose turn is first, of the members, modulo their number: groups differ, so that their leaders do.
+  std::size_t start_first = 0;
   Micros start_for = 5'000'000;  // after that rounds come as in any election
 };
 
@@ -218,6 +219,9 @@
   void SendAppend(Follower& follower, Micros now);
   void Broadcast(Micros now);
   void SendHeartbeats(Micros now);
+  // The highest value that a quorum of the group has reached: `own` here, `of(follower)` elsewhere.
+  template <class Value, class Of>
+  Value ReachedByQuorum(Value own, Of of) const;
   void AdvanceCommit();
   void CommitUpTo(Index index);
   Micros LeaseStart() const;
@@ -258,6 +262,19 @@
   Effects effects_;
 };
 
+template <class Value, class Of>
+Value Replica::ReachedByQuorum(Value own, Of of) const {
+  std::vector<Value> reached;
+  for (const Member& member : members_) {
+    const auto it = followers_.find(member.id);
+    const Value elsewhere = it == followers_.end() ? Value{0} : of(it->second);
+    reached.push_back(member.id == id_ ? own : elsewhere);
+  }
+  if (reached.size() < Quorum()) return 0;
+  std::sort(reached.rbegin(), reached.rend());
+  return reached[Quorum() - 1];
+}
+
 }  // namespace violetwing::consensus
 
 #endif  // VIOLETWING_CONTROL_CONSENSUS_CORE_HPP_
--- a/src/control/consensus/election.cpp
+++ b/src/control/consensus/election.cpp
@@ -92,10 +92,9 @@
 void Replica::CountVotes(Micros now) {
   std::size_t granted = 0;
   for (const Member& member : members_) granted += votes_.count(member.id);
-  if (role_ == Role::kPreCandidate && AllKnowNoLeader()) return Campaign(true, now);
-  if (granted < Quorum()) return;
-  if (role_ == Role::kPreCandidate) return Campaign(true, now);
-  if (role_ == Role::kCandidate) BecomeLeader(now);
+  const bool elected = granted >= Quorum();
+  if (role_ == Role::kPreCandidate && (elected || AllKnowNoLeader())) return Campaign(true, now);
+  if (role_ == Role::kCandidate && elected) BecomeLeader(now);
 }
 
 void Replica::BecomeLeader(Micros now) {
@@ -115,19 +114,9 @@
 // Only replicas that hold an entry of the leader's term count: they refuse their vote to any whose log ends
 // in an earlier term, also where an election needs not wait for the end of the lease.
 Micros Replica::LeaseStart() const {
-  std::vector<Micros> confirmed;
-  for (const Member& member : members_) {
-    if (member.id == id_) {
-      confirmed.push_back(now_);
-      continue;
-    }
-    const auto it = followers_.find(member.id);
-    const bool holds_term = it != followers_.end() && it->second.match >= term_start_;
-    confirmed.push_back(holds_term ? it->second.confirmed_at : 0);
-  }
-  if (confirmed.size() < Quorum()) return 0;
-  std::sort(confirmed.rbegin(), confirmed.rend());
-  return confirmed[Quorum() - 1];
+  return ReachedByQuorum(now_, [this](const Follower& follower) {
+    return follower.match >= term_start_ ? follower.confirmed_at : 0;
+  });
 }
 
 bool Replica::HasLease(Micros now) const {
--- a/src/control/placement/placer.cpp
+++ b/src/control/placement/placer.cpp
@@ -116,7 +116,7 @@
       if (!place.victim) continue;
       const double freed = service.models()[place.victim->model].spec->weights_mb;
       if (server.free_mb + freed < model.spec->weights_mb) continue;
-      place.cost += place.victim->cost + kWaitForRuns * worth * place.victim->busy;
+      place.cost += place.victim->cost + place.victim->wait;
     }
     if (!place.warm) place.cost += kColdCost;
     place.cost += kLoadCost * service.WorkAt(server) / service.MeanWork();
--- a/src/control/placement/service_view.cpp
+++ b/src/control/placement/service_view.cpp
@@ -107,16 +107,17 @@
   return kLateWithoutCopy * model.demand.requests / std::max(model.copies, 1);
 }
 
+// The chance that a request runs on a copy.
 double ServiceView::Busy(const Model& model) const {
   return std::min(1.0, model.demand.requests / std::max(model.copies, 1) * kRunS);
 }
 
 std::optional<ServiceView::Victim> ServiceView::LeastMissed(const Server& server, double wait_cost) const {
-  const auto whole = [&](const Victim& victim) { return victim.cost + wait_cost * victim.busy; };
+  const auto whole = [](const Victim& victim) { return victim.cost + victim.wait; };
   std::optional<Victim> least;
   for (const std::size_t place : server.held) {
     if (server.state->JustLoaded(models_[place].spec->name, now_)) continue;
-    const Victim victim{place, CostOfLosing(models_[place]), Busy(models_[place])};
+    const Victim victim{place, CostOfLosing(models_[place]), wait_cost * Busy(models_[place])};
     if (!least || whole(victim) < whole(*least)) least = victim;
   }
   return least;
--- a/src/control/placement/service_view.hpp
+++ b/src/control/placement/service_view.hpp
@@ -37,7 +37,7 @@
   struct Victim {
     std::size_t model = 0;
     double cost = 0;
-    double busy = 0;  // the chance that a request runs there, for whose end the unload would wait
+    double wait = 0;  // what it costs to wait for the end of its runs, likewise
   };
 
   ServiceView(const configuration::Backend& backend, const OrderBook& orders, const Demand& demand,
@@ -53,8 +53,8 @@
   double CostOfLosing(const Model& model) const;
   // What one copy more would save, likewise.
   double GainOfCopy(const Model& model) const;
-  // The model that a server can do without at the least cost; empty if it holds none. With `wait_cost` for
-  // waiting until the runs of a model have ended, in requests a second.
+  // The model that a server can do without at the least cost; empty if it holds none. `wait_cost`: of
+  // waiting until the runs of a model have ended, if there are any.
   std::optional<Victim> LeastMissed(const Server& server, double wait_cost) const;
   // Tokens a second that fall to a server.
   double WorkAt(const Server& server) const;
