Let sidecars tell each other of the prompts that they send to model servers

Change: each sidecar sends datagrams to the 24 sidecars with the nearest numbers, with its requests and unread tokens at a server and the prompt parts it has sent there, at once for long prompts; control processes tell the neighbors' addresses with the answers to pulls. What others have there counts in the choice, and their prompts in the guess of what is cached.

--- a/src/control/core.cpp
+++ b/src/control/core.cpp
@@ -194,7 +194,7 @@
 void ControlCore::Take(const ExchangeReply& reply) {
   table_.Merge(reply.changed, now_);
   for (const Heard& heard : reply.heard) table_.Hear(heard, now_);
-  for (const Heard& sidecar : reply.edges) sidecars_.HearOf(sidecar, now_);
+  for (const HeardSidecar& sidecar : reply.edges) sidecars_.HearOf(sidecar, now_);
   for (const ControlNode& node : reply.controls) peers_.Meet(node, now_);
 }
 
@@ -202,7 +202,7 @@
 
 void ControlCore::Pull(PullRequest request, Micros now, const OnPulled& done) {
   now_ = now;
-  sidecars_.Hear(request.node, now);
+  sidecars_.Hear(request.node, request.address, now);
   CountDemand(request.demand);
   if (!AnswerPull(request, done, false)) {
     const Micros until = now + std::clamp(request.wait_ms, 0, kMostPullWaitMs) * Micros{1000};
@@ -234,6 +234,8 @@
   const Sidecars::Place place = sidecars_.PlaceOf(request.node, now_);
   reply.number = place.number;
   reply.sidecars = place.count;
+  reply.neighbors = sidecars_.NeighborsOf(request.node, now_);
+  if (reply.neighbors.hash == request.neighbors_hash) reply.neighbors.addresses.clear();
   done(reply);
   return true;
 }
--- a/src/control/sidecars.cpp
+++ b/src/control/sidecars.cpp
@@ -2,21 +2,27 @@
 
 #include <algorithm>
 
+#include "common/random.hpp"
+
 namespace violetwing {
 namespace {
 
 // Without a word of a sidecar for so long, the others share its part of what all may spend.
 constexpr Sidecars::Micros kLostAfter = 5'000'000;
+// Neighbors of a sidecar, on both sides together: what each report of load costs in datagrams.
+constexpr std::size_t kMostNeighbors = 24;
 
 }  // namespace
 
-void Sidecars::Hear(const std::string& name, Micros now) {
+void Sidecars::Hear(const std::string& name, const std::string& address, Micros now) {
   Sidecar& sidecar = sidecars_[name];
+  sidecar.address = address;
   sidecar.heard_at = sidecar.heard_directly_at = now;
 }
 
-void Sidecars::HearOf(const Heard& heard, Micros now) {
+void Sidecars::HearOf(const HeardSidecar& heard, Micros now) {
   Sidecar& sidecar = sidecars_[heard.id];
+  if (!heard.address.empty()) sidecar.address = heard.address;
   sidecar.heard_at = std::max(sidecar.heard_at, now - heard.age_ms * 1000);
 }
 
@@ -32,10 +38,35 @@
   return place;
 }
 
-std::vector<Heard> Sidecars::HeardSince(Micros since, Micros now) const {
-  std::vector<Heard> out;
+Neighbors Sidecars::NeighborsOf(const std::string& name, Micros now) const {
+  std::vector<const std::string*> ring;  // addresses, in the order of the numbers
+  std::size_t own = 0;
+  for (const auto& [other, sidecar] : sidecars_) {
+    if (now - sidecar.heard_at > kLostAfter) continue;
+    if (other == name) own = ring.size();
+    ring.push_back(&sidecar.address);
+  }
+  Neighbors out;
+  const std::size_t others = ring.empty() ? 0 : ring.size() - 1;
+  const std::size_t kept = std::min(others, kMostNeighbors);
+  std::string all;
+  for (std::size_t step = 0; step < kept; ++step) {
+    const std::size_t distance = step / 2 + 1;
+    const std::size_t at = step % 2 == 0 ? own + distance : own + ring.size() - distance;
+    const std::string& address = *ring[at % ring.size()];
+    if (address.empty()) continue;
+    out.addresses.push_back(address);
+    all += address + ",";
+  }
+  out.hash = out.addresses.empty() ? 0 : Hash(0, all);
+  return out;
+}
+
+std::vector<HeardSidecar> Sidecars::HeardSince(Micros since, Micros now) const {
+  std::vector<HeardSidecar> out;
   for (const auto& [name, sidecar] : sidecars_)
-    if (sidecar.heard_directly_at > since) out.push_back({name, 0, (now - sidecar.heard_directly_at) / 1000});
+    if (sidecar.heard_directly_at > since)
+      out.push_back({name, sidecar.address, (now - sidecar.heard_directly_at) / 1000});
   return out;
 }
 
--- a/src/control/sidecars.hpp
+++ b/src/control/sidecars.hpp
@@ -22,17 +22,20 @@
     int count = 1;
   };
 
-  // A call of the sidecar to this process.
-  void Hear(const std::string& name, Micros now);
+  // A call of the sidecar to this process. `address`: where it takes the reports of other sidecars.
+  void Hear(const std::string& name, const std::string& address, Micros now);
   // A call to another control process, as that one tells.
-  void HearOf(const Heard& heard, Micros now);
+  void HearOf(const HeardSidecar& heard, Micros now);
   int Count(Micros now) const { return PlaceOf({}, now).count; }
   Place PlaceOf(const std::string& name, Micros now) const;
+  // Those with the nearest numbers on either side, as the numbers go round.
+  Neighbors NeighborsOf(const std::string& name, Micros now) const;
   // Those that this process itself has heard after `since`.
-  std::vector<Heard> HeardSince(Micros since, Micros now) const;
+  std::vector<HeardSidecar> HeardSince(Micros since, Micros now) const;
 
  private:
   struct Sidecar {
+    std::string address;
     Micros heard_at = 0;           // by any control process
     Micros heard_directly_at = 0;  // by this one; 0 if never
   };
--- a/src/dataplane/chooser.cpp
+++ b/src/dataplane/chooser.cpp
@@ -30,6 +30,11 @@
 constexpr double kHomeShare = 0.7;
 // The share of a server's memory that this sidecar's guess of its cache may fill.
 constexpr double kCacheTokens = 150'000;
+// Prompts with so many tokens to read hold up a server for long enough that other sidecars should know at
+// once.
+constexpr double kHeavyTokens = 1000;
+// Prompts that one report tells of at most; what is left out is merely not known elsewhere.
+constexpr std::size_t kMostPrompts = 16;
 
 std::string WeightsKey(const Chooser::Wish& wish) {
   return wish.adapter.empty() ? wish.model : wish.model + "/" + wish.adapter;
@@ -67,18 +72,20 @@
 double Chooser::Cost(const Server& server, const Instance& instance, const Wish& wish, bool home,
                      Micros now) const {
   const double age = static_cast<double>(now - server.load_at);
-  const double others = server.load_at == 0
-                            ? 0
-                            : std::max(0, server.load.running + 2 * server.load.waiting - server.in_flight) *
-                                  std::exp2(-age / kLoadHalfLife);
-  double cost = server.in_flight + others;
+  const double told = server.load_at == 0
+                          ? 0
+                          : std::max(0, server.load.running + 2 * server.load.waiting - server.in_flight) *
+                                std::exp2(-age / kLoadHalfLife);
+  const SharedLoad::Sum others = shared_.At(instance.id, now);
+  double cost = server.in_flight + std::max(told, static_cast<double>(others.in_flight));
   cost *= 8.0 / std::max(1, std::min(instance.capacity, 8));  // a place of a small server weighs more
   if (now < server.full_until) cost += 100;
   if (server.silent_since > 0 && now - server.silent_since > kSilentFor) cost += 1000;
   if (wish.parts == nullptr || wish.tokens <= 0) return cost;
   double cached = server.cache.CachedTokens(WeightsKey(wish), *wish.parts);
   if (home) cached = std::max(cached, kHomeShare * (wish.tokens - wish.parts->back().tokens));
-  return cost + (server.unread_tokens + wish.tokens - cached) / kTokensPerRequest;
+  const double unread = server.unread_tokens + others.unread_tokens + wish.tokens - cached;
+  return cost + unread / kTokensPerRequest;
 }
 
 const Instance* Chooser::Choose(const std::vector<const Instance*>& candidates, const Directory& directory,
@@ -135,12 +142,13 @@
   Server& server = servers_[id];
   ++server.in_flight;
   if (server.silent++ == 0) server.silent_since = now;
-  if (wish.parts != nullptr) {
-    wish.unread_tokens =
-        std::max(0.0, wish.tokens - server.cache.CachedTokens(WeightsKey(wish), *wish.parts));
-    server.unread_tokens += wish.unread_tokens;
-  }
-  if (wish.parts != nullptr) server.cache.Insert(WeightsKey(wish), *wish.parts, kCacheTokens);
+  if (wish.parts == nullptr) return;
+  const std::string weights = WeightsKey(wish);
+  wish.unread_tokens = std::max(0.0, wish.tokens - server.cache.CachedTokens(weights, *wish.parts));
+  server.unread_tokens += wish.unread_tokens;
+  server.cache.Insert(weights, *wish.parts, kCacheTokens);
+  if (on_news_ && prompts_.size() < kMostPrompts) prompts_.push_back({id, weights, ToText(*wish.parts)});
+  Report(id, wish);
 }
 
 void Chooser::OnLoad(const std::string& id, const ServerLoad& load, Micros now) {
@@ -154,6 +162,7 @@
   server.unread_tokens = std::max(0.0, server.unread_tokens - wish.unread_tokens);
   server.silent = std::max(0, server.silent - 1);
   server.silent_since = server.silent > 0 ? now : 0;
+  if (wish.parts != nullptr) Report(id, wish);
 }
 
 void Chooser::OnEnd(const std::string& id, AttemptResult result, const Wish& wish, bool answered,
@@ -162,6 +171,7 @@
   if (!answered && server.silent > 0 && --server.silent == 0) server.silent_since = 0;
   if (!answered) server.unread_tokens = std::max(0.0, server.unread_tokens - wish.unread_tokens);
   server.in_flight = std::max(0, server.in_flight - 1);
+  if (wish.parts != nullptr) Report(id, wish);
   switch (result) {
     case AttemptResult::kServed:
       server.failures = 0;
@@ -189,7 +199,34 @@
   }
 }
 
-void Chooser::Keep(const Directory& directory) {
+// ---- What sidecars tell each other ----
+
+void Chooser::Report(const std::string& id, const Wish& wish) {
+  if (!on_news_) return;
+  changed_.insert(id);
+  on_news_(wish.unread_tokens >= kHeavyTokens);
+}
+
+LoadReport Chooser::TakeReport() {
+  LoadReport report;
+  for (const std::string& id : changed_) {
+    const auto it = servers_.find(id);
+    if (it != servers_.end()) report.work.push_back({id, it->second.in_flight, it->second.unread_tokens});
+  }
+  report.prompts = std::move(prompts_);
+  prompts_.clear();
+  changed_.clear();
+  return report;
+}
+
+void Chooser::OnReport(const LoadReport& report, Micros now) {
+  if (!shared_.Take(report, now)) return;
+  for (const SentPrompt& prompt : report.prompts)
+    servers_[prompt.server].cache.Insert(prompt.weights, ParsePromptParts(prompt.parts), kCacheTokens);
+}
+
+void Chooser::Keep(const Directory& directory, Micros now) {
+  shared_.Expire(now);
   std::erase_if(servers_, [&](const auto& entry) {
     return entry.second.in_flight == 0 && directory.Find(entry.first) == nullptr;
   });
--- a/src/dataplane/chooser.hpp
+++ b/src/dataplane/chooser.hpp
@@ -1,19 +1,24 @@
 // Which server a request goes to. The servers that may take it stand on a ring in the order of their ids; a
 // sidecar uses a run of consecutive ones, its window, that begins at an offset set by its number. Of two
-// random servers of the window the less busy one is taken, by the requests that this sidecar has there and by
-// what the server told last of its load. A server that holds the first parts of the prompt counts as less
-// busy by what that saves. A core: it holds no clock, socket, file or thread.
+// random servers of the window the less busy one is taken, by the requests that this sidecar has there, by
+// what other sidecars tell of theirs, and by what the server told last of its load. A server that holds the
+// first parts of the prompt counts as less busy by what that saves. A core: it holds no clock, socket, file
+// or thread.
 #ifndef VIOLETWING_DATAPLANE_CHOOSER_HPP_
 #define VIOLETWING_DATAPLANE_CHOOSER_HPP_
 
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "common/random.hpp"
 #include "dataplane/directory.hpp"
 #include "dataplane/prefix_cache.hpp"
+#include "dataplane/shared_load.hpp"
+#include "messages/load.hpp"
 
 namespace violetwing {
 
@@ -60,7 +65,15 @@
   // `answered`: a first byte has come.
   void OnEnd(const std::string& id, AttemptResult result, const Wish& wish, bool answered, Micros now);
   // Forgets servers that are no longer there.
-  void Keep(const Directory& directory);
+  void Keep(const Directory& directory, Micros now);
+
+  // `on_news` is called when there is something to report; `heavy`: others should know of it at once, as they
+  // may be about to send to the same server.
+  void SetOnNews(std::function<void(bool heavy)> on_news) { on_news_ = std::move(on_news); }
+  // What has changed here since the last report, without its sender.
+  LoadReport TakeReport();
+  // What another sidecar reports.
+  void OnReport(const LoadReport& report, Micros now);
 
   int InFlight(const std::string& id) const;
 
@@ -85,8 +98,14 @@
   // there.
   static std::vector<const Instance*> Homes(const std::vector<const Instance*>& candidates, const Wish& wish);
 
+  void Report(const std::string& id, const Wish& wish);
+
   Random random_;
   std::map<std::string, Server> servers_;
+  SharedLoad shared_;
+  std::set<std::string> changed_;    // servers whose work here was not reported since it changed
+  std::vector<SentPrompt> prompts_;  // sent since the last report
+  std::function<void(bool heavy)> on_news_;
 };
 
 // Where a window begins: the numbers are spread evenly over the ring.
--- a/src/dataplane/control_link.cpp
+++ b/src/dataplane/control_link.cpp
@@ -30,7 +30,7 @@
       pause_(io),
       guard_(io),
       demand_soon_(io),
-      view_(settings.node_name),
+      view_(settings.node_name, settings.InternalAddress()),
       choice_(settings.zone, settings.node_name) {
   Reload(settings);
 }
--- a/src/dataplane/control_link.hpp
+++ b/src/dataplane/control_link.hpp
@@ -34,6 +34,9 @@
   // Counts towards the next report; what waits is reported at once.
   void CountDemand(const ModelDemand& demand, bool urgent);
 
+  // Addresses of the sidecars that are to hear of this one's load.
+  const std::vector<std::string>& neighbors() const { return view_.neighbors(); }
+
  private:
   void Pull();
   void OnPulled(int status, const std::string& body);
--- a/src/dataplane/edge.cpp
+++ b/src/dataplane/edge.cpp
@@ -43,6 +43,7 @@
                }),
       readiness_(io, [this](const ClientPtr& client,
                             const ClientRequest& request) { OnReadiness(client, request); }),
+      gossip_(io, settings_.node_name, plane_.chooser),
       link_(io, settings_, [this](DirectoryPtr directory) { OnDirectory(std::move(directory)); }),
       tick_(io),
       stop_(io) {
@@ -57,6 +58,8 @@
       return error;
     }
   }
+  if (const std::error_code error = gossip_.Start(settings_.InternalAddress()))
+    spdlog::warn("no reports of load at {}: {}", settings_.InternalAddress(), error.message());
   link_.Start();
   Tick();
   spdlog::info("sidecar {} takes requests at {}", settings_.node_name, settings_.ingress);
@@ -66,6 +69,7 @@
 void EdgeService::OnDirectory(DirectoryPtr directory) {
   plane_.directory = std::move(directory);
   ingress_.SetLimits(plane_.directory->limits());
+  gossip_.SetNeighbors(link_.neighbors());
   const auto waiting = plane_.waiting;
   for (const auto& forwarder : waiting) forwarder->OnDirectory();
 }
@@ -79,7 +83,7 @@
 }
 
 void EdgeService::Tick() {
-  plane_.chooser.Keep(*plane_.directory);
+  plane_.chooser.Keep(*plane_.directory, SteadyMicros());
   plane_.pool.Keep([this](const std::string& id) {
     const Instance* instance = plane_.directory->Find(id);
     return instance != nullptr && instance->phase != Phase::kGone;
@@ -107,6 +111,7 @@
 void EdgeService::AwaitLast() {
   if (ingress_.busy() == 0 || steady_clock::now() >= end_by_) {
     link_.Stop();
+    gossip_.Stop();
     io_.stop();
     return;
   }
--- a/src/dataplane/edge.hpp
+++ b/src/dataplane/edge.hpp
@@ -10,6 +10,7 @@
 
 #include "dataplane/forwarder.hpp"
 #include "dataplane/ingress.hpp"
+#include "dataplane/load_gossip.hpp"
 #include "node/settings.hpp"
 
 namespace violetwing {
@@ -36,6 +37,7 @@
   DataPlane plane_;
   Ingress ingress_;
   Ingress readiness_;
+  LoadGossip gossip_;
   ControlLink link_;
   boost::asio::steady_timer tick_;
   boost::asio::steady_timer stop_;
--- /dev/null
+++ b/src/dataplane/load_gossip.hpp
@@ -0,0 +1,54 @@
+// Tells the sidecars nearby of this one's requests at model servers, and takes their reports: without it each
+// sees only its own requests, and several send long prompts to the same idle server at once. One datagram a
+// report, unacknowledged. Sockets and timers only: what is told and what it means is in chooser.hpp and
+// shared_load.hpp.
+#ifndef VIOLETWING_DATAPLANE_LOAD_GOSSIP_HPP_
+#define VIOLETWING_DATAPLANE_LOAD_GOSSIP_HPP_
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <string>
+#include <system_error>
+#include <vector>
+
+#include "dataplane/chooser.hpp"
+
+namespace violetwing {
+
+class LoadGossip {
+ public:
+  // `node` names this sidecar in its reports.
+  LoadGossip(boost::asio::io_context& io, std::string node, Chooser& chooser);
+
+  // Takes reports at this address. Where that fails nothing is told either, and requests go on without.
+  std::error_code Start(const std::string& address);
+  void Stop();
+  void SetNeighbors(const std::vector<std::string>& addresses);
+
+ private:
+  // The largest report that is sent or read, in bytes.
+  static constexpr std::size_t kMostBytes = 8192;
+
+  void OnNews(bool heavy);
+  void Send();
+  void Receive();
+  void Take(std::size_t bytes);
+
+  Chooser& chooser_;
+  const std::string node_;
+  boost::asio::ip::udp::socket socket_;
+  boost::asio::steady_timer send_soon_;
+  bool send_pending_ = false;
+  bool soon_ = false;  // the pending report is to leave at once
+  std::uint64_t sequence_ = 0;
+  std::vector<boost::asio::ip::udp::endpoint> neighbors_;
+  std::array<char, kMostBytes> buffer_{};
+  boost::asio::ip::udp::endpoint sender_;
+};
+
+}  // namespace violetwing
+
+#endif  // VIOLETWING_DATAPLANE_LOAD_GOSSIP_HPP_
--- a/src/dataplane/prefix_cache.cpp
+++ b/src/dataplane/prefix_cache.cpp
@@ -27,6 +27,15 @@
   return out;
 }
 
+std::string ToText(const std::vector<PromptPart>& parts) {
+  std::string text;
+  for (const PromptPart& part : parts) {
+    if (!text.empty()) text += ',';
+    text += part.id + ":" + std::to_string(static_cast<std::int64_t>(part.tokens));
+  }
+  return text;
+}
+
 double PrefixCache::CachedTokens(const std::string& weights, const std::vector<PromptPart>& parts) const {
   double cached = 0;
   std::string key = weights;
--- a/src/dataplane/prefix_cache.hpp
+++ b/src/dataplane/prefix_cache.hpp
@@ -19,6 +19,8 @@
 
 // "5c1e07a2:800,91bd3f06:410": parts in order. What cannot be read ends the list.
 std::vector<PromptPart> ParsePromptParts(std::string_view text);
+// The reverse of it.
+std::string ToText(const std::vector<PromptPart>& parts);
 
 class PrefixCache {
  public:
--- a/src/dataplane/system_view.cpp
+++ b/src/dataplane/system_view.cpp
@@ -9,6 +9,8 @@
 PullRequest SystemView::NextPull(int wait_ms, std::vector<ModelDemand> demand) const {
   PullRequest request;
   request.node = node_;
+  request.address = address_;
+  request.neighbors_hash = neighbors_.hash;
   request.source = source_;
   request.configuration = version();
   request.known = known_;
@@ -23,9 +25,11 @@
   const bool listed = TakeInstances(reply);
   source_ = reply.source;
   controls_ = reply.controls;
+  const bool met = reply.neighbors.hash != neighbors_.hash;
+  if (met) neighbors_ = reply.neighbors;
   number_ = reply.number;
   sidecars_ = reply.sidecars;
-  return moved || configured || listed;
+  return moved || configured || listed || met;
 }
 
 bool SystemView::TakeConfiguration(const PullReply& reply) {
--- a/src/dataplane/system_view.hpp
+++ b/src/dataplane/system_view.hpp
@@ -16,7 +16,9 @@
 
 class SystemView {
  public:
-  explicit SystemView(std::string node) : node_(std::move(node)) {}
+  // `address`: where this sidecar takes the reports of others; empty if nowhere.
+  explicit SystemView(std::string node, std::string address = {})
+      : node_(std::move(node)), address_(std::move(address)) {}
 
   // A pull that asks for what is missing here.
   PullRequest NextPull(int wait_ms, std::vector<ModelDemand> demand) const;
@@ -27,6 +29,8 @@
 
   std::int64_t version() const { return configuration_ == nullptr ? 0 : configuration_->version; }
   const std::vector<ControlNode>& controls() const { return controls_; }
+  // Addresses of the sidecars that are to hear of this one's load.
+  const std::vector<std::string>& neighbors() const { return neighbors_.addresses; }
 
  private:
   bool TakeConfiguration(const PullReply& reply);
@@ -35,11 +39,13 @@
   void Merge(const Instance& instance);
 
   const std::string node_;
+  const std::string address_;
   std::string source_;  // the life of the control process whose whole list is held
   VersionVector known_;
   std::shared_ptr<const configuration::Configuration> configuration_;
   std::map<std::string, Instance> instances_;
   std::vector<ControlNode> controls_;
+  Neighbors neighbors_;
   int number_ = 0;
   int sidecars_ = 1;
 };
--- a/src/messages/peer.hpp
+++ b/src/messages/peer.hpp
@@ -42,7 +42,7 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ShardProposal, shard, command)
 
-// A heartbeat of a server, or a pull of a sidecar, that one control process took and tells the others of.
+// A heartbeat of a server that one control process took and tells the others of.
 struct Heard {
   std::string id;
   std::int64_t sequence = 0;
@@ -50,6 +50,14 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Heard, id, sequence, age_ms)
 
+// Likewise a pull of a sidecar.
+struct HeardSidecar {
+  std::string id;       // its name
+  std::string address;  // where it takes the reports of other sidecars; empty if nowhere
+  std::int64_t age_ms = 0;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HeardSidecar, id, address, age_ms)
+
 struct ExchangeRequest {
   ControlNode from;
   std::string disk;        // id of the sender's replicas
@@ -68,7 +76,7 @@
   std::vector<Instance> changed;
   VersionVector known;
   std::vector<Heard> heard;  // servers
-  std::vector<Heard> edges;  // sidecars
+  std::vector<HeardSidecar> edges;
   std::vector<ControlNode> controls;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ExchangeReply, source, changed, known, heard, edges, controls)
@@ -80,9 +88,18 @@
   VersionVector known;
   int wait_ms = 0;
   std::vector<ModelDemand> demand;
+  std::string address;               // where it takes reports of other sidecars; empty if nowhere
+  std::uint64_t neighbors_hash = 0;  // of the neighbors that it knows
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(PullRequest, node, source, configuration, known, wait_ms,
-                                                demand)
+                                                demand, address, neighbors_hash)
+
+// Sidecars whose windows lie closest to the caller's: they send to the same servers.
+struct Neighbors {
+  std::uint64_t hash = 0;
+  std::vector<std::string> addresses;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Neighbors, hash, addresses)
 
 struct PullReply {
   std::string source;
@@ -94,9 +111,29 @@
   std::vector<ControlNode> controls;
   int number = 0;  // of the caller among the sidecars
   int sidecars = 1;
+  Neighbors neighbors;  // without addresses if the caller's hash is the same
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PullReply, source, whole, configuration, document, changed, known,
-                                   controls, number, sidecars)
+
+inline void to_json(nlohmann::json& out, const PullReply& reply) {
+  out = {{"source", reply.source},      {"whole", reply.whole},     {"configuration", reply.configuration},
+         {"document", reply.document},  {"changed", reply.changed}, {"known", reply.known},
+         {"controls", reply.controls},  {"number", reply.number},   {"sidecars", reply.sidecars},
+         {"neighbors", reply.neighbors}};
+}
+
+inline void from_json(const nlohmann::json& in, PullReply& reply) {
+  in.at("source").get_to(reply.source);
+  in.at("whole").get_to(reply.whole);
+  in.at("configuration").get_to(reply.configuration);
+  in.at("document").get_to(reply.document);
+  in.at("changed").get_to(reply.changed);
+  in.at("known").get_to(reply.known);
+  in.at("controls").get_to(reply.controls);
+  in.at("number").get_to(reply.number);
+  in.at("sidecars").get_to(reply.sidecars);
+  // Control processes of the version before do not send it.
+  reply.neighbors = in.value("neighbors", Neighbors());
+}
 
 }  // namespace violetwing
 
--- a/tests/node/system_test.cpp
+++ b/tests/node/system_test.cpp
@@ -194,6 +194,15 @@
 
 }  // namespace
 
+TEST_CASE("Each sidecar is told of the others that are to hear of its load") {
+  Play play;
+  play.Configure(3, 0);
+  play.Await("the other sidecar's address", [&] {
+    return play.system.sidecar(0).view->neighbors() == std::vector<std::string>{"edge-1:1"} &&
+           play.system.sidecar(1).view->neighbors() == std::vector<std::string>{"edge-0:1"};
+  });
+}
+
 TEST_CASE("Cores: a change, servers and a drain reach all sidecars") {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     INFO("seed " << seed);
--- a/tests/node/virtual_system.hpp
+++ b/tests/node/virtual_system.hpp
@@ -70,7 +70,7 @@
     sidecars_.resize(sidecars);
     for (std::size_t i = 0; i < sidecars; ++i) {
       const std::string name = "edge-" + std::to_string(i);
-      sidecars_[i].view = std::make_unique<SystemView>(name);
+      sidecars_[i].view = std::make_unique<SystemView>(name, name + ":1");
       sidecars_[i].choice = std::make_unique<ControlChoice>("zone", name);
       std::vector<std::string> seeds;
       for (const Control& control : controls_) seeds.push_back(control.address);
