--- a/src/dataplane/forwarder.cpp
+++ b/src/dataplane/forwarder.cpp
@@ -32,6 +32,8 @@
 constexpr double kRetryAfterSpreadS = 0.2;
 // A token that is put out takes as long as so many that are read.
 constexpr double kReadPerPutOut = 10;
+// Shorter prompts tell little of how fast a server reads.
+constexpr double kLeastReadTokens = 2000;
 
 ServerLoad ParseLoad(const std::string& text) {
   ServerLoad load;
@@ -113,11 +115,25 @@
   }
 }
 
-void Forwarder::CountDemand(bool waiting) {
-  if (wish_.model.empty() || plane_.link == nullptr) return;
+ModelDemand Forwarder::DemandOfModel() const {
   ModelDemand demand;
   demand.backend = backend_->name;
   demand.model = wish_.adapter.empty() ? wish_.model : wish_.model + "/" + wish_.adapter;
+  return demand;
+}
+
+// How fast the server reads this model's prompts, for the placer.
+void Forwarder::CountRead() {
+  if (!wish_.alone || wish_.unread_tokens < kLeastReadTokens || plane_.link == nullptr) return;
+  ModelDemand demand = DemandOfModel();
+  demand.read_ms = static_cast<double>(duration_cast<microseconds>(Clock::now() - sent_at_).count()) / 1000;
+  demand.read_tokens = wish_.unread_tokens;
+  plane_.link->CountDemand(demand, /*urgent=*/false);
+}
+
+void Forwarder::CountDemand(bool waiting) {
+  if (wish_.model.empty() || plane_.link == nullptr) return;
+  ModelDemand demand = DemandOfModel();
   if (!std::exchange(demanded_, true)) {
     demand.requests = 1;
     demand.tokens = tokens_;
@@ -216,6 +232,7 @@
     plane_.chooser.OnLoad(server_, ParseLoad(*load), now);
   if (!std::exchange(answered_, true)) plane_.chooser.OnFirstByte(server_, wish_, now);
   first_byte_at_ = Clock::now();
+  if (head.status == 200) CountRead();
   const bool not_run = FindField(head.fields, field::kNotExecuted) != nullptr || head.status == 421;
   if (not_run && Promises(head.status)) {
     refused_ = true;  // decided once its answer is read, so that its connection can serve again
--- a/src/dataplane/forwarder.hpp
+++ b/src/dataplane/forwarder.hpp
@@ -74,6 +74,8 @@
   bool Repeatable() const { return route_->Repeatable(); }
   std::int64_t LeftMs() const;
   void CountDemand(bool waiting);
+  void CountRead();
+  ModelDemand DemandOfModel() const;
 
   DataPlane& plane_;
   ClientPtr client_;
--- a/src/messages/instances.hpp
+++ b/src/messages/instances.hpp
@@ -63,8 +63,12 @@
   double requests = 0;
   double tokens = 0;  // read and put out, in tokens read
   int waiting = 0;    // requests held until a server has it
+  // Prompts that a server read with no other one beside them: how long that took, and what was read.
+  double read_ms = 0;
+  double read_tokens = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ModelDemand, backend, model, requests, tokens, waiting)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ModelDemand, backend, model, requests, tokens, waiting,
+                                                read_ms, read_tokens)
 
 }  // namespace violetwing
 
