Hold requests while their client still waits, and give orders on time

Cause: a request of a short deadline for a model held nowhere was refused after 2.25 s, 0.1 to 0.2 s before the load ended, and its client's retry waited as long again; others were held past the 3.2 s after which clients give a stream up. Orders went out with the tick, up to 50 ms late each, and the first look at an unload came 10 ms before its end. Where prompts were never read by themselves no speed was known, and a kind that was not known counted as the mean. Change: holds end 0.3 s before the client's patience does, by the route's aims; orders go out when they are due; a prompt's time counts with all tokens read before it; a kind that nothing is known of counts as slow.

--- a/src/control/core.cpp
+++ b/src/control/core.cpp
@@ -290,6 +290,12 @@
   peers_.SpreadNews(now_);
 }
 
+void ControlCore::OrdersDue(Micros now) {
+  now_ = now;
+  TickPlacer();
+  Flush();
+}
+
 void ControlCore::OrderAnswered(const PlacementCall& order, int status, Micros now) {
   now_ = now;
   placer_.OnOrderAnswered(order, status, now);
--- a/src/control/core.hpp
+++ b/src/control/core.hpp
@@ -71,6 +71,9 @@
   ExchangeReply Exchange(const ExchangeRequest& request, Micros now);
   void Exchanged(const std::string& address, const std::optional<ExchangeReply>& reply, Micros now);
 
+  // When the next order is due, for a call of OrdersDue then; empty if none is.
+  std::optional<Micros> NextOrderAt() const { return placer_.NextDueAt(); }
+  void OrdersDue(Micros now);
   // The ends of calls to servers: an HTTP status, 0 without an answer.
   void OrderAnswered(const PlacementCall& order, int status, Micros now);
   void Reported(const std::string& instance, const std::optional<ServerReport>& report, Micros now);
--- a/src/control/placement/demand.hpp
+++ b/src/control/placement/demand.hpp
@@ -21,7 +21,7 @@
     double tokens = 0;      // a second, lately
     Micros asked_at = 0;    // last, 0 for never
     Micros waiting_at = 0;  // when a request was last told to wait for it
-    // How fast its servers read prompts: time and tokens of some prompts that were read by themselves.
+    // How fast its servers read prompts: time and tokens of some of them.
     double read_ms = 0;
     double read_tokens = 0;
   };
--- a/src/control/placement/order_book.cpp
+++ b/src/control/placement/order_book.cpp
@@ -17,8 +17,8 @@
 constexpr OrderBook::Micros kAfterLoad = 10'000;
 // An unload waits for the model's runs to end: it is asked after at first so soon, then after twice that and
 // so on.
-constexpr OrderBook::Micros kUnloadFirst = 40'000;
-constexpr int kUnloadDoublings = 4;
+constexpr OrderBook::Micros kUnloadFirst = 60'000;
+constexpr int kUnloadDoublings = 3;
 // A server whose state is not certain is asked for its report; what it tells there is some hundred ms old.
 constexpr OrderBook::Micros kAskReportAgain = 250'000;
 constexpr OrderBook::Micros kSilentReportAgain = 1'000'000;
@@ -132,6 +132,18 @@
   return calls;
 }
 
+std::optional<OrderBook::Micros> OrderBook::NextDueAt() const {
+  std::optional<Micros> next;
+  const auto take = [&](Micros at) {
+    if (at > 0 && (!next || at < *next)) next = at;
+  };
+  for (const auto& [id, server] : servers_) {
+    if (server.work) take(server.work->send_at);
+    if (!server.work && !server.revision) take(server.ask_at);
+  }
+  return next;
+}
+
 void OrderBook::Start(Server& server, PlacementCall order, Micros send_at, Micros now) {
   Work work;
   work.order = std::move(order);
--- a/src/control/placement/order_book.hpp
+++ b/src/control/placement/order_book.hpp
@@ -89,6 +89,8 @@
   // Tells the table what the servers hold.
   void Publish(InstanceTable& table) const;
   std::vector<PlacementCall> DueCalls(Micros now);
+  // When the next call is due; empty if none is.
+  std::optional<Micros> NextDueAt() const;
 
   void StartLoad(const std::string& instance, const Load& load, Micros now);
   // Nothing more is sent there for what is about to go.
--- a/src/control/placement/placer.hpp
+++ b/src/control/placement/placer.hpp
@@ -33,6 +33,8 @@
   // Calls to make now. Sets in `table` what the servers hold.
   std::vector<PlacementCall> Plan(const configuration::Configuration& configuration, InstanceTable& table,
                                   Micros now);
+  // When the next call is due; empty if none is.
+  std::optional<Micros> NextDueAt() const { return orders_.NextDueAt(); }
   // The answer to an order: an HTTP status, 0 without one.
   void OnAnswer(const PlacementCall& order, int status, Micros now);
   // Empty if there was no answer.
--- a/src/control/placement/placer_role.hpp
+++ b/src/control/placement/placer_role.hpp
@@ -31,6 +31,8 @@
   // Gives the orders that are due, if this process may.
   void Tick(const consensus::Replica& replica, const configuration::State& configuration,
             InstanceTable& table, Micros now);
+  // When the next order is due; empty if none is, or if this process does not give them.
+  std::optional<Micros> NextDueAt() const { return acting_ ? placer_.NextDueAt() : std::nullopt; }
   void OnOrderAnswered(const PlacementCall& order, int status, Micros now) {
     placer_.OnAnswer(order, status, now);
   }
--- a/src/control/placement/service_view.cpp
+++ b/src/control/placement/service_view.cpp
@@ -22,8 +22,9 @@
 constexpr double kRunS = 1.5;
 // Requests a second below which a further copy of a model would stand idle.
 constexpr double kRequestsPerCopy = 0.5;
-// Time that a token takes to be read while nothing is known of any model, in ms.
-constexpr double kUnknownReadMs = 0.02;
+// Time that a token takes to be read by a model of whose kind nothing is known, in ms: that of a slow one, as
+// a copy too many costs less than a queue of seconds before one too few.
+constexpr double kUnknownReadMs = 0.026;
 // Tokens that must have been read for a model's own speed to be known.
 constexpr double kEnoughRead = 5000;
 // Work of a server in the mean counts as no less, in ms a second.
@@ -63,12 +64,11 @@
     double MsPerToken() const { return ms / tokens; }
   };
   std::map<double, Read> by_weights;
-  Read all;
-  for (const Model& model : models_)
-    for (Read* read : {&by_weights[model.spec->weights_mb], &all}) {
-      read->ms += model.demand.read_ms;
-      read->tokens += model.demand.read_tokens;
-    }
+  for (const Model& model : models_) {
+    Read& alike = by_weights[model.spec->weights_mb];
+    alike.ms += model.demand.read_ms;
+    alike.tokens += model.demand.read_tokens;
+  }
   for (Model& model : models_) {
     const Read own{model.demand.read_ms, model.demand.read_tokens};
     const Read& alike = by_weights[model.spec->weights_mb];
@@ -77,8 +77,6 @@
       ms_per_token = own.MsPerToken();
     else if (alike.Enough())
       ms_per_token = alike.MsPerToken();
-    else if (all.Enough())
-      ms_per_token = all.MsPerToken();
     model.work = model.demand.tokens * ms_per_token;
   }
 }
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -77,6 +77,7 @@
 
 ControlService::~ControlService() {
   if (tick_ != nullptr) event_free(tick_);
+  if (orders_due_ != nullptr) event_free(orders_due_);
   if (written_event_ != nullptr) event_free(written_event_);
 }
 
@@ -90,6 +91,14 @@
       base_, -1, EV_PERSIST,
       [](evutil_socket_t, short, void* service) { static_cast<ControlService*>(service)->Tick(); }, this);
   event_add(tick_, &kTickEvery);
+  orders_due_ = event_new(
+      base_, -1, 0,
+      [](evutil_socket_t, short, void* at) {
+        auto* service = static_cast<ControlService*>(at);
+        service->core_->OrdersDue(SteadyMicros());
+        service->AwaitOrders();
+      },
+      this);
   spdlog::info("control process {} of disk {} takes calls at {}", settings_.node_name, store_.disk(),
                settings_.control_plane);
   return {};
@@ -156,6 +165,16 @@
 void ControlService::Tick() {
   core_->Tick(SteadyMicros());
   client_.CloseIdle(kCloseUnused);
+  AwaitOrders();
+}
+
+void ControlService::AwaitOrders() {
+  const auto due = core_->NextOrderAt();
+  if (!due) return;
+  const std::int64_t wait = std::max<std::int64_t>(*due - SteadyMicros(), 0);
+  if (wait >= kTickEvery.tv_usec) return;
+  const timeval after{0, static_cast<suseconds_t>(wait)};
+  event_add(orders_due_, &after);
 }
 
 void ControlService::OnWritten() {
@@ -187,6 +206,7 @@
                  spdlog::debug("order to {}: {} {}/{}: {}", order.instance, load ? "load" : "unload",
                                order.model, order.adapter, status);
                  core_->OrderAnswered(order, status, SteadyMicros());
+                 AwaitOrders();
                },
                {{kExpectedInstance, order.instance}});
 }
--- a/src/control/service.hpp
+++ b/src/control/service.hpp
@@ -37,6 +37,8 @@
   ControlCore::Outputs CoreOutputs();
 
   void Tick();
+  // Orders that are due before the next tick go out on time: servers wait for them, and requests for servers.
+  void AwaitOrders();
   void OnWritten();
   void Exchange(const std::string& address, const ExchangeRequest& request);
   void SendOrder(const PlacementCall& order, consensus::Term fencing_token);
@@ -51,6 +53,7 @@
   http::Client client_;
   std::unique_ptr<ControlCore> core_;  // once the disk has been read
   event* tick_ = nullptr;
+  event* orders_due_ = nullptr;
   event* written_event_ = nullptr;
   int written_pipe_[2] = {-1, -1};
   bool stopping_ = false;
--- a/src/dataplane/chooser.cpp
+++ b/src/dataplane/chooser.cpp
@@ -145,7 +145,7 @@
   if (wish.parts == nullptr) return;
   const std::string weights = WeightsKey(wish);
   wish.unread_tokens = std::max(0.0, wish.tokens - server.cache.CachedTokens(weights, *wish.parts));
-  wish.alone = server.unread_tokens + shared_.At(id, now).unread_tokens <= 0;
+  wish.unread_before = server.unread_tokens + shared_.At(id, now).unread_tokens;
   server.unread_tokens += wish.unread_tokens;
   server.cache.Insert(weights, *wish.parts, kCacheTokens);
   if (on_news_ && prompts_.size() < kMostPrompts) prompts_.push_back({id, weights, ToText(*wish.parts)});
--- a/src/dataplane/chooser.hpp
+++ b/src/dataplane/chooser.hpp
@@ -53,7 +53,7 @@
     double tokens = 0;               // of the whole prompt
     std::vector<std::string> tried;  // ids that this request has been sent to
     double unread_tokens = 0;        // set as it is sent: of the prompt, what that server has to read
-    bool alone = false;              // likewise: no other prompt is known to be read there
+    double unread_before = 0;        // likewise: of other prompts, what that server was known to read first
   };
 
   // Null if no server of `candidates` may take it now. They are sorted by id.
--- a/src/dataplane/forwarder.cpp
+++ b/src/dataplane/forwarder.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <limits>
 #include <utility>
 
 #include "common/steady_time.hpp"
@@ -23,8 +24,12 @@
 constexpr std::size_t kMostUnsent = 262'144;
 // Requests that wait for a model, beyond the time that its load takes.
 constexpr double kHoldSlackMs = 900;
-// The share of a request's time for which it is held without a server.
-constexpr double kHoldShare = 0.45;
+// Of a request's time, what is kept for its answer when it is held without a server.
+constexpr double kAnswerMs = 300;
+// Clients give a stream up after the longest of these without an event.
+constexpr double kLeastPatienceMs = 2000;
+constexpr double kPatienceAims = 4;
+constexpr double kPatienceGaps = 8;
 // Servers that are tried one after the other when none of them takes a connection.
 constexpr int kMostUnreachable = 3;
 // Until a sidecar that has just started, or a control plane that has, knows of the system again.
@@ -41,6 +46,14 @@
   return load;
 }
 
+// How long a client waits for the first event of a stream, as the platform's clients do; for other requests
+// until their deadline.
+double PatienceMs(const configuration::Route& route) {
+  if (route.type != configuration::RouteType::kStreaming) return std::numeric_limits<double>::infinity();
+  return std::max(
+      {kLeastPatienceMs, kPatienceAims * route.target_latency_ms, kPatienceGaps * route.gap_aim_ms});
+}
+
 bool Promises(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
 
 }  // namespace
@@ -124,10 +137,10 @@
 
 // How fast the server reads this model's prompts, for the placer.
 void Forwarder::CountRead() {
-  if (!wish_.alone || wish_.unread_tokens < kLeastReadTokens || plane_.link == nullptr) return;
+  if (wish_.unread_tokens < kLeastReadTokens || plane_.link == nullptr) return;
   ModelDemand demand = DemandOfModel();
   demand.read_ms = static_cast<double>(duration_cast<microseconds>(Clock::now() - sent_at_).count()) / 1000;
-  demand.read_tokens = wish_.unread_tokens;
+  demand.read_tokens = wish_.unread_before + wish_.unread_tokens;
   plane_.link->CountDemand(demand, /*urgent=*/false);
 }
 
@@ -171,8 +184,8 @@
     if (model.name == wish_.model) load_ms = model.load_time_s * 1000;
   if (load_ms < 0) return Refuse("no such model");
   CountDemand(true);
-  const double left = static_cast<double>(LeftMs());
-  const double hold = std::min(load_ms * 1.5 + kHoldSlackMs, left * kHoldShare);
+  const double left = std::min(static_cast<double>(LeftMs()), PatienceMs(*route_));
+  const double hold = std::min(load_ms * 1.5 + kHoldSlackMs, left - kAnswerMs);
   if (wish_.adapter.empty() && hold < load_ms)
     return Refuse("no server has the model, and its load takes too long");
   plane_.waiting.insert(shared_from_this());
--- a/src/messages/instances.hpp
+++ b/src/messages/instances.hpp
@@ -63,7 +63,8 @@
   double requests = 0;
   double tokens = 0;  // read and put out, in tokens read
   int waiting = 0;    // requests held until a server has it
-  // Prompts that a server read with no other one beside them: how long that took, and what was read.
+  // Of some prompts: the time from their sending to the first byte, and the tokens that were read in it,
+  // those of other prompts at the server included.
   double read_ms = 0;
   double read_tokens = 0;
 };
