--- a/tests/node/dataplane_test.cpp
+++ b/tests/node/dataplane_test.cpp
@@ -27,6 +27,14 @@
    "backend": "s", "max_attempts": 1}],
   "backends": [{"name": "s", "health_check": "/healthz", "max_connections": 100}]})";
 
+// A model that takes 1.5 s to load, and clients who wait 2 s for the first event of a stream.
+constexpr const char* kModelConfiguration = R"({"version": 1, "routes": [
+  {"name": "stream", "hostname": "a.example", "path_prefix": "/stream/", "type": "streaming", "timeout_ms": 3000,
+   "target_latency_ms": 400, "gap_aim_ms": 200, "backend": "llm", "max_attempts": 1}],
+  "backends": [{"name": "llm", "health_check": "/healthz", "max_connections": 100, "runtime": {"capacity": 8,
+   "models": [{"name": "m", "weights_mb": 10, "load_time_s": 1.5}, {"name": "slow", "weights_mb": 10, "load_time_s": 1.8}],
+   "weights_mb": 100, "loads_per_s": 1}}]})";
+
 const std::string kNotRun = "X-Violetwing-Not-Executed: 1\r\n";
 const std::string kSigned = "X-Violetwing-Response-Signature: sig\r\nX-Violetwing-Request-Id: r1\r\n";
 
@@ -83,6 +91,20 @@
     client->Write(text);
     return client;
   }
+  // The directory with a service of models whose one server holds `models`.
+  void KnowModels(const ScriptedServer& server, const std::vector<HeldModel>& models) {
+    Instance instance;
+    instance.id = "i-0";
+    instance.backend = "llm";
+    instance.address = "127.0.0.1:" + std::to_string(server.address.port());
+    instance.capacity = 8;
+    instance.models = models;
+    plane.directory =
+        std::make_shared<const Directory>(configuration::Read(kModelConfiguration).configuration,
+                                          std::map<std::string, Instance>{{instance.id, instance}}, 0, 1);
+    const auto waiting = plane.waiting;
+    for (const auto& forwarder : waiting) forwarder->OnDirectory();
+  }
   bool Until(const std::function<bool()>& done) { return RunUntil(io, done); }
 
   boost::asio::io_context io;
@@ -356,4 +378,24 @@
   CHECK(client->received.find("bytes") < client->received.find("404"));
 }
 
+TEST_CASE("A request is held for a model that comes while its client still waits, else refused at once") {
+  Sidecar sidecar;
+  ScriptedServer server(sidecar.io, Always(Reply("200 OK", "bytes", kSigned)));
+  sidecar.KnowModels(server, {});
+  const auto ask = [&](const std::string& model) {
+    return sidecar.Ask(
+        "POST /stream/a HTTP/1.1\r\nHost: a.example\r\nX-Violetwing-Request-Id: r1\r\n"
+        "X-Violetwing-Deadline-Ms: 3000\r\nContent-Length: 0\r\nX-Violetwing-Model: " +
+        model + "\r\n\r\n");
+  };
+  const auto held = ask("m");
+  REQUIRE(sidecar.Until([&] { return !sidecar.plane.waiting.empty(); }));
+  const auto refused = ask("slow");
+  REQUIRE(sidecar.Until([&] { return Has(refused, "503"); }));
+  CHECK(Has(refused, "Retry-After"));
+  CHECK(held->received.empty());
+  sidecar.KnowModels(server, {{"m", 1, {}}});
+  REQUIRE(sidecar.Until([&] { return Has(held, "bytes"); }));
+}
+
 }  // namespace violetwing
