Say in a request's log line what its server had to read

Need: how long a prompt waits for others, and what a running request costs, were not to be seen. Change: the line of level debug tells the tokens unread before it and its own.

--- a/src/dataplane/forwarder.cpp
+++ b/src/dataplane/forwarder.cpp
@@ -388,9 +388,12 @@
   const auto since = [&](Clock::time_point at) {
     return at == Clock::time_point() ? -1 : duration_cast<milliseconds>(at - request_.arrived).count();
   };
-  spdlog::debug("request {} route {} model {}/{} server {} attempts {} sent {} first_byte {} end {}: {}",
-                request_id_, route_ == nullptr ? "-" : route_->name, wish_.model, wish_.adapter, server_,
-                attempts_, since(sent_at_), since(first_byte_at_), since(Clock::now()), outcome_);
+  spdlog::debug(
+      "request {} route {} model {}/{} server {} attempts {} sent {} first_byte {} end {}: {}; unread {:.0f} "
+      "before, {:.0f} own",
+      request_id_, route_ == nullptr ? "-" : route_->name, wish_.model, wish_.adapter, server_, attempts_,
+      since(sent_at_), since(first_byte_at_), since(Clock::now()), outcome_, wish_.unread_before,
+      wish_.unread_tokens);
 }
 
 void Forwarder::End() {
