Choose among servers by the time until they would have read the prompt

Cause: a request that runs counted as 2,000 tokens to read, but first bytes do not wait for what runs (0.034 ms a token beside 0 and beside 25 requests), and a fast model's tokens counted as a slow one's. Reports at each first byte cost as many datagrams as those of prompts. Change: each sidecar keeps a backlog in ms for each server, of its prompts and those it is told of, which drains by time and is set right by first bytes; models' speeds are learnt from prompts that waited for little else; only sent prompts are told. The cost of a request that runs is 8 ms. SharedLoad is gone.

--- a/src/control/placement/service_view.cpp
+++ b/src/control/placement/service_view.cpp
@@ -22,9 +22,6 @@
 constexpr double kRunS = 1.5;
 // Requests a second below which a further copy of a model would stand idle.
 constexpr double kRequestsPerCopy = 0.5;
-// Time that a token takes to be read by a model of whose kind nothing is known, in ms: that of a slow one, as
-// a copy too many costs less than a queue of seconds before one too few.
-constexpr double kUnknownReadMs = 0.026;
 // Tokens that must have been read for a model's own speed to be known.
 constexpr double kEnoughRead = 5000;
 // Work of a server in the mean counts as no less, in ms a second.
--- a/src/dataplane/chooser.cpp
+++ b/src/dataplane/chooser.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace violetwing {
 namespace {
@@ -22,19 +23,31 @@
 constexpr double kLoadHalfLife = 300'000;
 // A server that has answered nothing for so long is the last to be taken.
 constexpr Chooser::Micros kSilentFor = 700'000;
-// Tokens of a prompt that weigh as much as one request that runs: reading them holds up all that run beside
-// them.
-constexpr double kTokensPerRequest = 2000;
+// What a request that runs adds to the time in which a prompt is read, and one that waits for a place, in ms.
+constexpr double kRunningMs = 8;
+constexpr double kWaitingMs = 60;
+// What a server that is full, and one that is silent, count as, in ms.
+constexpr double kFullMs = 3000;
+constexpr double kSilentMs = 30000;
+// Shorter prompts tell little of how fast a server reads, nor do those that waited longer than they were
+// read.
+constexpr double kLeastSampleTokens = 2000;
+constexpr double kSampleFades = 0.9;
+// One that is so much faster than the model is known to be had parts of its prompt kept by the server
+// already.
+constexpr double kPlausibleShare = 0.15;
 // Servers that keep one prompt's shared parts, and the share of these that is expected there.
 constexpr std::size_t kHomes = 2;
-constexpr double kHomeShare = 0.7;
+constexpr double kHomeShare = 0.3;
 // The share of a server's memory that this sidecar's guess of its cache may fill.
 constexpr double kCacheTokens = 150'000;
-// Prompts with so many tokens to read hold up a server for long enough that other sidecars should know at
-// once.
-constexpr double kHeavyTokens = 1000;
+// Prompts that take so long to be read hold up a server enough that other sidecars should know at once, in
+// ms.
+constexpr double kHeavyMs = 30;
 // Prompts that one report tells of at most; what is left out is merely not known elsewhere.
 constexpr std::size_t kMostPrompts = 16;
+// No prompt takes longer to be read; what tells of one is not believed.
+constexpr double kMostReadMs = 60'000;
 
 std::string WeightsKey(const Chooser::Wish& wish) {
   return wish.adapter.empty() ? wish.model : wish.model + "/" + wish.adapter;
@@ -69,23 +82,38 @@
   return homes;
 }
 
+double Chooser::MsPerToken(const std::string& model) const {
+  const auto it = speeds_.find(model);
+  return it == speeds_.end() ? kUnknownReadMs : it->second.ms / it->second.tokens;
+}
+
+double Chooser::Faded(const Server& server, int told, Micros now) {
+  if (server.load_at == 0 || told <= 0) return 0;
+  return told * std::exp2(-static_cast<double>(now - server.load_at) / kLoadHalfLife);
+}
+
+double Chooser::ReadCost(const Server& server, const Instance& instance, const Wish& wish, bool home,
+                         Micros now) const {
+  const double told = Faded(server, server.load.running - server.in_flight, now);
+  double cached = server.cache.CachedTokens(WeightsKey(wish), *wish.parts);
+  if (home) cached = std::max(cached, kHomeShare * (wish.tokens - wish.parts->back().tokens));
+  double cost = backlog_.WaitMs(instance.id, now) + (wish.tokens - cached) * MsPerToken(wish.model);
+  cost += kRunningMs * (server.in_flight + told);
+  cost += kWaitingMs * Faded(server, server.load.waiting, now);
+  if (now < server.full_until) cost += kFullMs;
+  if (server.silent_since > 0 && now - server.silent_since > kSilentFor) cost += kSilentMs;
+  return cost;
+}
+
 double Chooser::Cost(const Server& server, const Instance& instance, const Wish& wish, bool home,
                      Micros now) const {
-  const double age = static_cast<double>(now - server.load_at);
-  const double told = server.load_at == 0
-                          ? 0
-                          : std::max(0, server.load.running + 2 * server.load.waiting - server.in_flight) *
-                                std::exp2(-age / kLoadHalfLife);
-  const SharedLoad::Sum others = shared_.At(instance.id, now);
-  double cost = server.in_flight + std::max(told, static_cast<double>(others.in_flight));
+  if (wish.parts != nullptr && !wish.parts->empty()) return ReadCost(server, instance, wish, home, now);
+  const int others = server.load.running + 2 * server.load.waiting - server.in_flight;
+  double cost = server.in_flight + Faded(server, others, now);
   cost *= 8.0 / std::max(1, std::min(instance.capacity, 8));  // a place of a small server weighs more
   if (now < server.full_until) cost += 100;
   if (server.silent_since > 0 && now - server.silent_since > kSilentFor) cost += 1000;
-  if (wish.parts == nullptr || wish.tokens <= 0) return cost;
-  double cached = server.cache.CachedTokens(WeightsKey(wish), *wish.parts);
-  if (home) cached = std::max(cached, kHomeShare * (wish.tokens - wish.parts->back().tokens));
-  const double unread = server.unread_tokens + others.unread_tokens + wish.tokens - cached;
-  return cost + unread / kTokensPerRequest;
+  return cost;
 }
 
 const Instance* Chooser::Choose(const std::vector<const Instance*>& candidates, const Directory& directory,
@@ -142,14 +170,17 @@
   Server& server = servers_[id];
   ++server.in_flight;
   if (server.silent++ == 0) server.silent_since = now;
+  wish.sent_at = now;
   if (wish.parts == nullptr) return;
   const std::string weights = WeightsKey(wish);
   wish.unread_tokens = std::max(0.0, wish.tokens - server.cache.CachedTokens(weights, *wish.parts));
-  wish.unread_before = server.unread_tokens + shared_.At(id, now).unread_tokens;
-  server.unread_tokens += wish.unread_tokens;
+  wish.unread_ms = wish.unread_tokens * MsPerToken(wish.model);
+  wish.before_ms = backlog_.WaitMs(id, now);
+  backlog_.OnSent(id, wish.unread_ms, now);
   server.cache.Insert(weights, *wish.parts, kCacheTokens);
-  if (on_news_ && prompts_.size() < kMostPrompts) prompts_.push_back({id, weights, ToText(*wish.parts)});
-  Report(id, wish);
+  if (!on_news_ || prompts_.size() >= kMostPrompts) return;
+  prompts_.push_back({id, weights, ToText(*wish.parts), std::round(wish.unread_ms)});
+  on_news_(wish.unread_ms >= kHeavyMs);
 }
 
 void Chooser::OnLoad(const std::string& id, const ServerLoad& load, Micros now) {
@@ -158,21 +189,28 @@
   server.load_at = now;
 }
 
-void Chooser::OnFirstByte(const std::string& id, const Wish& wish, Micros now) {
+std::optional<Chooser::ReadSample> Chooser::OnFirstByte(const std::string& id, const Wish& wish, bool runs,
+                                                        Micros now) {
   Server& server = servers_[id];
-  server.unread_tokens = std::max(0.0, server.unread_tokens - wish.unread_tokens);
   server.silent = std::max(0, server.silent - 1);
   server.silent_since = server.silent > 0 ? now : 0;
-  if (wish.parts != nullptr) Report(id, wish);
+  if (wish.parts == nullptr || !runs) return std::nullopt;
+  backlog_.OnRead(id, wish.sent_at, now);
+  const double waited_ms = static_cast<double>(now - wish.sent_at) / 1000;
+  if (wish.unread_tokens < kLeastSampleTokens || waited_ms < 2 * wish.before_ms) return std::nullopt;
+  const ReadSample sample{waited_ms - wish.before_ms, wish.unread_tokens};
+  if (sample.ms < kPlausibleShare * MsPerToken(wish.model) * sample.tokens) return std::nullopt;
+  ReadSpeed& speed = speeds_[wish.model];
+  speed.ms = speed.ms * kSampleFades + sample.ms;
+  speed.tokens = speed.tokens * kSampleFades + sample.tokens;
+  return sample;
 }
 
 void Chooser::OnEnd(const std::string& id, AttemptResult result, const Wish& wish, bool answered,
                     Micros now) {
   Server& server = servers_[id];
   if (!answered && server.silent > 0 && --server.silent == 0) server.silent_since = 0;
-  if (!answered) server.unread_tokens = std::max(0.0, server.unread_tokens - wish.unread_tokens);
   server.in_flight = std::max(0, server.in_flight - 1);
-  if (wish.parts != nullptr) Report(id, wish);
   switch (result) {
     case AttemptResult::kServed:
       server.failures = 0;
@@ -202,32 +240,22 @@
 
 // ---- What sidecars tell each other ----
 
-void Chooser::Report(const std::string& id, const Wish& wish) {
-  if (!on_news_) return;
-  changed_.insert(id);
-  on_news_(wish.unread_tokens >= kHeavyTokens);
-}
-
 LoadReport Chooser::TakeReport() {
   LoadReport report;
-  for (const std::string& id : changed_) {
-    const auto it = servers_.find(id);
-    if (it != servers_.end()) report.work.push_back({id, it->second.in_flight, it->second.unread_tokens});
-  }
-  report.prompts = std::move(prompts_);
-  prompts_.clear();
-  changed_.clear();
+  report.prompts = std::exchange(prompts_, {});
   return report;
 }
 
 void Chooser::OnReport(const LoadReport& report, Micros now) {
-  if (!shared_.Take(report, now)) return;
-  for (const SentPrompt& prompt : report.prompts)
+  for (const SentPrompt& prompt : report.prompts) {
+    if (!(prompt.read_ms >= 0 && prompt.read_ms <= kMostReadMs)) continue;
+    backlog_.OnSent(prompt.server, prompt.read_ms, now);
     servers_[prompt.server].cache.Insert(prompt.weights, ParsePromptParts(prompt.parts), kCacheTokens);
+  }
 }
 
 void Chooser::Keep(const Directory& directory, Micros now) {
-  shared_.Expire(now);
+  backlog_.Expire(now);
   std::erase_if(servers_, [&](const auto& entry) {
     return entry.second.in_flight == 0 && directory.Find(entry.first) == nullptr;
   });
--- a/src/dataplane/chooser.hpp
+++ b/src/dataplane/chooser.hpp
@@ -1,23 +1,24 @@
 // Which server a request goes to. The servers that may take it stand on a ring in the order of their ids; a
 // sidecar uses a run of consecutive ones, its window, that begins at an offset set by its number. Of two
-// random servers of the window the less busy one is taken, by the requests that this sidecar has there, by
-// what other sidecars tell of theirs, and by what the server told last of its load. A server that holds the
-// first parts of the prompt counts as less busy by what that saves. A core: it holds no clock, socket, file
-// or thread.
+// random servers of the window the less busy one is taken, by the requests that this sidecar has there and by
+// what the server told last of its load. Where prompts are told, it is the time until the server would have
+// read this one, after those that this sidecar and others have sent there. A server that holds the first
+// parts of the prompt counts as less busy by what that saves. A core: it holds no clock, socket, file or
+// thread.
 #ifndef VIOLETWING_DATAPLANE_CHOOSER_HPP_
 #define VIOLETWING_DATAPLANE_CHOOSER_HPP_
 
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <set>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "common/random.hpp"
 #include "dataplane/directory.hpp"
 #include "dataplane/prefix_cache.hpp"
-#include "dataplane/shared_load.hpp"
+#include "dataplane/read_backlog.hpp"
 #include "messages/load.hpp"
 
 namespace violetwing {
@@ -52,8 +53,18 @@
     const std::vector<PromptPart>* parts = nullptr;
     double tokens = 0;               // of the whole prompt
     std::vector<std::string> tried;  // ids that this request has been sent to
-    double unread_tokens = 0;        // set as it is sent: of the prompt, what that server has to read
-    double unread_before = 0;        // likewise: of other prompts, what that server was known to read first
+    // Set as it is sent: of the prompt, what that server has to read, the time that should take, and that of
+    // the prompts that the server was known to read first.
+    double unread_tokens = 0;
+    double unread_ms = 0;
+    double before_ms = 0;
+    Micros sent_at = 0;
+  };
+
+  // Time that a server took to read a prompt, and what it read.
+  struct ReadSample {
+    double ms = 0;
+    double tokens = 0;
   };
 
   // Null if no server of `candidates` may take it now. They are sorted by id.
@@ -62,7 +73,9 @@
 
   void OnSent(const std::string& id, Wish& wish, Micros now);
   void OnLoad(const std::string& id, const ServerLoad& load, Micros now);
-  void OnFirstByte(const std::string& id, const Wish& wish, Micros now);
+  // `runs`: the server has begun to answer, and does not turn the request away. Returns how long the prompt
+  // took to be read, where that can be told.
+  std::optional<ReadSample> OnFirstByte(const std::string& id, const Wish& wish, bool runs, Micros now);
   // `answered`: a first byte has come.
   void OnEnd(const std::string& id, AttemptResult result, const Wish& wish, bool answered, Micros now);
   // Forgets servers that are no longer there.
@@ -71,7 +84,7 @@
   // `on_news` is called when there is something to report; `heavy`: others should know of it at once, as they
   // may be about to send to the same server.
   void SetOnNews(std::function<void(bool heavy)> on_news) { on_news_ = std::move(on_news); }
-  // What has changed here since the last report, without its sender.
+  // The prompts sent since the last report, without its sender.
   LoadReport TakeReport();
   // What another sidecar reports.
   void OnReport(const LoadReport& report, Micros now);
@@ -81,9 +94,9 @@
  private:
   struct Server {
     int in_flight = 0;
-    int silent = 0;            // of these, without a first byte yet
-    Micros silent_since = 0;   // since which all that was asked is without an answer; 0 if none is
-    double unread_tokens = 0;  // of prompts sent there that have no first byte yet
+    int silent = 0;           // of these, without a first byte yet
+    Micros silent_since = 0;  // since which all that was asked is without an answer; 0 if none is
+
     ServerLoad load;
     Micros load_at = 0;
     int failures = 0;  // in a row
@@ -93,19 +106,29 @@
     PrefixCache cache;
   };
 
+  // How fast a model's prompts are read, as sums that fade with each sample.
+  struct ReadSpeed {
+    double ms = 0;
+    double tokens = 0;
+  };
+
+  double MsPerToken(const std::string& model) const;
+  // How long a prompt waits at a server until it is read, in ms.
+  double ReadCost(const Server& server, const Instance& instance, const Wish& wish, bool home,
+                  Micros now) const;
+  // Of what the server told last of others' requests, what is left of it now.
+  static double Faded(const Server& server, int told, Micros now);
   bool Usable(const Server& server, const Wish& wish, Micros now) const;
   double Cost(const Server& server, const Instance& instance, const Wish& wish, bool home, Micros now) const;
   // The servers that all sidecars prefer for a prompt's shared parts, by a hash of both: its parts are read
   // there.
   static std::vector<const Instance*> Homes(const std::vector<const Instance*>& candidates, const Wish& wish);
 
-  void Report(const std::string& id, const Wish& wish);
-
   Random random_;
   std::map<std::string, Server> servers_;
-  SharedLoad shared_;
-  std::set<std::string> changed_;    // servers whose work here was not reported since it changed
-  std::vector<SentPrompt> prompts_;  // sent since the last report
+  ReadBacklog backlog_;
+  std::map<std::string, ReadSpeed> speeds_;  // by model
+  std::vector<SentPrompt> prompts_;          // sent since the last report
   std::function<void(bool heavy)> on_news_;
 };
 
--- a/src/dataplane/forwarder.cpp
+++ b/src/dataplane/forwarder.cpp
@@ -37,8 +37,6 @@
 constexpr double kRetryAfterSpreadS = 0.2;
 // A token that is put out takes as long as so many that are read.
 constexpr double kReadPerPutOut = 10;
-// Shorter prompts tell little of how fast a server reads.
-constexpr double kLeastReadTokens = 2000;
 
 ServerLoad ParseLoad(const std::string& text) {
   ServerLoad load;
@@ -136,11 +134,11 @@
 }
 
 // How fast the server reads this model's prompts, for the placer.
-void Forwarder::CountRead() {
-  if (wish_.unread_tokens < kLeastReadTokens || plane_.link == nullptr) return;
+void Forwarder::CountRead(const Chooser::ReadSample& sample) {
+  if (plane_.link == nullptr) return;
   ModelDemand demand = DemandOfModel();
-  demand.read_ms = static_cast<double>(duration_cast<microseconds>(Clock::now() - sent_at_).count()) / 1000;
-  demand.read_tokens = wish_.unread_before + wish_.unread_tokens;
+  demand.read_ms = sample.ms;
+  demand.read_tokens = sample.tokens;
   plane_.link->CountDemand(demand, /*urgent=*/false);
 }
 
@@ -243,9 +241,11 @@
   const Micros now = SteadyMicros();
   if (const std::string* load = FindField(head.fields, field::kServerLoad))
     plane_.chooser.OnLoad(server_, ParseLoad(*load), now);
-  if (!std::exchange(answered_, true)) plane_.chooser.OnFirstByte(server_, wish_, now);
+  if (!std::exchange(answered_, true)) {
+    const auto sample = plane_.chooser.OnFirstByte(server_, wish_, head.status == 200, now);
+    if (sample) CountRead(*sample);
+  }
   first_byte_at_ = Clock::now();
-  if (head.status == 200) CountRead();
   const bool not_run = FindField(head.fields, field::kNotExecuted) != nullptr || head.status == 421;
   if (not_run && Promises(head.status)) {
     refused_ = true;  // decided once its answer is read, so that its connection can serve again
@@ -389,11 +389,11 @@
     return at == Clock::time_point() ? -1 : duration_cast<milliseconds>(at - request_.arrived).count();
   };
   spdlog::debug(
-      "request {} route {} model {}/{} server {} attempts {} sent {} first_byte {} end {}: {}; unread {:.0f} "
-      "before, {:.0f} own",
+      "request {} route {} model {}/{} server {} attempts {} sent {} first_byte {} end {}: {}; to read "
+      "{:.0f} ms before, {:.0f} ms own",
       request_id_, route_ == nullptr ? "-" : route_->name, wish_.model, wish_.adapter, server_, attempts_,
-      since(sent_at_), since(first_byte_at_), since(Clock::now()), outcome_, wish_.unread_before,
-      wish_.unread_tokens);
+      since(sent_at_), since(first_byte_at_), since(Clock::now()), outcome_, wish_.before_ms,
+      wish_.unread_ms);
 }
 
 void Forwarder::End() {
--- a/src/dataplane/load_gossip.cpp
+++ b/src/dataplane/load_gossip.cpp
@@ -18,7 +18,7 @@
 // Reports of what others should know at once leave after so long, together with what else comes by then.
 constexpr milliseconds kSoon{2};
 // All others.
-constexpr milliseconds kLater{80};
+constexpr milliseconds kLater{400};
 
 }  // namespace
 
@@ -69,12 +69,11 @@
 void LoadGossip::Send() {
   send_pending_ = false;
   LoadReport report = chooser_.TakeReport();
-  if (report.Empty() || neighbors_.empty() || !socket_.is_open()) return;
+  if (report.prompts.empty() || neighbors_.empty() || !socket_.is_open()) return;
   report.node = node_;
-  report.sequence = ++sequence_;
   const std::string text = nlohmann::json(report).dump();
   if (text.size() > kMostBytes) return;
-  boost::system::error_code ignored;  // a report that is lost is replaced by the next one
+  boost::system::error_code ignored;  // a report that is lost is merely not known elsewhere
   for (const udp::endpoint& neighbor : neighbors_)
     socket_.send_to(boost::asio::buffer(text), neighbor, 0, ignored);
 }
--- a/src/dataplane/load_gossip.hpp
+++ b/src/dataplane/load_gossip.hpp
@@ -1,7 +1,7 @@
-// Tells the sidecars nearby of this one's requests at model servers, and takes their reports: without it each
-// sees only its own requests, and several send long prompts to the same idle server at once. One datagram a
-// report, unacknowledged. Sockets and timers only: what is told and what it means is in chooser.hpp and
-// shared_load.hpp.
+// Tells the sidecars nearby of the prompts that this one sends to model servers, and takes their reports:
+// without it each sees only its own requests, and several send long prompts to the same idle server at once.
+// One datagram a report, unacknowledged. Sockets and timers only: what is told and what it means is in
+// chooser.hpp and read_backlog.hpp.
 #ifndef VIOLETWING_DATAPLANE_LOAD_GOSSIP_HPP_
 #define VIOLETWING_DATAPLANE_LOAD_GOSSIP_HPP_
 
@@ -9,7 +9,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <cstdint>
 #include <string>
 #include <system_error>
 #include <vector>
@@ -43,7 +42,6 @@
   boost::asio::steady_timer send_soon_;
   bool send_pending_ = false;
   bool soon_ = false;  // the pending report is to leave at once
-  std::uint64_t sequence_ = 0;
   std::vector<boost::asio::ip::udp::endpoint> neighbors_;
   std::array<char, kMostBytes> buffer_{};
   boost::asio::ip::udp::endpoint sender_;
