Place copies by tokens again, and let each told prompt stand for those not told

Few samples moved what is wanted by several copies, and busy ones with requests in their queue were unloaded as surplus. Reports reach 24 of 90 sidecars, so a backlog was known by a quarter. Orders on time left sidecars 80 ms, 25 less than with the tick, to learn of an unload.

--- a/src/control/placement/demand.cpp
+++ b/src/control/placement/demand.cpp
@@ -10,8 +10,6 @@
 constexpr double kMemoryS = 1.5;
 // For models that are asked for once in some seconds.
 constexpr double kSteadyMemoryS = 15;
-// How fast a model's prompts are read does not change, but samples of a moment may be bad.
-constexpr double kReadMemoryS = 60;
 // A request that waits is told of every few hundred ms.
 constexpr Demand::Micros kWaitingFor = 1'000'000;
 
@@ -26,11 +24,8 @@
   entry.requests = entry.requests * decay + demand.requests;
   entry.steady = entry.steady * Decay(now - entry.counted_at, kSteadyMemoryS) + demand.requests;
   entry.tokens = entry.tokens * decay + demand.tokens;
-  const double read_decay = Decay(now - entry.counted_at, kReadMemoryS);
-  entry.read_ms = entry.read_ms * read_decay + demand.read_ms;
-  entry.read_tokens = entry.read_tokens * read_decay + demand.read_tokens;
   entry.counted_at = now;
-  if (demand.requests > 0 || demand.waiting > 0) entry.asked_at = now;
+  entry.asked_at = now;
 }
 
 void Demand::Count(const ModelDemand& demand, Micros now) {
@@ -52,8 +47,7 @@
   const Entry& entry = it->second;
   const double decay = Decay(now - entry.counted_at, kMemoryS) / kMemoryS;
   const double steady = entry.steady * Decay(now - entry.counted_at, kSteadyMemoryS) / kSteadyMemoryS;
-  return {entry.requests * decay, steady,        entry.tokens * decay, entry.asked_at,
-          entry.waiting_at,       entry.read_ms, entry.read_tokens};
+  return {entry.requests * decay, steady, entry.tokens * decay, entry.asked_at, entry.waiting_at};
 }
 
 std::vector<std::string> Demand::Waiting(const std::string& backend, Micros now) const {
--- a/src/control/placement/demand.hpp
+++ b/src/control/placement/demand.hpp
@@ -21,9 +21,6 @@
     double tokens = 0;      // a second, lately
     Micros asked_at = 0;    // last, 0 for never
     Micros waiting_at = 0;  // when a request was last told to wait for it
-    // How fast its servers read prompts: time and tokens of some of them.
-    double read_ms = 0;
-    double read_tokens = 0;
   };
 
   void Count(const ModelDemand& demand, Micros now);
@@ -42,8 +39,6 @@
     Micros asked_at = 0;
     Micros waiting_at = 0;
     Micros waiting_since = 0;
-    double read_ms = 0;
-    double read_tokens = 0;
   };
   void Add(Entry& entry, const ModelDemand& demand, Micros now);
 
--- a/src/control/placement/order_book.cpp
+++ b/src/control/placement/order_book.cpp
@@ -9,7 +9,7 @@
 using Kind = PlacementCall::Kind;
 
 // Sidecars learn within this time that a model is about to go.
-constexpr OrderBook::Micros kBeforeUnload = 80'000;
+constexpr OrderBook::Micros kBeforeUnload = 130'000;
 // An order that is under way is asked after again by repeating it.
 constexpr OrderBook::Micros kAskAgain = 120'000;
 // A load is asked after when it should be done, with so much to spare.
--- a/src/control/placement/service_view.cpp
+++ b/src/control/placement/service_view.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <map>
 
 namespace violetwing {
 namespace {
@@ -22,10 +21,6 @@
 constexpr double kRunS = 1.5;
 // Requests a second below which a further copy of a model would stand idle.
 constexpr double kRequestsPerCopy = 0.5;
-// Tokens that must have been read for a model's own speed to be known.
-constexpr double kEnoughRead = 5000;
-// Work of a server in the mean counts as no less, in ms a second.
-constexpr double kLeastMeanWork = 1e-3;
 
 }  // namespace
 
@@ -33,12 +28,11 @@
                          Micros now)
     : backend_(backend), now_(now) {
   TakeModels(demand);
-  MeasureWork();
   TakeServers(orders);
   CountWanted();
   double all = 0;
   for (const Server& server : servers_) all += WorkAt(server);
-  if (!servers_.empty()) mean_work_ = std::max(kLeastMeanWork, all / static_cast<double>(servers_.size()));
+  if (!servers_.empty()) mean_work_ = std::max(1.0, all / static_cast<double>(servers_.size()));
 }
 
 void ServiceView::TakeModels(const Demand& demand) {
@@ -47,34 +41,7 @@
   places_.reserve(specs.size());
   for (const configuration::Model& spec : specs) {
     places_.emplace(spec.name, models_.size());
-    models_.push_back({&spec, demand.Get(backend_.name, spec.name, now_), 0, 0, 0});
-  }
-}
-
-// Where a model's speed is not known, that of the models with as large weights is taken: they are of one
-// kind.
-void ServiceView::MeasureWork() {
-  struct Read {
-    double ms = 0;
-    double tokens = 0;
-    bool Enough() const { return tokens >= kEnoughRead; }
-    double MsPerToken() const { return ms / tokens; }
-  };
-  std::map<double, Read> by_weights;
-  for (const Model& model : models_) {
-    Read& alike = by_weights[model.spec->weights_mb];
-    alike.ms += model.demand.read_ms;
-    alike.tokens += model.demand.read_tokens;
-  }
-  for (Model& model : models_) {
-    const Read own{model.demand.read_ms, model.demand.read_tokens};
-    const Read& alike = by_weights[model.spec->weights_mb];
-    double ms_per_token = kUnknownReadMs;
-    if (own.Enough())
-      ms_per_token = own.MsPerToken();
-    else if (alike.Enough())
-      ms_per_token = alike.MsPerToken();
-    model.work = model.demand.tokens * ms_per_token;
+    models_.push_back({&spec, demand.Get(backend_.name, spec.name, now_), 0, 0});
   }
 }
 
@@ -109,10 +76,10 @@
 // work is to all work.
 void ServiceView::CountWanted() {
   double all = 0;
-  for (const Model& model : models_) all += model.work;
+  for (const Model& model : models_) all += model.demand.tokens;
   if (all <= 0) return;
   for (Model& model : models_) {
-    const auto even = std::lround(model.work / all * static_cast<double>(servers_.size()));
+    const auto even = std::lround(model.demand.tokens / all * static_cast<double>(servers_.size()));
     const auto used = static_cast<long>(model.demand.requests / kRequestsPerCopy);
     model.wanted = static_cast<int>(std::min(even, std::max(1L, used)));
   }
@@ -159,7 +126,7 @@
 double ServiceView::WorkAt(const Server& server) const {
   double work = 0;
   for (const std::size_t place : server.held)
-    work += models_[place].work / std::max(models_[place].copies, 1);
+    work += models_[place].demand.tokens / std::max(models_[place].copies, 1);
   return work;
 }
 
--- a/src/control/placement/service_view.hpp
+++ b/src/control/placement/service_view.hpp
@@ -24,9 +24,8 @@
   struct Model {
     const configuration::Model* spec = nullptr;
     Demand::Of demand;
-    double work = 0;  // time of a server that its prompts take, in ms a second
-    int copies = 0;   // held or on their way
-    int wanted = 0;   // by its share of all work
+    int copies = 0;  // held or on their way
+    int wanted = 0;  // by its share of all work
   };
   struct Server {
     const std::string* id = nullptr;
@@ -57,17 +56,18 @@
   // The model that a server can do without at the least cost; empty if it holds none. `wait_cost`: of
   // waiting until the runs of a model have ended, if there are any.
   std::optional<Victim> LeastMissed(const Server& server, double wait_cost) const;
-  // Work that falls to a server, in ms a second.
+  // Tokens a second that fall to a server.
   double WorkAt(const Server& server) const;
   // Work of each copy of a model, in that of a server in the mean.
-  double LoadOfCopy(const Model& model) const { return model.work / std::max(model.copies, 1) / mean_work_; }
-  // Work of a server in the mean, in ms a second; not 0.
+  double LoadOfCopy(const Model& model) const {
+    return model.demand.tokens / std::max(model.copies, 1) / mean_work_;
+  }
+  // Tokens a second of a server in the mean; not 0.
   double MeanWork() const { return mean_work_; }
 
  private:
   void TakeModels(const Demand& demand);
   void TakeServers(const OrderBook& orders);
-  void MeasureWork();
   void CountWanted();
   double Busy(const Model& model) const;
 
--- a/src/dataplane/chooser.cpp
+++ b/src/dataplane/chooser.cpp
@@ -23,6 +23,8 @@
 constexpr double kLoadHalfLife = 300'000;
 // A server that has answered nothing for so long is the last to be taken.
 constexpr Chooser::Micros kSilentFor = 700'000;
+// Time that a token takes to be read by a model of which nothing is known, in ms: that of a slow one.
+constexpr double kUnknownReadMs = 0.034;
 // What a request that runs adds to the time in which a prompt is read, and one that waits for a place, in ms.
 constexpr double kRunningMs = 8;
 constexpr double kWaitingMs = 60;
@@ -189,21 +191,23 @@
   server.load_at = now;
 }
 
-std::optional<Chooser::ReadSample> Chooser::OnFirstByte(const std::string& id, const Wish& wish, bool runs,
-                                                        Micros now) {
+void Chooser::OnFirstByte(const std::string& id, const Wish& wish, bool runs, Micros now) {
   Server& server = servers_[id];
   server.silent = std::max(0, server.silent - 1);
   server.silent_since = server.silent > 0 ? now : 0;
-  if (wish.parts == nullptr || !runs) return std::nullopt;
+  if (wish.parts == nullptr || !runs) return;
   backlog_.OnRead(id, wish.sent_at, now);
+  LearnSpeed(wish, now);
+}
+
+void Chooser::LearnSpeed(const Wish& wish, Micros now) {
   const double waited_ms = static_cast<double>(now - wish.sent_at) / 1000;
-  if (wish.unread_tokens < kLeastSampleTokens || waited_ms < 2 * wish.before_ms) return std::nullopt;
-  const ReadSample sample{waited_ms - wish.before_ms, wish.unread_tokens};
-  if (sample.ms < kPlausibleShare * MsPerToken(wish.model) * sample.tokens) return std::nullopt;
+  if (wish.unread_tokens < kLeastSampleTokens || waited_ms < 2 * wish.before_ms) return;
+  const double read_ms = waited_ms - wish.before_ms;
+  if (read_ms < kPlausibleShare * wish.unread_ms) return;
   ReadSpeed& speed = speeds_[wish.model];
-  speed.ms = speed.ms * kSampleFades + sample.ms;
-  speed.tokens = speed.tokens * kSampleFades + sample.tokens;
-  return sample;
+  speed.ms = speed.ms * kSampleFades + read_ms;
+  speed.tokens = speed.tokens * kSampleFades + wish.unread_tokens;
 }
 
 void Chooser::OnEnd(const std::string& id, AttemptResult result, const Wish& wish, bool answered,
@@ -249,7 +253,7 @@
 void Chooser::OnReport(const LoadReport& report, Micros now) {
   for (const SentPrompt& prompt : report.prompts) {
     if (!(prompt.read_ms >= 0 && prompt.read_ms <= kMostReadMs)) continue;
-    backlog_.OnSent(prompt.server, prompt.read_ms, now);
+    backlog_.OnSent(prompt.server, prompt.read_ms * unheard_, now);
     servers_[prompt.server].cache.Insert(prompt.weights, ParsePromptParts(prompt.parts), kCacheTokens);
   }
 }
--- a/src/dataplane/chooser.hpp
+++ b/src/dataplane/chooser.hpp
@@ -11,7 +11,6 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -61,21 +60,14 @@
     Micros sent_at = 0;
   };
 
-  // Time that a server took to read a prompt, and what it read.
-  struct ReadSample {
-    double ms = 0;
-    double tokens = 0;
-  };
-
   // Null if no server of `candidates` may take it now. They are sorted by id.
   const Instance* Choose(const std::vector<const Instance*>& candidates, const Directory& directory,
                          const Wish& wish, Micros now);
 
   void OnSent(const std::string& id, Wish& wish, Micros now);
   void OnLoad(const std::string& id, const ServerLoad& load, Micros now);
-  // `runs`: the server has begun to answer, and does not turn the request away. Returns how long the prompt
-  // took to be read, where that can be told.
-  std::optional<ReadSample> OnFirstByte(const std::string& id, const Wish& wish, bool runs, Micros now);
+  // `runs`: the server has begun to answer, and does not turn the request away.
+  void OnFirstByte(const std::string& id, const Wish& wish, bool runs, Micros now);
   // `answered`: a first byte has come.
   void OnEnd(const std::string& id, AttemptResult result, const Wish& wish, bool answered, Micros now);
   // Forgets servers that are no longer there.
@@ -86,6 +78,8 @@
   void SetOnNews(std::function<void(bool heavy)> on_news) { on_news_ = std::move(on_news); }
   // The prompts sent since the last report, without its sender.
   LoadReport TakeReport();
+  // Only some of the other sidecars tell of their prompts: each stands for so many.
+  void SetUnheard(double sidecars) { unheard_ = sidecars; }
   // What another sidecar reports.
   void OnReport(const LoadReport& report, Micros now);
 
@@ -112,6 +106,7 @@
     double tokens = 0;
   };
 
+  void LearnSpeed(const Wish& wish, Micros now);
   double MsPerToken(const std::string& model) const;
   // How long a prompt waits at a server until it is read, in ms.
   double ReadCost(const Server& server, const Instance& instance, const Wish& wish, bool home,
@@ -127,6 +122,7 @@
   Random random_;
   std::map<std::string, Server> servers_;
   ReadBacklog backlog_;
+  double unheard_ = 1;                       // sidecars for each one that tells of its prompts
   std::map<std::string, ReadSpeed> speeds_;  // by model
   std::vector<SentPrompt> prompts_;          // sent since the last report
   std::function<void(bool heavy)> on_news_;
--- a/src/dataplane/control_link.cpp
+++ b/src/dataplane/control_link.cpp
@@ -111,8 +111,6 @@
   sum.requests += demand.requests;
   sum.tokens += demand.tokens;
   sum.waiting += demand.waiting;
-  sum.read_ms += demand.read_ms;
-  sum.read_tokens += demand.read_tokens;
   if (!urgent || std::exchange(demand_pending_, true)) return;
   demand_soon_.expires_after(kDemandAfter);
   demand_soon_.async_wait([this](const boost::system::error_code& error) {
--- a/src/dataplane/forwarder.cpp
+++ b/src/dataplane/forwarder.cpp
@@ -126,25 +126,11 @@
   }
 }
 
-ModelDemand Forwarder::DemandOfModel() const {
+void Forwarder::CountDemand(bool waiting) {
+  if (wish_.model.empty() || plane_.link == nullptr) return;
   ModelDemand demand;
   demand.backend = backend_->name;
   demand.model = wish_.adapter.empty() ? wish_.model : wish_.model + "/" + wish_.adapter;
-  return demand;
-}
-
-// How fast the server reads this model's prompts, for the placer.
-void Forwarder::CountRead(const Chooser::ReadSample& sample) {
-  if (plane_.link == nullptr) return;
-  ModelDemand demand = DemandOfModel();
-  demand.read_ms = sample.ms;
-  demand.read_tokens = sample.tokens;
-  plane_.link->CountDemand(demand, /*urgent=*/false);
-}
-
-void Forwarder::CountDemand(bool waiting) {
-  if (wish_.model.empty() || plane_.link == nullptr) return;
-  ModelDemand demand = DemandOfModel();
   if (!std::exchange(demanded_, true)) {
     demand.requests = 1;
     demand.tokens = tokens_;
@@ -241,10 +227,7 @@
   const Micros now = SteadyMicros();
   if (const std::string* load = FindField(head.fields, field::kServerLoad))
     plane_.chooser.OnLoad(server_, ParseLoad(*load), now);
-  if (!std::exchange(answered_, true)) {
-    const auto sample = plane_.chooser.OnFirstByte(server_, wish_, head.status == 200, now);
-    if (sample) CountRead(*sample);
-  }
+  if (!std::exchange(answered_, true)) plane_.chooser.OnFirstByte(server_, wish_, head.status == 200, now);
   first_byte_at_ = Clock::now();
   const bool not_run = FindField(head.fields, field::kNotExecuted) != nullptr || head.status == 421;
   if (not_run && Promises(head.status)) {
--- a/src/dataplane/forwarder.hpp
+++ b/src/dataplane/forwarder.hpp
@@ -74,8 +74,6 @@
   bool Repeatable() const { return route_->Repeatable(); }
   std::int64_t LeftMs() const;
   void CountDemand(bool waiting);
-  void CountRead(const Chooser::ReadSample& sample);
-  ModelDemand DemandOfModel() const;
 
   DataPlane& plane_;
   ClientPtr client_;
--- a/src/messages/instances.hpp
+++ b/src/messages/instances.hpp
@@ -56,10 +56,6 @@
 // For each control process the number of its last change that is known: what is newer is missing.
 using VersionVector = std::map<std::string, std::uint64_t>;
 
-// Time that a token of a prompt takes to be read by a model of whose kind nothing is known, in ms: that of a
-// slow one. Sending elsewhere, or a copy too many, costs less than a queue of seconds.
-inline constexpr double kUnknownReadMs = 0.034;
-
 // Requests for a model, or an adapter of it ("model/adapter"), since the last report.
 struct ModelDemand {
   std::string backend;
@@ -67,12 +63,8 @@
   double requests = 0;
   double tokens = 0;  // read and put out, in tokens read
   int waiting = 0;    // requests held until a server has it
-  // Of some prompts: the time that reading them took, and the tokens that were read.
-  double read_ms = 0;
-  double read_tokens = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ModelDemand, backend, model, requests, tokens, waiting,
-                                                read_ms, read_tokens)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ModelDemand, backend, model, requests, tokens, waiting)
 
 }  // namespace violetwing
 
