--- a/src/dataplane/chooser.cpp
+++ b/src/dataplane/chooser.cpp
@@ -253,7 +253,7 @@
 void Chooser::OnReport(const LoadReport& report, Micros now) {
   for (const SentPrompt& prompt : report.prompts) {
     if (!(prompt.read_ms >= 0 && prompt.read_ms <= kMostReadMs)) continue;
-    backlog_.OnSent(prompt.server, prompt.read_ms * unheard_, now);
+    backlog_.OnSent(prompt.server, prompt.read_ms * report_weight_, now);
     servers_[prompt.server].cache.Insert(prompt.weights, ParsePromptParts(prompt.parts), kCacheTokens);
   }
 }
--- a/src/dataplane/chooser.hpp
+++ b/src/dataplane/chooser.hpp
@@ -79,7 +79,7 @@
   // The prompts sent since the last report, without its sender.
   LoadReport TakeReport();
   // Only some of the other sidecars tell of their prompts: each stands for so many.
-  void SetUnheard(double sidecars) { unheard_ = sidecars; }
+  void SetReportWeight(double sidecars) { report_weight_ = sidecars; }
   // What another sidecar reports.
   void OnReport(const LoadReport& report, Micros now);
 
@@ -122,7 +122,7 @@
   Random random_;
   std::map<std::string, Server> servers_;
   ReadBacklog backlog_;
-  double unheard_ = 1;                       // sidecars for each one that tells of its prompts
+  double report_weight_ = 1;                 // sidecars for each one that tells of its prompts
   std::map<std::string, ReadSpeed> speeds_;  // by model
   std::vector<SentPrompt> prompts_;          // sent since the last report
   std::function<void(bool heavy)> on_news_;
--- a/src/dataplane/edge.cpp
+++ b/src/dataplane/edge.cpp
@@ -71,7 +71,7 @@
   ingress_.SetLimits(plane_.directory->limits());
   gossip_.SetNeighbors(link_.neighbors());
   const double told_by = static_cast<double>(std::max<std::size_t>(link_.neighbors().size(), 1));
-  plane_.chooser.SetUnheard(std::max(1.0, (plane_.directory->sidecars() - 1) / told_by));
+  plane_.chooser.SetReportWeight(std::max(1.0, (plane_.directory->sidecars() - 1) / told_by));
   const auto waiting = plane_.waiting;
   for (const auto& forwarder : waiting) forwarder->OnDirectory();
 }
--- a/tests/node/load_test.cpp
+++ b/tests/node/load_test.cpp
@@ -203,7 +203,7 @@
   Sidecar second(1);
   const std::vector<PromptPart> parts{{"a", 9000}};
   const std::string taken = first.Send(parts, kSecond);
-  second.chooser.SetUnheard(3);
+  second.chooser.SetReportWeight(3);
   second.chooser.OnReport(first.chooser.TakeReport(), kSecond);
   Chooser::Wish wish = Wish(parts);
   second.chooser.OnSent(taken, wish, kSecond);
