Let two tests of shared load fail without it, and share their servers

Cause: read again, both could pass without a report: the second sidecar might have chosen elsewhere, and the same server, anyhow. Change: the first looks for a prompt that the sidecar would send there before the report; the second plays each of the servers. The directory of like servers stands once, in tests/node/model_servers.hpp.

--- a/tests/node/load_test.cpp
+++ b/tests/node/load_test.cpp
@@ -8,6 +8,7 @@
 #include "dataplane/read_backlog.hpp"
 #include "dataplane/system_view.hpp"
 #include "net/scripted_peers.hpp"
+#include "node/model_servers.hpp"
 
 namespace violetwing {
 namespace {
@@ -16,20 +17,6 @@
 
 constexpr std::int64_t kSecond = 1'000'000;
 
-Directory Three() {
-  std::map<std::string, Instance> instances;
-  for (int i = 0; i < 3; ++i) {
-    Instance instance;
-    instance.id = "i-" + std::to_string(i);
-    instance.backend = "s";
-    instance.address = "10.0.0.1:" + std::to_string(80 + i);
-    instance.capacity = 64;
-    instance.models = {{"m", 1, {}}};
-    instances[instance.id] = instance;
-  }
-  return Directory(nullptr, instances, 0, 1);
-}
-
 Chooser::Wish Wish(const std::vector<PromptPart>& parts) {
   Chooser::Wish wish;
   wish.model = "m";
@@ -48,6 +35,10 @@
   explicit Sidecar(std::uint64_t seed) : chooser(seed) {
     chooser.SetOnNews([this](bool heavy) { heavy_news += heavy ? 1 : 0; });
   }
+  std::string Choose(const std::vector<PromptPart>& parts) {
+    const Chooser::Wish wish = Wish(parts);
+    return chooser.Choose(directory.Holders("s", "m", ""), directory, wish, kSecond)->id;
+  }
   std::string Send(const std::vector<PromptPart>& parts, std::int64_t now) {
     Chooser::Wish wish = Wish(parts);
     const Instance* instance = chooser.Choose(directory.Holders("s", "m", ""), directory, wish, now);
@@ -56,7 +47,7 @@
     return instance->id;
   }
   Chooser chooser;
-  Directory directory = Three();
+  Directory directory = testing::ModelServers(3, 0, 1);
   int heavy_news = 0;
 };
 
@@ -100,26 +91,29 @@
 TEST_CASE("Sidecars that hear of each other do not send long prompts to the same idle server") {
   Sidecar first(1);
   Sidecar second(1);
-  const std::vector<PromptPart> a{{"a", 9000}};
-  const std::vector<PromptPart> b{{"b", 9000}};
-  const std::string taken = first.Send(a, kSecond);
+  const std::string taken = first.Send({{"a", 9000}}, kSecond);
   CHECK(first.heavy_news == 1);
-  second.chooser.OnReport(first.chooser.TakeReport(), kSecond);
-  for (int i = 0; i < 20; ++i) {
-    Chooser::Wish wish = Wish(b);
-    const auto holders = second.directory.Holders("s", "m", "");
-    CHECK(second.chooser.Choose(holders, second.directory, wish, kSecond)->id != taken);
+  // A prompt that the second sidecar, which sees its own requests alone, sends there too.
+  std::vector<PromptPart> parts;
+  for (int i = 0; second.Choose(parts) != taken; ++i) {
+    REQUIRE(i < 100);
+    parts = {{"b" + std::to_string(i), 6000}, {"own", 3000}};
   }
+  second.chooser.OnReport(first.chooser.TakeReport(), kSecond);
+  CHECK(second.Choose(parts) != taken);
 }
 
 TEST_CASE("What another sidecar's prompt left at a server draws the next one with the same parts there") {
-  Sidecar first(1);
-  Sidecar second(2);
   const std::vector<PromptPart> before{{"shared", 6300}, {"one", 2000}};
   const std::vector<PromptPart> after{{"shared", 6300}, {"two", 2000}};
-  const std::string taken = first.Send(before, kSecond);
-  second.chooser.OnReport(first.chooser.TakeReport(), kSecond);
-  CHECK(second.Send(after, 2 * kSecond) == taken);
+  for (const char* id : {"i-0", "i-1", "i-2"}) {
+    Sidecar first(1);
+    Sidecar second(2);
+    Chooser::Wish wish = Wish(before);
+    first.chooser.OnSent(id, wish, kSecond);
+    second.chooser.OnReport(first.chooser.TakeReport(), kSecond);
+    CHECK(second.Send(after, 2 * kSecond) == id);
+  }
 }
 
 TEST_CASE("A report holds the prompts sent since the last one, and what cannot be so is not believed") {
--- a/tests/node/routing_test.cpp
+++ b/tests/node/routing_test.cpp
@@ -7,6 +7,7 @@
 #include "dataplane/directory.hpp"
 #include "dataplane/http_text.hpp"
 #include "dataplane/retry.hpp"
+#include "node/model_servers.hpp"
 #include "node/settings.hpp"
 
 namespace violetwing {
@@ -14,19 +15,7 @@
 
 constexpr Micros kSecond = 1'000'000;
 
-Directory Ten(int number, int sidecars) {
-  std::map<std::string, Instance> instances;
-  for (int i = 0; i < 10; ++i) {
-    Instance instance;
-    instance.id = "i-" + std::to_string(i);
-    instance.backend = "s";
-    instance.address = "10.0.0.1:" + std::to_string(80 + i);
-    instance.capacity = 64;
-    instance.models = {{"m", 1, i < 3 ? std::vector<std::string>{"a1"} : std::vector<std::string>{}}};
-    instances[instance.id] = instance;
-  }
-  return Directory(nullptr, instances, number, sidecars);
-}
+Directory Ten(int number, int sidecars) { return testing::ModelServers(10, number, sidecars); }
 
 }  // namespace
 
