Remember the latest 1,024 taken changes, and refuse none that is older

A change that is sent again must be acknowledged again, or left without a clear answer, and never refused.

Change: TakenChanges keeps the latest 1,024 by digest and version. A change that builds upon a version below the oldest remembered gets 503, since it may have been taken. The stored form keeps its names; what earlier versions have stored is read and cut to the bound.

--- a/src/control/api/handlers.cpp
+++ b/src/control/api/handlers.cpp
@@ -45,6 +45,8 @@
       return 200;
     case configuration::Outcome::kConflict:
       return 412;
+    case configuration::Outcome::kUnknown:
+      return 503;
     case configuration::Outcome::kInvalid:
       break;
   }
@@ -86,6 +88,7 @@
     if (!result) return answer(Unavailable("no quorum has taken it yet; send it again unchanged"));
     const int status = StatusOf(result->outcome);
     if (status == 200) return answer({200, json{{"version", result->version}}.dump(), {}});
+    if (status == 503) return answer(Unavailable(result->problem));
     answer(Problem(status, result->problem));
   });
 }
--- a/src/control/configuration/state.cpp
+++ b/src/control/configuration/state.cpp
@@ -1,9 +1,7 @@
 #include "state.hpp"
 
-#include <xxhash.h>
-
 #include <algorithm>
-#include <cstdio>
+#include <map>
 #include <utility>
 
 namespace violetwing::configuration {
@@ -12,16 +10,6 @@
 // Keeps the order of the operator's fields.
 using Json = nlohmann::ordered_json;
 
-std::string Digest(const Change& change) {
-  const std::string text =
-      std::string(change.patch ? "patch " : "put ") + std::to_string(change.base) + "\n" + change.body;
-  const XXH128_hash_t hash = XXH3_128bits(text.data(), text.size());
-  char out[33];
-  std::snprintf(out, sizeof out, "%016llx%016llx", static_cast<unsigned long long>(hash.high64),
-                static_cast<unsigned long long>(hash.low64));
-  return out;
-}
-
 std::string NameOf(const Json& item) {
   const auto name = item.is_object() ? item.find("name") : item.end();
   return item.is_object() && name != item.end() && name->is_string() ? name->get<std::string>()
@@ -77,8 +65,10 @@
 }  // namespace
 
 Answer State::Apply(const Change& change) {
-  const std::string digest = Digest(change);
-  if (taken_.count(digest) > 0) return {Outcome::kTaken, version_, {}};
+  const std::string digest = DigestOf(change);
+  if (taken_.Contains(digest)) return {Outcome::kTaken, version_, {}};
+  if (change.base < taken_.horizon())
+    return {Outcome::kUnknown, version_, "If-Match: so old that it cannot be told whether it was taken"};
   Json sent = Json::parse(change.body, nullptr, /*allow_exceptions=*/false);
   if (sent.is_discarded() || !sent.is_object())
     return {Outcome::kInvalid, version_, "document: cannot be read whole as a JSON object"};
@@ -97,7 +87,7 @@
   if (read.configuration->version <= version_)
     return {Outcome::kInvalid, version_, "version: must be above " + std::to_string(version_)};
   Take(std::move(text), std::move(read.configuration));
-  taken_[digest] = version_;
+  taken_.Add(digest, version_);
   return {Outcome::kTaken, version_, {}};
 }
 
@@ -107,14 +97,18 @@
   current_ = std::move(configuration);
 }
 
-std::string State::Save() const { return nlohmann::json{{"document", document_}, {"taken", taken_}}.dump(); }
+std::string State::Save() const {
+  return nlohmann::json{{"document", document_}, {"taken", taken_.Save()}, {"horizon", taken_.horizon()}}
+      .dump();
+}
 
 void State::Load(const std::string& saved) {
   const nlohmann::json in = nlohmann::json::parse(saved);
   document_.clear();
   version_ = 0;
   current_.reset();
-  in.at("taken").get_to(taken_);
+  taken_.Load(in.at("taken").get<std::map<std::string, std::int64_t>>(),
+              in.value("horizon", std::int64_t{0}));  // earlier versions kept all
   std::string document = in.at("document").get<std::string>();
   if (document.empty()) return;
   ReadResult read = Read(document);
--- a/src/control/configuration/state.hpp
+++ b/src/control/configuration/state.hpp
@@ -4,33 +4,20 @@
 #define VIOLETWING_CONTROL_CONFIGURATION_STATE_HPP_
 
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "change.hpp"
 #include "reader.hpp"
+#include "taken_changes.hpp"
 
 namespace violetwing::configuration {
 
-enum class Outcome { kTaken, kConflict, kInvalid };
-
-struct Answer {
-  Outcome outcome = Outcome::kInvalid;
-  std::int64_t version = 0;  // the one in force
-  std::string problem;
-};
-
-// A change as the operator sent it.
-struct Change {
-  bool patch = false;     // changes some items; else the whole
-  std::int64_t base = 0;  // the version it builds upon (If-Match)
-  std::string body;
-};
-
 class State {
  public:
-  // A change that was taken before is taken again, also after later ones.
+  // A change that was taken before is taken again, also after later ones. One that builds upon a version
+  // below the horizon of what is remembered is never refused: it may have been taken.
   Answer Apply(const Change& change);
 
   std::int64_t version() const { return version_; }
@@ -51,7 +38,7 @@
   std::string document_;
   std::shared_ptr<const Configuration> current_;
   std::size_t worked_ = 0;
-  std::map<std::string, std::int64_t> taken_;  // digest of each change that was taken; its version
+  TakenChanges taken_;
 };
 
 }  // namespace violetwing::configuration
--- a/tests/node/configuration_test.cpp
+++ b/tests/node/configuration_test.cpp
@@ -4,6 +4,7 @@
 
 #include "control/configuration/reader.hpp"
 #include "control/configuration/state.hpp"
+#include "control/configuration/taken_changes.hpp"
 
 namespace violetwing::configuration {
 namespace {
@@ -144,4 +145,65 @@
   CHECK(loaded.version() == 5);
 }
 
+namespace {
+
+constexpr std::int64_t kMostKept = TakenChanges::kMostKept;
+
+// A small one, with nothing but a version.
+json Small(std::int64_t version) {
+  return {{"version", version}, {"routes", json::array()}, {"backends", json::array()}};
+}
+
+// Takes the changes that lead to the versions 1 to `last`.
+void TakeMany(State& state, std::int64_t last) {
+  for (std::int64_t version = state.version() + 1; version <= last; ++version)
+    REQUIRE(Put(state, version - 1, Small(version)).outcome == Outcome::kTaken);
+}
+
+}  // namespace
+
+TEST_CASE("A change that is sent again after hundreds of others is acknowledged, and its rival is refused") {
+  State state;
+  TakeMany(state, 900);
+  CHECK(Put(state, 4, Small(5)).outcome == Outcome::kTaken);
+  CHECK(Put(state, 4, Small(6)).outcome == Outcome::kConflict);
+  CHECK(state.version() == 900);
+}
+
+TEST_CASE("Of a change older than what is remembered nothing is said, least of all a refusal") {
+  State state;
+  TakeMany(state, kMostKept + 10);
+  CHECK(Put(state, 9, Small(10)).outcome == Outcome::kUnknown);    // was taken, and is forgotten
+  CHECK(Put(state, 9, Small(11)).outcome == Outcome::kUnknown);    // was never sent
+  CHECK(Put(state, 10, Small(11)).outcome == Outcome::kTaken);     // the oldest that is remembered
+  CHECK(Put(state, 10, Small(12)).outcome == Outcome::kConflict);  // its rival
+  State loaded;
+  loaded.Load(state.Save());
+  CHECK(Put(loaded, 9, Small(10)).outcome == Outcome::kUnknown);
+  CHECK(Put(loaded, 10, Small(11)).outcome == Outcome::kTaken);
+  CHECK(Put(loaded, 10, Small(12)).outcome == Outcome::kConflict);
+}
+
+TEST_CASE("A snapshot does not grow with the changes that are forgotten") {
+  constexpr std::size_t kMost = std::size_t{52} * 1024;
+  State state;
+  TakeMany(state, 1'000);
+  CHECK(state.Save().size() < kMost);
+  TakeMany(state, 100'000);
+  CHECK(state.Save().size() < kMost);
+}
+
+TEST_CASE("What an earlier version has stored, with every change ever taken, is read and bounded") {
+  State state;
+  TakeMany(state, kMostKept);
+  json saved = json::parse(state.Save());
+  saved.erase("horizon");
+  for (std::int64_t version = 1; version <= 20; ++version)  // older ones, which it kept too
+    saved["taken"][DigestOf({false, 0, "old " + std::to_string(version)})] = -version;
+  State loaded;
+  loaded.Load(saved.dump());
+  CHECK(Put(loaded, 0, Small(1)).outcome == Outcome::kTaken);
+  CHECK(json::parse(loaded.Save())["taken"].size() == static_cast<std::size_t>(kMostKept));
+}
+
 }  // namespace violetwing::configuration
