--- a/src/control/consensus/core.cpp
+++ b/src/control/consensus/core.cpp
@@ -6,10 +6,12 @@
 namespace violetwing::consensus {
 namespace {
 
-// Entries that one message carries at most: bounds its size and the time that reading it takes.
-constexpr std::size_t kMostEntries = 64;
-// An append without answer is sent again after so long.
-constexpr Micros kAppendAgain = 400'000;
+// Heartbeats that a follower remembers while it has not applied what they tell of.
+constexpr std::size_t kMostProofs = 64;
+// Of the entries that a snapshot covers, so many of the last are kept, and bytes of their commands: a replica
+// finds there what has come while a snapshot was sent to it. At 12 changes a second, 40 s.
+constexpr std::size_t kMostTrailing = 512;
+constexpr std::size_t kMostTrailingBytes = std::size_t{1024} * 1024;
 
 }  // namespace
 
@@ -20,7 +22,10 @@
       random_(seed, id_),
       hard_(std::move(stored.hard)),
       snapshot_(std::move(stored.snapshot)),
-      entries_(std::move(stored.entries)),
+      entries_(std::make_move_iterator(stored.entries.begin()),
+               std::make_move_iterator(stored.entries.end())),
+      base_(snapshot_.index),
+      base_term_(snapshot_.term),
       founders_(std::move(founders)),
       commit_(snapshot_.index),
       applied_(snapshot_.index),
@@ -38,8 +43,8 @@
 }
 
 Term Replica::TermAt(Index index) const {
-  if (index == snapshot_.index) return snapshot_.term;
-  if (index < snapshot_.index || index > last()) return 0;
+  if (index == base_) return base_term_;
+  if (index < base_ || index > last()) return 0;
   return At(index).term;
 }
 
@@ -75,6 +80,8 @@
       return OnAppendReply(message, now);
     case MessageKind::kSnapshot:
       return OnSnapshot(message, now);
+    case MessageKind::kSnapshotReply:
+      return OnSnapshotReply(message, now);
   }
 }
 
@@ -98,19 +105,40 @@
     return;
   }
   HearLeader(message, now);
-  leader_commit_ = message.leader_commit;
-  heartbeat_heard_at_ = now;
+  TakeProof(message);
   CommitUpTo(std::min(message.commit, last()));
+  UseProofs();
   Message reply = Make(MessageKind::kHeartbeatReply, message.from);
   reply.sent_at = message.sent_at;
+  reply.follower_sent_at = now;
   effects_.messages.push_back(std::move(reply));
 }
 
+// The leader had this replica's reply before it sent the heartbeat, and what a quorum had confirmed by then
+// was sent no longer ago than it says: both are measured back from this replica's own reading of its clock.
+void Replica::TakeProof(const Message& heartbeat) {
+  if (heartbeat.follower_sent_at <= 0 || heartbeat.quorum_age < 0) return;
+  const Proof proof{heartbeat.leader_commit, heartbeat.follower_sent_at - heartbeat.quorum_age};
+  if (!proofs_.empty() && proofs_.back().commit >= proof.commit) {
+    if (proofs_.back().commit == proof.commit) proofs_.back().at = std::max(proofs_.back().at, proof.at);
+    return;
+  }
+  if (proofs_.size() < kMostProofs) proofs_.push_back(proof);
+}
+
+void Replica::UseProofs() {
+  while (!proofs_.empty() && proofs_.front().commit <= applied_) {
+    proven_at_ = std::max(proven_at_, proofs_.front().at);
+    proofs_.pop_front();
+  }
+}
+
 void Replica::OnHeartbeatReply(const Message& message, Micros now) {
   const auto it = followers_.find(message.from);
   if (!leader() || message.term != hard_.term || it == followers_.end()) return;
   it->second.heard_at = now;
   it->second.confirmed_at = std::max(it->second.confirmed_at, message.sent_at);
+  it->second.reply_sent_at = std::max(it->second.reply_sent_at, message.follower_sent_at);
 }
 
 void Replica::OnAppend(const Message& message, Micros now) {
@@ -133,55 +161,68 @@
       reply.granted = true;
       reply.index = message.index + message.entries.size();
       CommitUpTo(std::min(message.commit, reply.index));
+      UseProofs();
     }
   }
   effects_.messages_after_write.push_back(std::move(reply));
 }
 
-void Replica::OnAppendReply(const Message& message, Micros now) {
-  if (message.term > hard_.term) return BecomeFollower(message.term, {});
-  const auto it = followers_.find(message.from);
-  if (!leader() || message.term != hard_.term || it == followers_.end()) return;
-  Follower& follower = it->second;
-  follower.heard_at = now;
-  follower.appended_at = 0;
-  if (message.granted) {
-    follower.match = std::max(follower.match, std::min(message.index, last()));
-    follower.next = std::max(follower.next, follower.match + 1);
-    AdvanceCommit();
-  } else {
-    follower.next = std::max(follower.match + 1, std::min(follower.next, message.index + 1));
-  }
-  if (follower.match < last()) SendAppend(follower, now);
-}
-
 void Replica::OnSnapshot(const Message& message, Micros now) {
   Message reply = Make(MessageKind::kAppendReply, message.from);
-  if (message.term >= hard_.term && message.snapshot) {
-    HearLeader(message, now);
-    reply.term = hard_.term;
-    reply.granted = true;
-    reply.index = std::max(commit_, message.snapshot->index);
-    const bool held =
-        message.snapshot->index <= last() && TermAt(message.snapshot->index) == message.snapshot->term;
-    if (held) {
-      CommitUpTo(message.snapshot->index);
-    } else if (message.snapshot->index > commit_) {
-      snapshot_ = *message.snapshot;
-      entries_.clear();
-      commit_ = applied_ = snapshot_.index;
-      FindMembers();
-      effects_.snapshot = effects_.load = snapshot_;
-      effects_.replaces_log = true;
-      effects_.first = 0;
-      effects_.entries.clear();
-      effects_.committed.clear();
-      if (heartbeat_heard_at_ > 0 && applied_ >= leader_commit_) current_at_ = heartbeat_heard_at_;
-    }
+  if (message.term < hard_.term || !message.snapshot) {
+    effects_.messages_after_write.push_back(std::move(reply));
+    return;
+  }
+  HearLeader(message, now);
+  const Snapshot& told = *message.snapshot;
+  const bool held = told.index <= commit_ || (told.index <= last() && TermAt(told.index) == told.term);
+  if (!held && !TakePiece(message)) {
+    Message next = Make(MessageKind::kSnapshotReply, message.from);
+    next.index = told.index;
+    next.offset = incoming_->state.size();
+    effects_.messages.push_back(std::move(next));
+    return;
+  }
+  reply.term = hard_.term;
+  reply.granted = true;
+  reply.index = std::max(commit_, told.index);
+  if (held) {
+    CommitUpTo(told.index);
+  } else {
+    Snapshot whole = told;
+    whole.state = std::move(incoming_->state);
+    Install(std::move(whole));
   }
+  incoming_.reset();
+  UseProofs();
   effects_.messages_after_write.push_back(std::move(reply));
 }
 
+// Pieces come in order; one that does not fit is answered by what is held, and sent again from there.
+bool Replica::TakePiece(const Message& message) {
+  const Snapshot& piece = *message.snapshot;
+  const bool known = incoming_ && incoming_->from == message.from && incoming_->index == piece.index &&
+                     incoming_->term == piece.term;
+  if (!known) incoming_ = Incoming{message.from, piece.index, piece.term, {}};
+  if (message.offset != incoming_->state.size()) return false;
+  incoming_->state += piece.state;
+  return incoming_->state.size() >= message.size;
+}
+
+void Replica::Install(Snapshot snapshot) {
+  snapshot_ = std::move(snapshot);
+  entries_.clear();
+  base_ = snapshot_.index;
+  base_term_ = snapshot_.term;
+  commit_ = applied_ = snapshot_.index;
+  FindMembers();
+  effects_.snapshot = effects_.load = snapshot_;
+  effects_.replaces_log = true;
+  effects_.first = 0;
+  effects_.entries.clear();
+  effects_.committed.clear();
+}
+
 // ---- The log ----
 
 Index Replica::Append(Entry entry) {
@@ -194,7 +235,7 @@
 }
 
 void Replica::TruncateFrom(Index index) {
-  entries_.resize(index - snapshot_.index - 1);
+  entries_.resize(index - base_ - 1);
   if (effects_.first == 0 || effects_.first >= index) {
     effects_.first = index;
     effects_.entries.clear();
@@ -236,25 +277,6 @@
   if (leader()) SyncFollowers(now);
 }
 
-void Replica::SyncFollowers(Micros now) {
-  const auto ensure = [&](const Member& member) {
-    if (member.id == id_) return;
-    Follower fresh;
-    fresh.member = member;
-    fresh.next = last() + 1;
-    fresh.heard_at = now;
-    followers_.try_emplace(member.id, fresh);
-  };
-  for (const Member& member : members_) {
-    ensure(member);
-    learners_.erase(member.id);
-  }
-  for (const auto& [id, learner] : learners_) ensure(learner);
-  std::erase_if(followers_, [&](const auto& entry) {
-    return !IsMember(entry.first) && learners_.count(entry.first) == 0;
-  });
-}
-
 void Replica::Written(Index index, Term term) {
   if (!leader() || TermAt(index) != term) return;
   written_ = std::max(written_, index);
@@ -266,55 +288,21 @@
   Members members = snapshot_.index > 0 ? snapshot_.members : founders_;
   for (Index index = snapshot_.index + 1; index <= applied_; ++index)
     if (At(index).kind == EntryKind::kMembers) members = At(index).members;
-  Snapshot fresh{applied_, TermAt(applied_), std::move(members), std::move(state)};
-  entries_.erase(entries_.begin(),
-                 entries_.begin() + static_cast<std::ptrdiff_t>(applied_ - snapshot_.index));
-  snapshot_ = std::move(fresh);
+  snapshot_ = Snapshot{applied_, TermAt(applied_), std::move(members), std::move(state)};
+  TrimTrailing();
   effects_.snapshot = snapshot_;
 }
 
-// ---- Replication ----
-
-void Replica::Broadcast(Micros now) {
-  for (auto& [id, follower] : followers_) SendAppend(follower, now);
-  AdvanceCommit();
-}
-
-void Replica::SendAppend(Follower& follower, Micros now) {
-  if (follower.appended_at > 0 && now - follower.appended_at < kAppendAgain) return;
-  follower.appended_at = now;
-  if (follower.next <= snapshot_.index) {
-    Message message = Make(MessageKind::kSnapshot, follower.member.id);
-    message.snapshot = snapshot_;
-    effects_.messages.push_back(std::move(message));
-    return;
-  }
-  Message message = Make(MessageKind::kAppend, follower.member.id);
-  message.index = follower.next - 1;
-  message.log_term = TermAt(message.index);
-  message.commit = commit_;
-  for (Index index = follower.next; index <= last() && message.entries.size() < kMostEntries; ++index)
-    message.entries.push_back(At(index));
-  effects_.messages.push_back(std::move(message));
-}
-
-void Replica::SendHeartbeats(Micros now) {
-  heartbeat_at_ = now + timing_.heartbeat;
-  for (auto& [id, follower] : followers_) {
-    Message message = Make(MessageKind::kHeartbeat, id);
-    message.commit = std::min(commit_, follower.match);
-    message.leader_commit = commit_;
-    message.sent_at = now;
-    effects_.messages.push_back(std::move(message));
-  }
-}
-
-void Replica::AdvanceCommit() {
-  const Index index = ReachedByQuorum(written_, [](const Follower& follower) { return follower.match; });
-  // Entries of earlier terms are committed only by one of this term that follows them.
-  if (index <= commit_ || TermAt(index) != hard_.term) return;
-  CommitUpTo(index);
-  SendHeartbeats(now_);  // so that the others apply it at once
+// Drops what the snapshot covers, but for the last of it.
+void Replica::TrimTrailing() {
+  std::size_t kept = 0;
+  std::size_t bytes = 0;
+  while (snapshot_.index - kept > base_ && kept < kMostTrailing && bytes <= kMostTrailingBytes)
+    bytes += At(snapshot_.index - kept++).command.size();
+  const Index base = snapshot_.index - kept;
+  base_term_ = TermAt(base);
+  entries_.erase(entries_.begin(), entries_.begin() + static_cast<std::ptrdiff_t>(base - base_));
+  base_ = base;
 }
 
 void Replica::CommitUpTo(Index index) {
@@ -323,16 +311,6 @@
     ++applied_;
     effects_.committed.emplace_back(applied_, At(applied_));
   }
-  if (!leader() && heartbeat_heard_at_ > 0 && applied_ >= leader_commit_) current_at_ = heartbeat_heard_at_;
-}
-
-std::vector<Replica::Progress> Replica::Followers() const {
-  std::vector<Progress> out;
-  if (!leader()) return out;
-  for (const auto& [id, follower] : followers_)
-    out.push_back(
-        {follower.member, IsMember(id), follower.heard_at, follower.match > 0 && follower.match >= commit_});
-  return out;
 }
 
 Effects Replica::TakeEffects() { return std::exchange(effects_, {}); }
--- a/src/control/consensus/core.hpp
+++ b/src/control/consensus/core.hpp
@@ -10,7 +10,9 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -67,6 +69,7 @@
   kAppend,
   kAppendReply,
   kSnapshot,
+  kSnapshotReply,  // to a piece that is not the last
 };
 
 struct Message {
@@ -82,8 +85,16 @@
   // kPreVoteReply: the sender knows of no leader, see Timing::settle. kVote: all voters have said so.
   bool leaderless = false;
   Micros sent_at = 0;  // by the leader's clock; heartbeat replies return it
+  // By the follower's clock: when it sent the last heartbeat reply that the leader has. Heartbeats return it.
+  Micros follower_sent_at = 0;
+  // Heartbeats: how long ago the leader sent what a quorum has confirmed since; negative without a lease.
+  Micros quorum_age = -1;
   std::vector<Entry> entries;
+  // kSnapshot: its state is the piece from `offset` of `size` bytes. kSnapshotReply: `index` of the snapshot
+  // and, as `offset`, how many bytes of it are held.
   std::optional<Snapshot> snapshot;
+  std::size_t offset = 0;
+  std::size_t size = 0;
 };
 
 // What was read from disk at the start.
@@ -98,6 +109,10 @@
   Micros election_least = 600'000;  // no vote within this time of a leader's word
   Micros election_most = 1'000'000;
   Micros lease = 450'000;  // from the sending of heartbeats that a quorum answered; below election_least
+  // How old a follower's proof may be, by its own clock, that it holds all that was committed then. It bounds
+  // how old an answer can be that needs no log entry. Above two heartbeats and two round trips.
+  Micros follower_proof = 900'000;
+  Micros append_again = 400'000;  // an append without an answer is sent again after so long
   // A process that has started looks for votes at once, and often, until it has heard a leader. Where all
   // voters have started so and none leads or is a candidate, no lease can hold: they elect without waiting
   // for its end.
@@ -153,8 +168,10 @@
   bool HasLease(Micros now) const;
   // A leader that has applied all that was committed before its term.
   bool Ready() const { return leader() && TermAt(applied_) == hard_.term; }
-  // Whether this replica has lately held all that was committed. A follower's word is as old as the last
-  // heartbeat whose commit index it had applied.
+  // Whether this replica has lately held all that was committed: a leader by its lease, a follower by the
+  // moment, on its own clock, at which a quorum is known to have confirmed a leader all of whose commits have
+  // been applied here since. Messages that were held up, or lay unread while the process stood still, prove
+  // nothing later than the reply of this replica that they return.
   bool InTouch(Micros now) const;
   const std::optional<Member>& known_leader() const { return known_leader_; }
   Term term() const { return hard_.term; }
@@ -162,8 +179,9 @@
   const ReplicaId& id() const { return id_; }
   bool IsMember(const ReplicaId& id) const;
   Index applied() const { return applied_; }
-  Index last() const { return snapshot_.index + entries_.size(); }
-  std::size_t entries() const { return entries_.size(); }
+  Index last() const { return base_ + entries_.size(); }
+  // Entries after the snapshot.
+  std::size_t entries() const { return last() - snapshot_.index; }
 
   // For the policy on members; leaders only.
   struct Progress {
@@ -171,8 +189,13 @@
     bool voter = false;
     Micros heard_at = 0;
     bool caught_up = false;
+    bool leaving = false;
   };
   std::vector<Progress> Followers() const;
+  // The process of this replica has said that it is about to end, or is there again.
+  void SetLeaving(const ReplicaId& id, bool leaving);
+  // All that decides what this replica does next, times aside: for tests that explore its states.
+  std::string Fingerprint() const;
 
  private:
   enum class Role { kFollower, kPreCandidate, kCandidate, kLeader };
@@ -181,12 +204,33 @@
     Index next = 1;
     Index match = 0;
     Micros heard_at = 0;
-    Micros confirmed_at = 0;  // sending time of the last heartbeat that it answered
-    Micros appended_at = 0;   // of the append that is on its way; 0 without one
+    Micros confirmed_at = 0;   // sending time of the last heartbeat that it answered
+    Micros appended_at = 0;    // of the append that is on its way; 0 without one
+    Micros reply_sent_at = 0;  // by its own clock: of its last heartbeat reply
+    // It has caught up once it holds, within `election_least`, all that stood in the log when the round
+    // began.
+    Index round_target = 0;
+    Micros round_began_at = 0;
+    Micros caught_up_at = 0;
+    // A snapshot on its way there stays the same until it is held whole.
+    std::shared_ptr<const Snapshot> snapshot;
+    std::size_t snapshot_offset = 0;
+  };
+  // A snapshot that comes in pieces.
+  struct Incoming {
+    ReplicaId from;
+    Index index = 0;
+    Term term = 0;
+    std::string state;
+  };
+  // A follower's proof that comes into force once all up to `commit` is applied.
+  struct Proof {
+    Index commit = 0;
+    Micros at = 0;
   };
 
   Term TermAt(Index index) const;
-  const Entry& At(Index index) const { return entries_[index - snapshot_.index - 1]; }
+  const Entry& At(Index index) const { return entries_[index - base_ - 1]; }
   std::size_t Quorum() const { return members_.size() / 2 + 1; }
   // A lease may hold that this replica has confirmed, or that it holds itself.
   bool LeaseMayHold(Micros now) const;
@@ -210,13 +254,22 @@
   void OnAppend(const Message& message, Micros now);
   void OnAppendReply(const Message& message, Micros now);
   void OnSnapshot(const Message& message, Micros now);
+  void OnSnapshotReply(const Message& message, Micros now);
   void HearLeader(const Message& message, Micros now);
+  // Adds a piece; true once the snapshot is whole.
+  bool TakePiece(const Message& message);
+  void Install(Snapshot snapshot);
+  void TakeProof(const Message& heartbeat);
+  void UseProofs();
 
   Index Append(Entry entry);
   void TruncateFrom(Index index);
+  void TrimTrailing();
   void FindMembers();
   void SyncFollowers(Micros now);
   void SendAppend(Follower& follower, Micros now);
+  void SendSnapshot(Follower& follower);
+  void CountRound(Follower& follower, Micros now) const;
   void Broadcast(Micros now);
   void SendHeartbeats(Micros now);
   // The highest value that a quorum of the group has reached: `own` here, `of(follower)` elsewhere.
@@ -225,6 +278,7 @@
   void AdvanceCommit();
   void CommitUpTo(Index index);
   Micros LeaseStart() const;
+  bool HearsQuorum(Micros now) const;
   Message Make(MessageKind kind, const ReplicaId& to) const;
 
   const ReplicaId id_;
@@ -232,7 +286,11 @@
   Random random_;
   HardState hard_;
   Snapshot snapshot_;
-  std::vector<Entry> entries_;
+  // From `base_` + 1 on. Some that the snapshot covers are kept, so that a replica that was behind when the
+  // snapshot was sent to it finds its next entries.
+  std::deque<Entry> entries_;
+  Index base_ = 0;
+  Term base_term_ = 0;
   Members founders_;
   Members members_;
   Index members_index_ = 0;  // of the entry that set them
@@ -244,9 +302,9 @@
   std::optional<Member> known_leader_;
   Micros now_ = 0;
   Micros leader_heard_at_ = 0;
-  Index leader_commit_ = 0;  // by the last heartbeat
-  Micros current_at_ = 0;    // when a heartbeat last came of which all is applied; 0 if none has
-  Micros heartbeat_heard_at_ = 0;
+  std::deque<Proof> proofs_;  // of heartbeats whose commits are not yet applied
+  Micros proven_at_ = 0;      // by its own clock; 0 without a proof in this process's life
+  std::optional<Incoming> incoming_;
   Micros election_at_ = 0;
   Micros heartbeat_at_ = 0;
   Micros led_since_ = 0;
@@ -258,6 +316,7 @@
   std::set<ReplicaId> leaderless_;  // those that know of no leader, in this round
   std::map<ReplicaId, Follower> followers_;
   std::map<ReplicaId, Member> learners_;
+  std::set<ReplicaId> leaving_;
 
   Effects effects_;
 };
--- a/src/control/consensus/election.cpp
+++ b/src/control/consensus/election.cpp
@@ -20,7 +20,7 @@
 void Replica::Tick(Micros now) {
   now_ = now;
   if (leader()) {
-    if (!HasLease(now) && now - led_since_ > timing_.election_least) return BecomeFollower(hard_.term, {});
+    if (!HearsQuorum(now) && now - led_since_ > timing_.election_least) return BecomeFollower(hard_.term, {});
     if (now >= heartbeat_at_) SendHeartbeats(now);
     for (auto& [id, follower] : followers_)
       if (follower.match < last()) SendAppend(follower, now);
@@ -125,9 +125,17 @@
   return start > 0 && now - start < timing_.lease;
 }
 
+// Also of followers that have yet to catch up: a leader that gave up meanwhile would send them all anew.
+bool Replica::HearsQuorum(Micros now) const {
+  if (members_.size() == 1) return true;
+  const Micros confirmed =
+      ReachedByQuorum(now, [](const Follower& follower) { return follower.confirmed_at; });
+  return confirmed > 0 && now - confirmed < timing_.election_least;
+}
+
 bool Replica::InTouch(Micros now) const {
-  if (leader()) return HasLease(now);
-  return known_leader_.has_value() && current_at_ > 0 && now - current_at_ < timing_.lease;
+  if (leader()) return Ready() && HasLease(now);
+  return known_leader_.has_value() && proven_at_ > 0 && now - proven_at_ < timing_.follower_proof;
 }
 
 // ---- Votes ----
--- a/src/messages/consensus.cpp
+++ b/src/messages/consensus.cpp
@@ -6,6 +6,28 @@
 
 using nlohmann::json;
 
+namespace {
+
+// A piece has a name of its own: a process of an earlier version would take it for the whole.
+void WriteSnapshot(json& out, const Message& message) {
+  const bool whole = message.offset == 0 && message.snapshot->state.size() >= message.size;
+  out[whole ? "snapshot" : "piece"] = *message.snapshot;
+  if (whole) return;
+  out["offset"] = message.offset;
+  out["size"] = message.size;
+}
+
+void ReadSnapshot(const json& in, Message& message) {
+  const bool whole = in.contains("snapshot");
+  message.snapshot = in.at(whole ? "snapshot" : "piece").get<Snapshot>();
+  message.size = message.snapshot->state.size();
+  if (whole) return;
+  in.at("offset").get_to(message.offset);
+  in.at("size").get_to(message.size);
+}
+
+}  // namespace
+
 void to_json(json& out, const Member& member) { out = json{{"id", member.id}, {"address", member.address}}; }
 
 void from_json(const json& in, Member& member) {
@@ -48,9 +70,12 @@
       out["commit"] = message.commit;
       out["leader_commit"] = message.leader_commit;
       out["sent_at"] = message.sent_at;
+      out["follower_sent_at"] = message.follower_sent_at;
+      out["quorum_age"] = message.quorum_age;
       break;
     case MessageKind::kHeartbeatReply:
       out["sent_at"] = message.sent_at;
+      out["follower_sent_at"] = message.follower_sent_at;
       break;
     case MessageKind::kPreVote:
     case MessageKind::kVote:
@@ -74,7 +99,11 @@
       out["granted"] = message.granted;
       break;
     case MessageKind::kSnapshot:
-      if (message.snapshot) out["snapshot"] = *message.snapshot;
+      if (message.snapshot) WriteSnapshot(out, message);
+      break;
+    case MessageKind::kSnapshotReply:
+      out["index"] = message.index;
+      out["offset"] = message.offset;
       break;
   }
 }
@@ -91,9 +120,13 @@
       in.at("commit").get_to(message.commit);
       in.at("leader_commit").get_to(message.leader_commit);
       in.at("sent_at").get_to(message.sent_at);
+      // A process of an earlier version returns nothing, which proves nothing.
+      message.follower_sent_at = in.value("follower_sent_at", Micros{0});
+      message.quorum_age = in.value("quorum_age", Micros{-1});
       break;
     case MessageKind::kHeartbeatReply:
       in.at("sent_at").get_to(message.sent_at);
+      message.follower_sent_at = in.value("follower_sent_at", Micros{0});
       break;
     case MessageKind::kPreVote:
     case MessageKind::kVote:
@@ -118,7 +151,11 @@
       in.at("granted").get_to(message.granted);
       break;
     case MessageKind::kSnapshot:
-      message.snapshot = in.at("snapshot").get<Snapshot>();
+      ReadSnapshot(in, message);
+      break;
+    case MessageKind::kSnapshotReply:
+      in.at("index").get_to(message.index);
+      in.at("offset").get_to(message.offset);
       break;
   }
 }
--- a/src/messages/consensus.hpp
+++ b/src/messages/consensus.hpp
@@ -19,7 +19,8 @@
                                            {MessageKind::kVoteReply, "vote_reply"},
                                            {MessageKind::kAppend, "append"},
                                            {MessageKind::kAppendReply, "append_reply"},
-                                           {MessageKind::kSnapshot, "snapshot"}})
+                                           {MessageKind::kSnapshot, "snapshot"},
+                                           {MessageKind::kSnapshotReply, "snapshot_reply"}})
 
 // The readers throw nlohmann::json::exception where a field is missing or of another type.
 void to_json(nlohmann::json& out, const Member& member);
--- a/tests/node/cluster.hpp
+++ b/tests/node/cluster.hpp
@@ -26,18 +26,17 @@
  public:
   static constexpr Micros kStep = 10'000;
 
-  struct Write {
-    Micros done_at = 0;
-    Effects effects;
-  };
   struct Machine {
     std::string address;
     std::string disk_id;
-    StoredState disk;          // what would outlive a loss of power
-    std::deque<Write> writes;  // under way
+    StoredState disk;            // what would outlive a loss of power
+    std::deque<Effects> writes;  // that the disk owes
+    std::size_t writing = 0;     // of them, those that it writes now, all with one sync
+    Micros written_at = 0;       // when that ends
     std::unique_ptr<Replica> replica;
     Micros asleep_until = 0;  // frozen
     Micros disk_stalled_until = 0;
+    Micros write_most = 20'000;        // what a write takes at most
     std::vector<std::string> applied;  // commands since its state was loaded, with those of the state before
     bool removed = false;
   };
@@ -78,17 +77,19 @@
     Machine& machine = machines_[i];
     machine.replica.reset();
     std::size_t kept = random_.Below(machine.writes.size() + 1);
-    for (const Write& write : machine.writes)
+    for (const Effects& write : machine.writes)
       if (kept-- > 0)
-        Store(machine, write.effects);
+        Store(machine, write);
       else
         break;
     machine.writes.clear();
+    machine.writing = 0;
   }
   void LoseDisk(std::size_t i) {
     Machine& machine = machines_[i];
     machine.replica.reset();
     machine.writes.clear();
+    machine.writing = 0;
     machine.disk = {};
     machine.disk_id = NewDisk();
   }
@@ -99,7 +100,8 @@
   double drop_share = 0;
   double double_share = 0;
   Micros most_delay = 3'000;
-  Micros tick_every = kStep;  // at all machines at the same moment
+  Micros tick_every = kStep;       // at all machines at the same moment
+  std::size_t compact_after = 24;  // entries
   // May change a message on its way; false drops it.
   std::function<bool(Message&)> mutate;
 
@@ -200,28 +202,40 @@
         machine.applied = nlohmann::json::parse(effects.load->state).get<std::vector<std::string>>();
       for (const auto& [index, entry] : effects.committed) Apply(machine, index, entry);
       if (effects.WritesAnything() || !machine.writes.empty()) {
-        const Micros last = machine.writes.empty() ? now_ : machine.writes.back().done_at;
-        machine.writes.push_back({last + static_cast<Micros>(random_.Below(20'000)), std::move(effects)});
+        machine.writes.push_back(std::move(effects));
+        BeginWrites(machine);
       } else {
         for (const Message& message : effects.messages_after_write) Send(i, message);
       }
-      if (machine.replica->entries() > 24) machine.replica->Compact(nlohmann::json(machine.applied).dump());
+      if (machine.replica->entries() > compact_after)
+        machine.replica->Compact(nlohmann::json(machine.applied).dump());
     }
   }
 
+  // As the store does: what waits is written together once the disk is free.
+  void BeginWrites(Machine& machine) {
+    if (machine.writing > 0 || machine.writes.empty()) return;
+    machine.writing = machine.writes.size();
+    machine.written_at =
+        now_ + static_cast<Micros>(random_.Below(static_cast<std::uint64_t>(machine.write_most)));
+  }
+
   void FinishWrites(std::size_t i) {
     Machine& machine = machines_[i];
-    while (!machine.writes.empty() && machine.writes.front().done_at <= now_ &&
-           machine.disk_stalled_until <= now_) {
-      const Write write = std::move(machine.writes.front());
-      machine.writes.pop_front();
-      Store(machine, write.effects);
-      for (const Message& message : write.effects.messages_after_write) Send(i, message);
-      if (!write.effects.entries.empty())
-        machine.replica->Written(write.effects.first + write.effects.entries.size() - 1,
-                                 write.effects.entries.back().term);
-      Carry(i);
+    if (machine.writing == 0 || machine.written_at > now_ || machine.disk_stalled_until > now_) return;
+    const auto last = machine.writes.begin() + static_cast<std::ptrdiff_t>(machine.writing);
+    const std::vector<Effects> done(std::make_move_iterator(machine.writes.begin()),
+                                    std::make_move_iterator(last));
+    machine.writes.erase(machine.writes.begin(), last);
+    machine.writing = 0;
+    for (const Effects& write : done) {
+      Store(machine, write);
+      for (const Message& message : write.messages_after_write) Send(i, message);
+      if (!write.entries.empty())
+        machine.replica->Written(write.first + write.entries.size() - 1, write.entries.back().term);
     }
+    BeginWrites(machine);
+    Carry(i);
   }
 
   void Apply(Machine& machine, Index index, const Entry& entry) {
--- a/tests/node/election_test.cpp
+++ b/tests/node/election_test.cpp
@@ -148,4 +148,79 @@
   CHECK(replica.HasLease(now + 2'000));
 }
 
+TEST_CASE("A leader is in touch only once it has applied all that was committed before its term") {
+  Replica replica = Restarted();
+  TickUntilCandidate(replica);
+  const Micros now = kSettled + kStart;
+  Message vote = From("b", MessageKind::kVoteReply, kTerm + 1);
+  vote.granted = true;
+  replica.Step(vote, now);
+  Message held = From("b", MessageKind::kAppendReply, kTerm + 1);
+  held.granted = true;
+  held.index = replica.last();
+  replica.Step(held, now);
+  Message confirmed = From("b", MessageKind::kHeartbeatReply, kTerm + 1);
+  confirmed.sent_at = now;
+  replica.Step(confirmed, now);
+  REQUIRE(replica.HasLease(now));
+  CHECK_FALSE(replica.InTouch(now));  // its own disk has not written the entry of its term: a quorum lacks it
+  replica.Written(replica.last(), kTerm + 1);
+  CHECK(replica.InTouch(now));
+}
+
+namespace {
+
+constexpr Micros kReplied = kSettled + 100'000;
+constexpr Micros kQuorumAge = 50'000;
+
+// From leader "c": all up to entry 1 is committed, and it has a reply that "a" sent at `kReplied`.
+Message ProvingHeartbeat() {
+  Message heartbeat = From("c", MessageKind::kHeartbeat, kTerm);
+  heartbeat.commit = heartbeat.leader_commit = 1;
+  heartbeat.follower_sent_at = kReplied;
+  heartbeat.quorum_age = kQuorumAge;
+  return heartbeat;
+}
+
+}  // namespace
+
+TEST_CASE("A follower's proof counts from its own reply, however late the heartbeat is read") {
+  constexpr Micros kProvenUntil = kReplied - kQuorumAge + Timing{}.follower_proof;
+  Replica replica = Restarted();
+  replica.Step(ProvingHeartbeat(), kReplied + 10'000);
+  CHECK(replica.InTouch(kProvenUntil - 1));
+  CHECK_FALSE(replica.InTouch(kProvenUntil));
+  Replica late = Restarted();  // it stood still with the heartbeat unread
+  late.Step(ProvingHeartbeat(), kReplied + 20 * kStart);
+  CHECK_FALSE(late.InTouch(kReplied + 20 * kStart));
+}
+
+TEST_CASE("A heartbeat of a leader without a lease proves nothing, nor one that returns no reply") {
+  Message without_lease = ProvingHeartbeat();
+  without_lease.quorum_age = -1;
+  Message without_reply = ProvingHeartbeat();
+  without_reply.follower_sent_at = 0;
+  for (const Message& heartbeat : {without_lease, without_reply}) {
+    Replica replica = Restarted();
+    replica.Step(heartbeat, kReplied + 10'000);
+    CHECK_FALSE(replica.InTouch(kReplied + 10'000));
+  }
+}
+
+TEST_CASE("A follower that lacks what is committed is in touch once it has applied it, by the older proof") {
+  Replica replica = Restarted();
+  Message ahead = ProvingHeartbeat();
+  ahead.leader_commit = 2;
+  replica.Step(ahead, kReplied + 10'000);
+  CHECK_FALSE(replica.InTouch(kReplied + 10'000));
+  Message later = ahead;  // a storm: there is more with each heartbeat
+  later.leader_commit = 3;
+  replica.Step(later, kReplied + 20'000);
+  Message entry = From("c", MessageKind::kAppend, kTerm);
+  entry.entries = {{kTerm, EntryKind::kCommand, "x", {}}};
+  entry.commit = 2;
+  replica.Step(entry, kReplied + 30'000);
+  CHECK(replica.InTouch(kReplied + 30'000));
+}
+
 }  // namespace violetwing::consensus
