Replace a silent voter by the settings, at once where it says that it ends

Cause, seen in logs: a replaced machine's vote went to its successor 6.0 to 6.9 s after it fell silent, as the wait was fixed and a new leader began it anew; its machine stops counting as lost catch_up_s (4 s) after the successor's start, and a second loss in between left no majority. Found by the new tests: a voter that was replaced while it stood still never heard so, and never asked to be taken in again; learners that were gone were sent to for ever.

Change: the wait is half of catch_up_s, 1.5 s at least; a process that is told to stop says so in its exchanges, and a caught-up learner takes its vote at once; a replica out of touch asks to be taken in; a learner not heard for 10 s is forgotten. Commands are named by the life of the process that sent them, as the clock and the count may come again after a loss of power. Calls that need a quorum get 503 at once after 1.5 s without contact, in place of 0.9 s each.

--- a/src/control/consensus/core.hpp
+++ b/src/control/consensus/core.hpp
@@ -178,6 +178,8 @@
   const Members& members() const { return members_; }
   const ReplicaId& id() const { return id_; }
   bool IsMember(const ReplicaId& id) const;
+  // It has no vote, as far as it knows, or has long heard nothing that would tell it that it has none.
+  bool WantsToJoin(Micros now) const { return !IsMember(id_) || !InTouch(now); }
   Index applied() const { return applied_; }
   Index last() const { return base_ + entries_.size(); }
   // Entries after the snapshot.
@@ -270,6 +272,7 @@
   void SendAppend(Follower& follower, Micros now);
   void SendSnapshot(Follower& follower);
   void CountRound(Follower& follower, Micros now) const;
+  void ForgetSilentLearners(Micros now);
   void Broadcast(Micros now);
   void SendHeartbeats(Micros now);
   // The highest value that a quorum of the group has reached: `own` here, `of(follower)` elsewhere.
--- a/src/control/consensus/election.cpp
+++ b/src/control/consensus/election.cpp
@@ -21,6 +21,7 @@
   now_ = now;
   if (leader()) {
     if (!HearsQuorum(now) && now - led_since_ > timing_.election_least) return BecomeFollower(hard_.term, {});
+    ForgetSilentLearners(now);
     if (now >= heartbeat_at_) SendHeartbeats(now);
     for (auto& [id, follower] : followers_)
       if (follower.match < last()) SendAppend(follower, now);
--- a/src/control/consensus/replication.cpp
+++ b/src/control/consensus/replication.cpp
@@ -11,6 +11,8 @@
 // to the same process wait behind it. An entry that is larger goes alone.
 constexpr std::size_t kMostEntries = 64;
 constexpr std::size_t kMostBytes = std::size_t{256} * 1024;
+// A learner that was not heard for so long is sent nothing more: it asks again if it is there.
+constexpr Micros kForgetLearner = 10'000'000;
 
 // Pieces end between characters, as each is sent as text (UTF-8).
 std::size_t PieceSize(const std::string& state, std::size_t offset) {
@@ -44,6 +46,15 @@
   });
 }
 
+void Replica::ForgetSilentLearners(Micros now) {
+  for (auto it = learners_.begin(); it != learners_.end();) {
+    const auto follower = followers_.find(it->first);
+    const bool silent = follower != followers_.end() && now - follower->second.heard_at > kForgetLearner;
+    if (silent) followers_.erase(follower);
+    it = silent ? learners_.erase(it) : std::next(it);
+  }
+}
+
 void Replica::Broadcast(Micros now) {
   for (auto& [id, follower] : followers_) SendAppend(follower, now);
   AdvanceCommit();
--- a/src/control/core.cpp
+++ b/src/control/core.cpp
@@ -20,6 +20,9 @@
 constexpr ControlCore::Micros kHeardLately = 600'000;
 // Replicas of a shard that are wanted at least.
 constexpr int kLeastReplicas = 3;
+// Without contact with a quorum for so long, calls that need one are refused at once: an election, which
+// takes less, is waited for.
+constexpr ControlCore::Micros kElection = 1'500'000;
 
 // The first disks have names that all can tell from the seeds.
 consensus::Members Founders(const NodeSettings& settings, const std::string& disk) {
@@ -44,7 +47,11 @@
       placer_(settings.lease_ms * 1000, {outputs_.order, outputs_.ask_report}),
       peers_({settings.node_name, settings.zone, settings.InternalAddress(), settings.control_plane},
              PeerOutputs()),
-      shards_(stored, Founders(settings, stored.disk), life_, ShardOutputs(), now) {
+      shards_(stored, Founders(settings, stored.disk), life_, ShardOutputs(), now),
+      member_policy_(consensus::MakeMemberPolicy(
+          static_cast<std::size_t>(std::max(kLeastReplicas, 2 * settings.tolerated_nodes + 1)),
+          settings.catch_up_ms * 1000)),
+      out_of_touch_since_(now) {
   SetSeeds(settings.seeds, now);
 }
 
@@ -53,7 +60,7 @@
   outputs.fill = [this](ExchangeRequest& request, const VersionVector* known) {
     request.disk = shards_.disk();
     request.known = table_.known();
-    request.joins = shards_.Joins();
+    request.joins = shards_.Joins(now_);
     if (known != nullptr) request.changed = table_.ChangedSince(*known);
   };
   outputs.exchange = outputs_.exchange;
@@ -85,10 +92,15 @@
   peers_.SetSeeds(nodes);
 }
 
+bool ControlCore::Isolated() const {
+  return !InTouch() && out_of_touch_since_ > 0 && now_ - out_of_touch_since_ > kElection;
+}
+
 void ControlCore::Stop() {
   stopping_ = true;
   for (const ParkedPull& pull : parked_) pull.done(std::nullopt);
   parked_.clear();
+  peers_.Leave(now_);
 }
 
 void ControlCore::Tick(Micros now) {
@@ -97,10 +109,11 @@
   const bool in_touch = InTouch();
   if (!in_touch) in_touch_since_ = 0;
   if (in_touch && in_touch_since_ == 0) in_touch_since_ = now;
+  if (in_touch) out_of_touch_since_ = 0;
+  if (!in_touch && out_of_touch_since_ == 0) out_of_touch_since_ = now;
   table_.Expire(now, in_touch);
   wake_every_ = std::clamp(sidecars_.Count(now) * kWakePerSidecar, kWakeLeast, kWakeMost);
-  const int wanted = std::max(kLeastReplicas, 2 * settings_.tolerated_nodes + 1);
-  peers_.SetMembers(shards_.ReviewMembers(static_cast<std::size_t>(wanted), now));
+  peers_.SetMembers(shards_.ReviewMembers(member_policy_, now));
   TickPlacer();
   peers_.Tick(now);
   WakePulls(/*at_once=*/false);
@@ -135,6 +148,7 @@
 }
 
 void ControlCore::Leave(const std::string& service, const std::string& id, Phase phase, const OnTaken& done) {
+  if (Isolated()) return done(Taken::kUnavailable);
   shards_.Leave(service, id, phase, now_,
                 [done](bool taken) { done(taken ? Taken::kTaken : Taken::kUnavailable); });
   Flush();
@@ -142,12 +156,14 @@
 
 void ControlCore::Change(const configuration::Change& change, Micros now, const OnChanged& done) {
   now_ = now;
+  if (Isolated()) return done(std::nullopt);
   shards_.Change(change, now, done);
   Flush();
 }
 
 void ControlCore::ReadConfiguration(Micros now, const OnRead& done) {
   now_ = now;
+  if (Isolated()) return done(std::nullopt);
   shards_.Read(now, [this, done](bool current) {
     if (!current) return done(std::nullopt);
     done(ConfigurationRead{configuration().version(), configuration().document()});
@@ -163,6 +179,7 @@
   peers_.Knows(request.from.address, request.known);
   table_.Merge(request.changed, now);
   shards_.Meet(request.disk, request.from.address);
+  shards_.SetLeaving(request.disk, request.from.leaving);
   for (const int shard : request.joins) shards_.Join(shard, {request.disk, request.from.address}, now);
   for (const ShardMessage& message : request.messages) shards_.Step(message, now);
   for (const ShardProposal& proposal : request.proposals) shards_.TakeForwarded(proposal);
--- a/src/control/core.hpp
+++ b/src/control/core.hpp
@@ -92,6 +92,8 @@
   Shards::Outputs ShardOutputs();
   Peers::Outputs PeerOutputs();
   bool InTouch() const { return shards_.configuration_replica().InTouch(now_); }
+  // Out of touch for longer than an election takes: a call that needs a quorum is refused at once.
+  bool Isolated() const;
   void Leave(const std::string& service, const std::string& id, Phase phase, const OnTaken& done);
   // False if the pull has nothing to tell yet.
   bool AnswerPull(const PullRequest& request, const OnPulled& done, bool at_once);
@@ -116,7 +118,9 @@
   std::deque<ParkedPull> parked_;
   VersionVector told_;        // what sidecars have been woken for
   std::uint64_t spread_ = 0;  // the last change of this process that the others were to hear of
-  Micros in_touch_since_ = 0;
+  const consensus::MemberPolicy member_policy_;
+  Micros in_touch_since_ = 0;      // 0: out of touch
+  Micros out_of_touch_since_ = 0;  // 0: in touch
   bool pulls_due_ = false;
   Micros woken_at_ = 0;
   Micros wake_every_ = 0;
--- a/src/control/group.cpp
+++ b/src/control/group.cpp
@@ -18,13 +18,19 @@
 // word to the others meanwhile. Some 50 ms of a control process's share at 17 MB a second (a patch of 189 kB:
 // 11 ms).
 constexpr std::size_t kCompactAfterBytes = std::size_t{512} * 1024;
+// And bytes of commands, also of those that changed nothing: what the disk holds of the log.
+constexpr std::size_t kCompactAfterLogged = std::size_t{2} * 1024 * 1024;
 // A command that was not applied by then is offered again: the leader or the way to it may be gone.
 constexpr Group::Micros kOfferAgain = 500'000;
 
 }  // namespace
 
-Group::Group(int shard, consensus::Replica replica, StateMachine& machine, Outputs outputs)
-    : shard_(shard), replica_(std::move(replica)), machine_(machine), outputs_(std::move(outputs)) {}
+Group::Group(int shard, std::string life, consensus::Replica replica, StateMachine& machine, Outputs outputs)
+    : shard_(shard),
+      life_(std::move(life)),
+      replica_(std::move(replica)),
+      machine_(machine),
+      outputs_(std::move(outputs)) {}
 
 void Group::Step(const consensus::Message& message, Micros now) {
   replica_.Step(message, now);
@@ -53,7 +59,7 @@
 }
 
 void Group::Call(const std::string& command, Micros now, Micros within, Done done) {
-  const std::string request = replica_.id() + "/" + std::to_string(now) + "/" + std::to_string(++calls_);
+  const std::string request = life_ + "/" + std::to_string(++calls_);
   Waiting waiting;
   waiting.command = json{{"request", request}, {"command", command}}.dump();
   waiting.deadline = now + within;
@@ -82,6 +88,7 @@
 
 void Group::Apply(const consensus::Entry& entry) {
   if (entry.kind != EntryKind::kCommand) return;
+  logged_since_snapshot_ += entry.command.size();
   const json envelope = json::parse(entry.command, nullptr, /*allow_exceptions=*/false);
   if (!envelope.is_object() || !envelope.contains("request") || !envelope.contains("command")) return;
   const std::string result = machine_.Apply(envelope["command"].get<std::string>());
@@ -122,6 +129,7 @@
     if (CompactionDue()) {
       replica_.Compact(machine_.Save());
       worked_at_snapshot_ = machine_.worked();
+      logged_since_snapshot_ = 0;
     }
   }
   flushing_ = false;
@@ -130,7 +138,8 @@
 }
 
 bool Group::CompactionDue() const {
-  return replica_.entries() > kCompactAfter || machine_.worked() - worked_at_snapshot_ > kCompactAfterBytes;
+  return replica_.entries() > kCompactAfter || machine_.worked() - worked_at_snapshot_ > kCompactAfterBytes ||
+         logged_since_snapshot_ > kCompactAfterLogged;
 }
 
 void Group::LogLeadership() {
--- a/src/control/group.hpp
+++ b/src/control/group.hpp
@@ -38,7 +38,9 @@
     std::function<void(int shard)> applied;
   };
 
-  Group(int shard, consensus::Replica replica, StateMachine& machine, Outputs outputs);
+  // `life` names one life of this process, unlike any other's: it tells this one's commands from those that
+  // an earlier one left in the log.
+  Group(int shard, std::string life, consensus::Replica replica, StateMachine& machine, Outputs outputs);
 
   // Loads what was stored.
   void Start() { Flush(); }
@@ -78,6 +80,7 @@
   void Offer(Waiting& waiting, Micros now);
 
   const int shard_;
+  const std::string life_;
   consensus::Replica replica_;
   StateMachine& machine_;
   Outputs outputs_;
@@ -85,6 +88,7 @@
   std::map<std::uint64_t, Unwritten> unwritten_;
   std::uint64_t calls_ = 0;
   std::size_t worked_at_snapshot_ = 0;
+  std::size_t logged_since_snapshot_ = 0;  // bytes of commands that were applied since
   bool flushing_ = false;
   bool led_ = false;  // as last logged
 };
--- a/src/control/peers.cpp
+++ b/src/control/peers.cpp
@@ -44,6 +44,7 @@
   if (node.address.empty() || node.address == self_.address) return;
   Peer& peer = Get(node.address);
   peer.node = node;
+  peer.node.leaving = false;  // that is for others to hear from it alone
   if (peer.heard_at == 0) peer.heard_at = now;
 }
 
@@ -73,6 +74,12 @@
   if (it != peers_.end()) it->second.known = known;
 }
 
+void Peers::Leave(Micros now) {
+  self_.leaving = true;
+  for (auto& [address, peer] : peers_) peer.urgent = true;
+  Flush(now);
+}
+
 void Peers::SpreadNews(Micros now) {
   for (auto& [address, peer] : peers_) peer.news = true;
   Flush(now);
--- a/src/control/peers.hpp
+++ b/src/control/peers.hpp
@@ -36,6 +36,8 @@
   void Tell(const std::string& address, std::vector<ModelDemand> demand);
   // What the process at this address knows, by its own word.
   void Knows(const std::string& address, const VersionVector& known);
+  // This process is about to end: all are told at once.
+  void Leave(Micros now);
   // There is news of this process that all others should have soon.
   void SpreadNews(Micros now);
   // Begins the exchanges that are due by the clock.
@@ -66,7 +68,7 @@
   Peer& Get(const std::string& address);
   void Exchange(const std::string& address, Peer& peer, Micros now);
 
-  const ControlNode self_;
+  ControlNode self_;
   const Outputs outputs_;
   std::map<std::string, Peer> peers_;  // by internal address
 };
--- a/src/control/shards.cpp
+++ b/src/control/shards.cpp
@@ -6,8 +6,6 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "control/consensus/member_policy.hpp"
-
 namespace violetwing {
 namespace {
 
@@ -82,12 +80,13 @@
     const std::uint64_t seed = XXH64(life.data(), life.size(), static_cast<std::uint64_t>(shard));
     consensus::Timing timing;
     timing.start_first = static_cast<std::size_t>(shard);
-    MakeGroup(shard, *machines_.back(),
+    MakeGroup(shard, life, *machines_.back(),
               consensus::Replica(disk_, founders, std::move(stored.shards[shard]), timing, seed, now));
   }
 }
 
-void Shards::MakeGroup(int shard, StateMachine& machine, consensus::Replica replica) {
+void Shards::MakeGroup(int shard, const std::string& life, StateMachine& machine,
+                       consensus::Replica replica) {
   Group::Outputs outputs;
   outputs.send = [this](int at, const consensus::Message& message) {
     const std::string address = AddressOf(at, message.to);
@@ -104,7 +103,7 @@
   outputs.writes_wait = [this] { return !writes_.empty(); };
   outputs.next_token = [this] { return ++token_; };
   outputs.applied = [this](int at) { outputs_.applied(at); };
-  groups_.push_back(std::make_unique<Group>(shard, std::move(replica), machine, std::move(outputs)));
+  groups_.push_back(std::make_unique<Group>(shard, life, std::move(replica), machine, std::move(outputs)));
 }
 
 Group* Shards::Find(int shard) const {
@@ -157,17 +156,19 @@
   if (Group* group = Find(shard)) group->replica().AddLearner(learner, now);
 }
 
-std::vector<int> Shards::Joins() const {
+std::vector<int> Shards::Joins(Micros now) const {
   std::vector<int> out;
   for (const auto& group : groups_)
-    if (!group->replica().IsMember(disk_)) out.push_back(group->shard());
+    if (group->replica().WantsToJoin(now)) out.push_back(group->shard());
   return out;
 }
 
-std::vector<std::string> Shards::ReviewMembers(std::size_t wanted, Micros now) {
+void Shards::SetLeaving(const std::string& disk, bool leaving) {
+  for (const auto& group : groups_) group->replica().SetLeaving(disk, leaving);
+}
+
+std::vector<std::string> Shards::ReviewMembers(const consensus::MemberPolicy& policy, Micros now) {
   std::vector<std::string> addresses;
-  consensus::MemberPolicy policy;
-  policy.wanted = wanted;
   for (const auto& group : groups_) {
     for (const consensus::Member& member : group->replica().members()) addresses.push_back(member.address);
     const auto next = consensus::NextMembers(group->replica(), policy, now);
--- a/src/control/shards.hpp
+++ b/src/control/shards.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "control/configuration/state.hpp"
+#include "control/consensus/member_policy.hpp"
 #include "control/group.hpp"
 #include "control/instances/departures.hpp"
 #include "messages/peer.hpp"
@@ -52,9 +53,11 @@
   // Where the process with this disk takes internal calls, by its own word.
   void Meet(const std::string& disk, const std::string& address) { addresses_[disk] = address; }
   // Changes the groups that this process leads where that is due; returns the addresses of all members.
-  std::vector<std::string> ReviewMembers(std::size_t wanted, Micros now);
-  // Shards in which this disk has no vote.
-  std::vector<int> Joins() const;
+  std::vector<std::string> ReviewMembers(const consensus::MemberPolicy& policy, Micros now);
+  // The process with this disk is about to end, by its own word, or is not any more.
+  void SetLeaving(const std::string& disk, bool leaving);
+  // Shards in which this disk has no vote, or does not hear whether it has one.
+  std::vector<int> Joins(Micros now) const;
 
   // Each is called with nothing if no quorum has answered in time; what was asked may yet be done.
   void Change(const configuration::Change& change, Micros now,
@@ -76,7 +79,7 @@
   class ConfigurationMachine;
   class DeparturesMachine;
 
-  void MakeGroup(int shard, StateMachine& machine, consensus::Replica replica);
+  void MakeGroup(int shard, const std::string& life, StateMachine& machine, consensus::Replica replica);
   Group* Find(int shard) const;  // null if there is none
   Group& OfService(const std::string& service) const;
   std::string AddressOf(int shard, const consensus::ReplicaId& id) const;
--- a/src/messages/peer.hpp
+++ b/src/messages/peer.hpp
@@ -25,9 +25,10 @@
   std::string zone;
   std::string address;      // for internal calls
   std::string api_address;  // for servers and the operator
+  bool leaving = false;     // about to end, by its own word alone
   bool operator==(const ControlNode&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ControlNode, node, zone, address, api_address)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ControlNode, node, zone, address, api_address, leaving)
 
 struct ShardMessage {
   int shard = 0;
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -56,6 +56,9 @@
   fields.ReadPositive("retry_window_s", out.retry_window_s);
   fields.Read("retry_slack", out.retry_slack);
   fields.Read("lease_ms", out.lease_ms);
+  double catch_up_s = 4;
+  fields.ReadPositive("catch_up_s", catch_up_s);
+  out.catch_up_ms = static_cast<std::int64_t>(catch_up_s * 1000);
 }
 
 }  // namespace
--- a/src/node/settings.hpp
+++ b/src/node/settings.hpp
@@ -29,6 +29,7 @@
   double retry_window_s = 10;
   double retry_slack = 10;
   std::int64_t lease_ms = 3000;
+  std::int64_t catch_up_ms = 4000;  // a machine that has started counts as lost for so long
 
   std::string InternalAddress() const { return ip + ":" + std::to_string(internal_port); }
   // Where the control process at this seed takes internal calls: ports are alike on all machines.
--- a/tests/node/cluster.hpp
+++ b/tests/node/cluster.hpp
@@ -25,6 +25,7 @@
 class Cluster {
  public:
   static constexpr Micros kStep = 10'000;
+  static constexpr Micros kReviewEvery = 50'000;  // of the groups' members
 
   struct Machine {
     std::string address;
@@ -39,6 +40,7 @@
     Micros write_most = 20'000;        // what a write takes at most
     std::vector<std::string> applied;  // commands since its state was loaded, with those of the state before
     bool removed = false;
+    bool leaving = false;  // it has told all that it is about to end
   };
 
   Cluster(std::size_t machines, std::size_t founders, std::uint64_t seed) : random_(seed) {
@@ -102,6 +104,7 @@
   Micros most_delay = 3'000;
   Micros tick_every = kStep;       // at all machines at the same moment
   std::size_t compact_after = 24;  // entries
+  Micros catch_up = 4'000'000;     // a machine that has started counts as lost for so long
   // May change a message on its way; false drops it.
   std::function<bool(Message&)> mutate;
 
@@ -137,7 +140,7 @@
         Carry(i);
       }
       Deliver();
-      if (now_ / kStep % 15 == 0) ReviewMembers();
+      if (now_ % kReviewEvery == 0) ReviewMembers();
       CheckLeaders();
     }
   }
@@ -286,10 +289,10 @@
       if (!Up(i) || !machines_[i].replica->leader() || machines_[i].asleep_until > now_) continue;
       for (std::size_t j = 0; j < machines_.size(); ++j)
         if (Up(j) && !machines_[j].removed && machines_[j].asleep_until <= now_ && cuts_.count({j, i}) == 0 &&
-            !machines_[j].replica->IsMember(machines_[j].disk_id))
+            machines_[j].replica->WantsToJoin(now_))
           machines_[i].replica->AddLearner({machines_[j].disk_id, machines_[j].address}, now_);
-      MemberPolicy policy;
-      policy.wanted = founders_.size();
+      for (const Machine& other : machines_) machines_[i].replica->SetLeaving(other.disk_id, other.leaving);
+      const MemberPolicy policy = MakeMemberPolicy(founders_.size(), catch_up);
       if (const auto next = NextMembers(*machines_[i].replica, policy, now_))
         machines_[i].replica->ProposeMembers(*next);
       Carry(i);
