--- a/src/control/api/http.cpp
+++ b/src/control/api/http.cpp
@@ -1,7 +1,9 @@
 #include "http.hpp"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/keyvalq_struct.h>
+#include <sys/socket.h>
 
 #include <charconv>
 #include <utility>
@@ -159,6 +161,15 @@
   for (const Method& known : kMethods)
     if (method == known.name) type = known.type;
   evhttp_make_request(connection->handle, request, type, path.c_str());
+  ResetOnClose(connection->handle);
+}
+
+// A call that was given up must not reach its peer later: a plain close would leave its bytes to the system,
+// which sends them whenever the way is there again.
+void Client::ResetOnClose(evhttp_connection* connection) {
+  const evutil_socket_t socket = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+  const linger at_once{1, 0};
+  if (socket >= 0) setsockopt(socket, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
 }
 
 void Client::OnDone(evhttp_request* request, void* pending) {
--- a/src/control/api/http.hpp
+++ b/src/control/api/http.hpp
@@ -69,6 +69,7 @@
     Done done;
   };
   static void OnDone(evhttp_request* request, void* pending);
+  static void ResetOnClose(evhttp_connection* connection);
 
   event_base* base_;
   std::map<std::string, std::shared_ptr<Connection>> connections_;
--- a/src/control/configuration/state.cpp
+++ b/src/control/configuration/state.cpp
@@ -74,23 +74,32 @@
     return {Outcome::kInvalid, version_, "document: cannot be read whole as a JSON object"};
   if (change.base != version_)
     return {Outcome::kConflict, version_, "If-Match: version " + std::to_string(version_) + " is in force"};
-  Json document = std::move(sent);
-  if (change.patch) {
-    const Json patch = std::exchange(document, version_ > 0 ? Json::parse(document_) : Json::object());
-    const std::string problem = Patch(document, patch);
-    if (!problem.empty()) return {Outcome::kInvalid, version_, problem};
+  const std::string problem = Work(change, std::move(sent));
+  std::string text;
+  ReadResult read;
+  if (problem.empty()) {
+    text = items_.dump();
+    worked_ += text.size();
+    read = Read(text);
   }
-  std::string text = document.dump();
-  worked_ += text.size();
-  ReadResult read = Read(text);
-  if (read.configuration == nullptr) return {Outcome::kInvalid, version_, ToText(read.findings)};
-  if (read.configuration->version <= version_)
+  const bool taken = read.configuration != nullptr && read.configuration->version > version_;
+  if (!taken) {
+    items_ = version_ > 0 ? Json::parse(document_) : Json::object();
+    if (!problem.empty()) return {Outcome::kInvalid, version_, problem};
+    if (read.configuration == nullptr) return {Outcome::kInvalid, version_, ToText(read.findings)};
     return {Outcome::kInvalid, version_, "version: must be above " + std::to_string(version_)};
+  }
   Take(std::move(text), std::move(read.configuration));
   taken_.Add(digest, version_);
   return {Outcome::kTaken, version_, {}};
 }
 
+std::string State::Work(const Change& change, Json sent) {
+  if (change.patch) return Patch(items_, sent);
+  items_ = std::move(sent);
+  return {};
+}
+
 void State::Take(std::string document, std::shared_ptr<const Configuration> configuration) {
   version_ = configuration->version;
   document_ = std::move(document);
@@ -105,12 +114,14 @@
 void State::Load(const std::string& saved) {
   const nlohmann::json in = nlohmann::json::parse(saved);
   document_.clear();
+  items_ = Json::object();
   version_ = 0;
   current_.reset();
   taken_.Load(in.at("taken").get<std::map<std::string, std::int64_t>>(),
               in.value("horizon", std::int64_t{0}));  // earlier versions kept all
   std::string document = in.at("document").get<std::string>();
   if (document.empty()) return;
+  items_ = Json::parse(document);
   ReadResult read = Read(document);
   if (read.configuration != nullptr) Take(std::move(document), std::move(read.configuration));
 }
--- a/src/control/configuration/state.hpp
+++ b/src/control/configuration/state.hpp
@@ -33,9 +33,13 @@
 
  private:
   void Take(std::string document, std::shared_ptr<const Configuration> configuration);
+  // What the change would make of the document, left in `items_`; what is wrong with it, empty if nothing is.
+  std::string Work(const Change& change, nlohmann::ordered_json sent);
 
   std::int64_t version_ = 0;
   std::string document_;
+  nlohmann::ordered_json items_ = nlohmann::ordered_json::object();  // the document, read: reading it anew is
+                                                                     // a third of the cost of a patch
   std::shared_ptr<const Configuration> current_;
   std::size_t worked_ = 0;
   TakenChanges taken_;
--- a/src/control/consensus/core.hpp
+++ b/src/control/consensus/core.hpp
@@ -182,6 +182,8 @@
   bool WantsToJoin(Micros now) const { return !IsMember(id_) || !InTouch(now); }
   Index applied() const { return applied_; }
   Index last() const { return base_ + entries_.size(); }
+  // Of the entry at that index; 0 if it is not held.
+  Term TermAt(Index index) const;
   // Entries after the snapshot.
   std::size_t entries() const { return last() - snapshot_.index; }
 
@@ -231,7 +233,6 @@
     Micros at = 0;
   };
 
-  Term TermAt(Index index) const;
   const Entry& At(Index index) const { return entries_[index - base_ - 1]; }
   std::size_t Quorum() const { return members_.size() / 2 + 1; }
   // A lease may hold that this replica has confirmed, or that it holds itself.
--- a/src/control/core.cpp
+++ b/src/control/core.cpp
@@ -16,6 +16,9 @@
 constexpr ControlCore::Micros kWakePerSidecar = 750;
 constexpr ControlCore::Micros kWakeLeast = 5'000;
 constexpr ControlCore::Micros kWakeMost = 50'000;
+// A document of hundreds of kB costs its sender and its reader milliseconds: of changes that follow each
+// other a sidecar is sent the last within so long.
+constexpr ControlCore::Micros kDocumentEvery = 250'000;
 // Others are told of what this process has heard within so long.
 constexpr ControlCore::Micros kHeardLately = 600'000;
 // Replicas of a shard that are wanted at least.
@@ -112,6 +115,7 @@
   if (in_touch) out_of_touch_since_ = 0;
   if (!in_touch && out_of_touch_since_ == 0) out_of_touch_since_ = now;
   table_.Expire(now, in_touch);
+  std::erase_if(document_sent_at_, [&](const auto& one) { return now - one.second >= kDocumentEvery; });
   wake_every_ = std::clamp(sidecars_.Count(now) * kWakePerSidecar, kWakeLeast, kWakeMost);
   peers_.SetMembers(shards_.ReviewMembers(member_policy_, now));
   TickPlacer();
@@ -236,13 +240,16 @@
   // A list is whole once every server that lives has had the time to say so.
   const bool settled = in_touch_since_ > 0 && now_ - in_touch_since_ > 2 * settings_.heartbeat_ms * 1000;
   const bool whole = settled && request.source != life_;
-  const bool newer = configuration().version() > request.configuration;
+  const bool behind = configuration().version() > request.configuration;
+  const bool newer = behind && DocumentDue(request.node, at_once);
+  document_held_ = document_held_ || (behind && !newer);
   if (!at_once && !whole && !newer && !table_.Misses(request.known)) return false;
   PullReply reply;
   reply.source = whole || request.source == life_ ? life_ : std::string();
   reply.whole = whole;
   reply.configuration = configuration().version();
   if (newer) reply.document = configuration().document();
+  if (newer) document_sent_at_[request.node] = now_;
   // Another process's list is in the caller's hands until then: what it has heard says nothing of what it
   // holds.
   reply.changed = table_.ChangedSince(whole ? VersionVector() : request.known);
@@ -257,10 +264,15 @@
   return true;
 }
 
+bool ControlCore::DocumentDue(const std::string& sidecar, bool at_once) const {
+  const auto sent = document_sent_at_.find(sidecar);
+  return at_once || sent == document_sent_at_.end() || now_ - sent->second >= kDocumentEvery;
+}
+
 void ControlCore::WakePulls(bool at_once) {
-  const bool due = pulls_due_ && (at_once || now_ - woken_at_ >= wake_every_);
+  const bool due = (pulls_due_ || document_held_) && (at_once || now_ - woken_at_ >= wake_every_);
   if (due) {
-    pulls_due_ = false;
+    pulls_due_ = document_held_ = false;
     woken_at_ = now_;
   }
   const bool in_touch = InTouch();
--- a/src/control/core.hpp
+++ b/src/control/core.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -97,6 +98,7 @@
   void Leave(const std::string& service, const std::string& id, Phase phase, const OnTaken& done);
   // False if the pull has nothing to tell yet.
   bool AnswerPull(const PullRequest& request, const OnPulled& done, bool at_once);
+  bool DocumentDue(const std::string& sidecar, bool at_once) const;
   // `at_once`: whenever the last ones were woken.
   void WakePulls(bool at_once);
   void CountDemand(const std::vector<ModelDemand>& demand);
@@ -122,6 +124,8 @@
   Micros in_touch_since_ = 0;      // 0: out of touch
   Micros out_of_touch_since_ = 0;  // 0: in touch
   bool pulls_due_ = false;
+  bool document_held_ = false;                      // a pull waits until its document is due
+  std::map<std::string, Micros> document_sent_at_;  // by sidecar, of those that were sent one lately
   Micros woken_at_ = 0;
   Micros wake_every_ = 0;
   bool stopping_ = false;
--- a/tests/node/consensus_test.cpp
+++ b/tests/node/consensus_test.cpp
@@ -315,7 +315,39 @@
       }
 }
 
-// Faults drawn by chance, at most one machine lost at a time, as the deployments tolerate.
+namespace {
+
+// One fault, on one machine; `span` is how long it lasts where it ends by itself.
+void Disturb(Cluster& cluster, std::size_t victim, std::uint64_t kind, Micros span) {
+  switch (kind) {
+    case 0:
+      return cluster.Kill(victim);
+    case 1:
+      return cluster.PowerOff(victim);
+    case 2:
+      return cluster.LoseDisk(victim);
+    case 3:
+      return cluster.Freeze(victim, span);
+    case 4:
+      return cluster.StallDisk(victim, span);
+    case 5:
+      for (std::size_t i = 0; i < cluster.size(); ++i) {
+        cluster.Cut(victim, i);
+        if (cluster.random().Below(2) == 0) cluster.Cut(i, victim);
+      }
+      return;
+    case 6:
+      for (std::size_t i = 0; i < cluster.size(); ++i) cluster.PowerOff(i);
+      return;
+    default:
+      return;
+  }
+}
+
+}  // namespace
+
+// Faults drawn by chance, on as many machines at a time as the deployments tolerate: one of a group of three,
+// two of a group of five. Some have an empty machine besides.
 TEST_CASE("Drawn schedules keep the log") {
   const char* wanted = std::getenv("CONSENSUS_SCHEDULES");
   const std::uint64_t schedules = wanted == nullptr ? 400 : std::strtoull(wanted, nullptr, 10);
@@ -324,43 +356,18 @@
   std::size_t committed = 0;
   for (std::uint64_t seed = first; seed < first + schedules; ++seed) {
     INFO("seed " << seed);
-    Cluster cluster(3 + seed % 2, 3, seed);
+    const std::size_t voters = seed % 4 < 2 ? 3 : 5;
+    Cluster cluster(voters + seed % 2, voters, seed);
     cluster.drop_share = seed % 3 == 0 ? 0.05 : 0;
     cluster.double_share = seed % 5 == 0 ? 0.1 : 0;
-    cluster.most_delay = seed % 4 == 0 ? 80'000 : 3'000;
+    cluster.most_delay = seed % 7 == 0 ? 80'000 : 3'000;
     Random& random = cluster.random();
     int proposed = 0;
     for (int round = 0; round < 4; ++round) {
-      const std::size_t victim = random.Below(cluster.size());
+      const std::size_t first_victim = random.Below(cluster.size());
       const Micros span = static_cast<Micros>(random.Below(4 * kSecond));
-      switch (random.Below(8)) {
-        case 0:
-          cluster.Kill(victim);
-          break;
-        case 1:
-          cluster.PowerOff(victim);
-          break;
-        case 2:
-          cluster.LoseDisk(victim);
-          break;
-        case 3:
-          cluster.Freeze(victim, span);
-          break;
-        case 4:
-          cluster.StallDisk(victim, span);
-          break;
-        case 5:
-          for (std::size_t i = 0; i < cluster.size(); ++i) {
-            cluster.Cut(victim, i);
-            if (random.Below(2) == 0) cluster.Cut(i, victim);
-          }
-          break;
-        case 6:
-          for (std::size_t i = 0; i < cluster.size(); ++i) cluster.PowerOff(i);
-          break;
-        default:
-          break;
-      }
+      for (std::size_t i = 0; i < voters / 2; ++i)
+        Disturb(cluster, (first_victim + i) % cluster.size(), random.Below(8), span);
       for (Micros left = span; left > 0; left -= kSecond / 4) {
         for (std::size_t i = 0; i < cluster.size(); ++i)
           if (random.Below(3) == 0)
--- /dev/null
+++ b/tests/node/exploration_test.cpp
@@ -0,0 +1,78 @@
+// Every order of events within small bounds, on the shipped replicas.
+#include "exploration.hpp"
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+
+namespace violetwing::consensus {
+namespace {
+
+// Sanitized builds explore fewer.
+std::size_t MostStates() {
+  const char* wanted = std::getenv("CONSENSUS_STATES");
+  return wanted == nullptr ? 3'000'000 : std::strtoull(wanted, nullptr, 10);
+}
+
+void Explore(const char* what, Bounds bounds, std::size_t committed, int leaders) {
+  bounds.states = MostStates();
+  Exploration exploration(bounds);
+  const bool complete = exploration.Run();
+  WARN(what << ": " << exploration.states() << " states" << (complete ? "" : ", cut short"));
+  for (const std::string& violation : exploration.violations()) {
+    CAPTURE(violation);
+    FAIL("an invariant is broken");
+  }
+  if (std::getenv("CONSENSUS_STATES") != nullptr) return;
+  CHECK(complete);
+  CHECK(exploration.most_committed() >= committed);
+  CHECK(exploration.leaders() >= leaders);
+}
+
+}  // namespace
+
+TEST_CASE("Every order: one look for votes, two changes") {
+  Bounds bounds;
+  bounds.campaigns = 1;
+  bounds.proposals = 2;
+  Explore("two changes", bounds, 2, 1);
+}
+
+// Of the large ones the states are too many for each run of the tests; some were explored in part only
+// (docs/consensus.md).
+TEST_CASE("Every order: two looks for votes", "[.large]") {
+  Bounds bounds;
+  bounds.campaigns = 2;
+  Explore("two looks for votes", bounds, 1, 1);
+}
+
+TEST_CASE("Every order: a look for votes, a restart") {
+  Bounds bounds;
+  bounds.campaigns = 1;
+  bounds.restarts = 1;
+  Explore("restart", bounds, 1, 1);
+}
+
+TEST_CASE("Every order: a lost disk, whose machine is taken in again") {
+  Bounds bounds;
+  bounds.campaigns = 1;
+  bounds.lost_disks = 1;
+  Explore("lost disk", bounds, 2, 1);
+}
+
+TEST_CASE("Every order: a look for votes, a change, a restart", "[.large]") {
+  Bounds bounds;
+  bounds.campaigns = 1;
+  bounds.proposals = 1;
+  bounds.restarts = 1;
+  Explore("a change, a restart", bounds, 2, 1);
+}
+
+TEST_CASE("Every order: a change, a lost disk, whose machine is taken in again", "[.large]") {
+  Bounds bounds;
+  bounds.campaigns = 1;
+  bounds.proposals = 1;
+  bounds.lost_disks = 1;
+  Explore("a change, a lost disk", bounds, 3, 1);
+}
+
+}  // namespace violetwing::consensus
--- /dev/null
+++ b/tests/node/group_test.cpp
@@ -0,0 +1,92 @@
+// One shard in a process: who is told what became of a command.
+#include "control/group.hpp"
+
+#include <catch2/catch.hpp>
+#include <deque>
+#include <string>
+
+#include "virtual_disk.hpp"
+
+namespace violetwing {
+namespace {
+
+using consensus::Micros;
+
+// Answers each command with itself.
+class EchoMachine : public StateMachine {
+ public:
+  std::string Apply(const std::string& command) override { return command; }
+  std::string Save() const override { return {}; }
+  void Load(const std::string&) override {}
+};
+
+// A process with the one replica of a shard. Its clock begins anew with each life, as after a loss of power.
+class Process {
+ public:
+  Process(std::string life, consensus::StoredState& disk)
+      : disk_(disk), group_(1, std::move(life), MakeReplica(disk), machine_, Outputs()) {
+    group_.Start();
+  }
+
+  void Call(const std::string& command, std::optional<std::string>& answer) {
+    group_.Call(command, kNow, 1'000'000, [&answer](const std::optional<std::string>& got) { answer = got; });
+  }
+  void Elect() {
+    for (Micros at = kNow; !group_.replica().leader(); at += 50'000) group_.Tick(at);
+  }
+  void WriteAll() {
+    while (!writes_.empty()) {
+      const auto [write, token] = std::move(writes_.front());
+      writes_.pop_front();
+      testing::ApplyWrite(disk_, write);
+      group_.Written(token);
+    }
+  }
+
+ private:
+  static constexpr Micros kNow = 1'000'000;
+
+  static consensus::Replica MakeReplica(const consensus::StoredState& disk) {
+    return {"disk", {{"disk", "here:1"}}, disk, consensus::Timing{}, 1, kNow};
+  }
+  Group::Outputs Outputs() {
+    Group::Outputs outputs;
+    outputs.send = [](int, const consensus::Message&) {};
+    outputs.forward = [](int, const consensus::Member&, const std::string&) {};
+    outputs.write = [this](ShardWrite write, std::uint64_t token) {
+      writes_.emplace_back(std::move(write), token);
+    };
+    outputs.writes_wait = [this] { return !writes_.empty(); };
+    outputs.next_token = [this] { return ++token_; };
+    outputs.applied = [](int) {};
+    return outputs;
+  }
+
+  consensus::StoredState& disk_;
+  EchoMachine machine_;
+  std::deque<std::pair<ShardWrite, std::uint64_t>> writes_;
+  std::uint64_t token_ = 0;
+  Group group_;
+};
+
+}  // namespace
+
+TEST_CASE("The answer to a command of a process's earlier life is not given to a caller of this one") {
+  consensus::StoredState disk;
+  std::optional<std::string> ignored;
+  {
+    Process process("life 1", disk);
+    process.Elect();
+    process.Call("earlier", ignored);
+    process.WriteAll();
+  }
+  REQUIRE(disk.entries.size() >= 2);
+  Process process("life 2", disk);
+  std::optional<std::string> answer;
+  process.Call("later", answer);
+  process.Elect();
+  process.WriteAll();
+  CHECK(answer == "later");
+}
+
+}  // namespace violetwing
--- /dev/null
+++ b/tests/node/http_client_test.cpp
@@ -0,0 +1,77 @@
+// Calls of a control process to servers and other control processes, over loopback.
+#include <arpa/inet.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <cerrno>
+#include <memory>
+#include <string>
+
+#include "control/api/http.hpp"
+
+namespace violetwing::http {
+namespace {
+
+constexpr std::chrono::milliseconds kSilence{50};
+// More than the system takes in for a peer that does not read: some of it waits to be sent.
+constexpr std::size_t kLargeBody = std::size_t{8} * 1024 * 1024;
+
+// Takes connections and reads nothing until it is asked to.
+class SilentPeer {
+ public:
+  SilentPeer() : listener_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    REQUIRE(bind(listener_, reinterpret_cast<sockaddr*>(&address), size) == 0);
+    REQUIRE(listen(listener_, 4) == 0);
+    REQUIRE(getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size) == 0);
+    address_ = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+  }
+  ~SilentPeer() { close(listener_); }
+  SilentPeer(const SilentPeer&) = delete;
+  SilentPeer& operator=(const SilentPeer&) = delete;
+  const std::string& address() const { return address_; }
+
+  // The error with which the one connection ends, 0 for a plain end.
+  int EndOfConnection() const {
+    const int connection = accept(listener_, nullptr, nullptr);
+    char bytes[4096];
+    ssize_t size = 0;
+    do size = recv(connection, bytes, sizeof bytes, 0);
+    while (size > 0);
+    const int error = size < 0 ? errno : 0;
+    close(connection);
+    return error;
+  }
+
+ private:
+  const int listener_;
+  std::string address_;
+};
+
+}  // namespace
+
+// Its bytes may still be on their way, and an order that comes seconds late is one of an earlier leader.
+TEST_CASE("A call that is given up resets its connection, so that nothing of it arrives later") {
+  const std::unique_ptr<event_base, void (*)(event_base*)> base(event_base_new(), event_base_free);
+  const SilentPeer peer;
+  int status = -1;
+  {
+    Client client(base.get());
+    client.Call(peer.address(), "POST", "/api/order", std::string(kLargeBody, 'x'), kSilence,
+                [&](int got, const std::string&) {
+                  status = got;
+                  event_base_loopbreak(base.get());
+                });
+    event_base_dispatch(base.get());
+    CHECK(status == 0);
+    CHECK(peer.EndOfConnection() == ECONNRESET);
+  }
+}
+
+}  // namespace violetwing::http
--- a/tests/node/virtual_system.hpp
+++ b/tests/node/virtual_system.hpp
@@ -4,6 +4,7 @@
 #ifndef VIOLETWING_TESTS_NODE_VIRTUAL_SYSTEM_HPP_
 #define VIOLETWING_TESTS_NODE_VIRTUAL_SYSTEM_HPP_
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
@@ -49,6 +50,7 @@
     std::unique_ptr<ControlCore> core;
     int life = 0;
     Micros frozen_until = 0;
+    Micros disk_stalled_until = 0;
   };
   struct Sidecar {
     std::unique_ptr<SystemView> view;
@@ -131,11 +133,24 @@
     controls_[i].writes.clear();
   }
   void Freeze(std::size_t i, Micros span) { controls_[i].frozen_until = now_ + span; }
+  void StallDisk(std::size_t i, Micros span) { controls_[i].disk_stalled_until = now_ + span; }
   void Cut(std::size_t i) { cut_.insert(controls_[i].address); }
-  void Heal() { cut_.clear(); }
+  // From the other control processes alone: servers, sidecars and operators reach it.
+  void CutFromCore(std::size_t i) { core_cut_.insert(controls_[i].address); }
+  void Heal() {
+    cut_.clear();
+    core_cut_.clear();
+  }
 
   // ---- Calls from outside ----
 
+  // A pull with nothing known, as of a sidecar that has just started.
+  void CallPull(std::size_t i, std::function<void(int status, const std::string&)> done) {
+    PullRequest request;
+    request.node = "edge-new";
+    Carry("outside", i, {"POST", kPullPath, nlohmann::json(request).dump(), {}}, /*internal=*/true,
+          std::move(done));
+  }
   // `done` gets an HTTP status, 0 if there was no answer.
   void CallPublic(std::size_t i, const std::string& method, const std::string& path, const std::string& body,
                   std::int64_t base, std::function<void(int status, const std::string&)> done) {
@@ -183,8 +198,14 @@
     ApplyWrite(control.stored[write.shard], write);
   }
 
+  bool IsControl(const std::string& address) const {
+    return std::any_of(controls_.begin(), controls_.end(),
+                       [&](const Control& control) { return control.address == address; });
+  }
+
   bool Cutoff(const std::string& from, const std::string& to) const {
-    return cut_.count(from) > 0 || cut_.count(to) > 0;
+    if (cut_.count(from) > 0 || cut_.count(to) > 0) return true;
+    return IsControl(from) && IsControl(to) && (core_cut_.count(from) > 0 || core_cut_.count(to) > 0);
   }
 
   // Sends a message of `from` to `to`, as often as it arrives.
@@ -254,7 +275,8 @@
   }
 
   void FinishWrites(Control& control) {
-    while (!control.writes.empty() && control.writes.front().first <= now_) {
+    while (!control.writes.empty() && control.writes.front().first <= now_ &&
+           control.disk_stalled_until <= now_) {
       const auto write = std::move(control.writes.front().second);
       control.writes.pop_front();
       Store(control, write.first);
@@ -292,7 +314,8 @@
   Random random_;
   std::vector<Control> controls_;
   std::vector<Sidecar> sidecars_;
-  std::set<std::string> cut_;  // addresses that nothing reaches or leaves
+  std::set<std::string> cut_;       // addresses that nothing reaches or leaves
+  std::set<std::string> core_cut_;  // addresses between which and other control processes nothing passes
   std::set<Event> events_;
   std::uint64_t events_made_ = 0;
   std::vector<std::string> violations_;
