--- a/src/control/configuration/reader.cpp
+++ b/src/control/configuration/reader.cpp
@@ -2,6 +2,7 @@
 
 #include <google/protobuf/util/json_util.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <utility>
@@ -24,9 +25,9 @@
     for (int i = 0; i < in_.backends_size(); ++i) CheckBackend(i);
     for (int i = 0; i < in_.routes_size(); ++i) CheckRoute(i);
     CheckLimits();
-    if (!findings_.empty()) return {nullptr, std::move(findings_)};
+    if (!findings_.empty()) return {nullptr, std::move(findings_), nullptr};
     out_.version = in_.version();
-    return {std::make_shared<const Configuration>(std::move(out_)), {}};
+    return {std::make_shared<const Configuration>(std::move(out_)), {}, nullptr};
   }
 
  private:
@@ -139,6 +140,58 @@
   std::set<std::pair<std::string, std::string>> places_;
 };
 
+using Json = nlohmann::ordered_json;
+
+constexpr const char* kRoutes = "routes";
+constexpr const char* kBackends = "backends";
+constexpr const char* kLimits = "limits";
+
+// What is wrong; empty if nothing is.
+std::string Parse(const std::string& json, proto::Configuration& out) {
+  google::protobuf::util::JsonParseOptions options;
+  options.ignore_unknown_fields = true;
+  const auto status = google::protobuf::util::JsonStringToMessage(json, &out, options);
+  return status.ok() ? std::string() : std::string(status.message());
+}
+
+ReadResult CheckMessage(std::shared_ptr<const proto::Configuration> message) {
+  ReadResult result = Checker(*message).Check();
+  if (result.configuration != nullptr) result.message = std::move(message);
+  return result;
+}
+
+// Whether a patch of these items leads, list by list, to what reading the whole would.
+bool IsByName(const Json& upsert) {
+  for (const auto& [key, items] : upsert.items()) {
+    const bool list = key == kRoutes || key == kBackends;
+    if (list ? !items.is_array() : key != kLimits || !items.is_object()) return false;
+  }
+  return true;
+}
+
+template <class Item>
+void Remove(google::protobuf::RepeatedPtrField<Item>& list, const Json& names) {
+  std::set<std::string> gone;
+  for (const Json& name : names) gone.insert(name.get<std::string>());
+  if (gone.empty()) return;
+  const auto end =
+      std::remove_if(list.begin(), list.end(), [&](const Item& item) { return gone.count(item.name()) > 0; });
+  list.DeleteSubrange(static_cast<int>(end - list.begin()), static_cast<int>(list.end() - end));
+}
+
+template <class Item>
+void Upsert(google::protobuf::RepeatedPtrField<Item>& list,
+            const google::protobuf::RepeatedPtrField<Item>& items) {
+  for (const Item& item : items) {
+    const auto at =
+        std::find_if(list.begin(), list.end(), [&](const Item& old) { return old.name() == item.name(); });
+    if (at == list.end())
+      *list.Add() = item;
+    else
+      *at = item;
+  }
+}
+
 }  // namespace
 
 std::string ToText(const std::vector<Finding>& findings) {
@@ -149,12 +202,28 @@
 }
 
 ReadResult Read(const std::string& json) {
-  proto::Configuration in;
-  google::protobuf::util::JsonParseOptions options;
-  options.ignore_unknown_fields = true;
-  const auto status = google::protobuf::util::JsonStringToMessage(json, &in, options);
-  if (!status.ok()) return {nullptr, {{"document", std::string(status.message())}}};
-  return Checker(in).Check();
+  auto message = std::make_shared<proto::Configuration>();
+  if (const std::string problem = Parse(json, *message); !problem.empty())
+    return {nullptr, {{"document", problem}}, nullptr};
+  return CheckMessage(std::move(message));
+}
+
+std::optional<ReadResult> ReadPatched(const proto::Configuration& before, const Json& patch) {
+  const Json upsert = patch.value("upsert", Json::object());
+  const Json remove = patch.value("delete", Json::object());
+  if (!IsByName(upsert)) return std::nullopt;
+  Json items = upsert;
+  items["version"] = patch.at("version");
+  proto::Configuration changed;
+  if (!Parse(items.dump(), changed).empty()) return std::nullopt;  // reading the whole tells the place
+  auto message = std::make_shared<proto::Configuration>(before);
+  message->set_version(changed.version());
+  Remove(*message->mutable_routes(), remove.value(kRoutes, Json::array()));
+  Remove(*message->mutable_backends(), remove.value(kBackends, Json::array()));
+  Upsert(*message->mutable_routes(), changed.routes());
+  Upsert(*message->mutable_backends(), changed.backends());
+  if (changed.has_limits()) *message->mutable_limits() = changed.limits();
+  return CheckMessage(std::move(message));
 }
 
 }  // namespace violetwing::configuration
--- a/src/control/configuration/reader.hpp
+++ b/src/control/configuration/reader.hpp
@@ -4,9 +4,16 @@
 
 #include <cstdint>
 #include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
+// The operator's document as protobuf read it (generated/configuration.pb.h).
+namespace violetwing::proto {
+class Configuration;
+}
+
 namespace violetwing::configuration {
 
 enum class RouteType { kIdempotent, kNonIdempotent, kStreaming };
@@ -85,9 +92,15 @@
 struct ReadResult {
   std::shared_ptr<const Configuration> configuration;  // null if there is any finding
   std::vector<Finding> findings;
+  std::shared_ptr<const proto::Configuration> message;  // null if there is any finding
 };
 
 ReadResult Read(const std::string& json);
+// The same as Read of the whole document that the patch leads to from the one read as `before`, whose items
+// it replaces, adds and removes by name; only the patch is parsed. Null where the patch holds anything but
+// lists of routes and services by name, and limits: the whole is to be read then.
+std::optional<ReadResult> ReadPatched(const proto::Configuration& before,
+                                      const nlohmann::ordered_json& patch);
 
 }  // namespace violetwing::configuration
 
--- a/src/control/configuration/state.cpp
+++ b/src/control/configuration/state.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <utility>
 
 namespace violetwing::configuration {
@@ -74,36 +75,37 @@
     return {Outcome::kInvalid, version_, "document: cannot be read whole as a JSON object"};
   if (change.base != version_)
     return {Outcome::kConflict, version_, "If-Match: version " + std::to_string(version_) + " is in force"};
-  const std::string problem = Work(change, std::move(sent));
   std::string text;
-  ReadResult read;
-  if (problem.empty()) {
-    text = items_.dump();
-    worked_ += text.size();
-    read = Read(text);
-  }
-  const bool taken = read.configuration != nullptr && read.configuration->version > version_;
-  if (!taken) {
+  ReadResult read = Work(change, std::move(sent), text);
+  if (read.configuration == nullptr || read.configuration->version <= version_) {
     items_ = version_ > 0 ? Json::parse(document_) : Json::object();
-    if (!problem.empty()) return {Outcome::kInvalid, version_, problem};
-    if (read.configuration == nullptr) return {Outcome::kInvalid, version_, ToText(read.findings)};
-    return {Outcome::kInvalid, version_, "version: must be above " + std::to_string(version_)};
+    const std::string old = "version: must be above " + std::to_string(version_);
+    return {Outcome::kInvalid, version_, read.configuration == nullptr ? ToText(read.findings) : old};
   }
-  Take(std::move(text), std::move(read.configuration));
+  Take(std::move(text), std::move(read));
   taken_.Add(digest, version_);
   return {Outcome::kTaken, version_, {}};
 }
 
-std::string State::Work(const Change& change, Json sent) {
-  if (change.patch) return Patch(items_, sent);
-  items_ = std::move(sent);
-  return {};
+ReadResult State::Work(const Change& change, Json sent, std::string& text) {
+  std::optional<ReadResult> read;
+  if (change.patch) {
+    const std::string problem = Patch(items_, sent);
+    if (!problem.empty()) return {nullptr, {{"patch", problem}}, nullptr};
+    if (message_ != nullptr) read = ReadPatched(*message_, sent);
+  } else {
+    items_ = std::move(sent);
+  }
+  text = items_.dump();
+  worked_ += text.size();
+  return read ? std::move(*read) : Read(text);
 }
 
-void State::Take(std::string document, std::shared_ptr<const Configuration> configuration) {
-  version_ = configuration->version;
+void State::Take(std::string document, ReadResult read) {
+  version_ = read.configuration->version;
   document_ = std::move(document);
-  current_ = std::move(configuration);
+  current_ = std::move(read.configuration);
+  message_ = std::move(read.message);
 }
 
 std::string State::Save() const {
@@ -117,13 +119,14 @@
   items_ = Json::object();
   version_ = 0;
   current_.reset();
+  message_.reset();
   taken_.Load(in.at("taken").get<std::map<std::string, std::int64_t>>(),
               in.value("horizon", std::int64_t{0}));  // earlier versions kept all
   std::string document = in.at("document").get<std::string>();
   if (document.empty()) return;
   items_ = Json::parse(document);
   ReadResult read = Read(document);
-  if (read.configuration != nullptr) Take(std::move(document), std::move(read.configuration));
+  if (read.configuration != nullptr) Take(std::move(document), std::move(read));
 }
 
 }  // namespace violetwing::configuration
--- a/src/control/configuration/state.hpp
+++ b/src/control/configuration/state.hpp
@@ -32,15 +32,16 @@
   void Load(const std::string& saved);
 
  private:
-  void Take(std::string document, std::shared_ptr<const Configuration> configuration);
-  // What the change would make of the document, left in `items_`; what is wrong with it, empty if nothing is.
-  std::string Work(const Change& change, nlohmann::ordered_json sent);
+  void Take(std::string document, ReadResult read);
+  // What the change makes of the document: the text and what it says, left in `items_` too.
+  ReadResult Work(const Change& change, nlohmann::ordered_json sent, std::string& text);
 
   std::int64_t version_ = 0;
   std::string document_;
   nlohmann::ordered_json items_ = nlohmann::ordered_json::object();  // the document, read: reading it anew is
                                                                      // a third of the cost of a patch
   std::shared_ptr<const Configuration> current_;
+  std::shared_ptr<const proto::Configuration> message_;
   std::size_t worked_ = 0;
   TakenChanges taken_;
 };
--- a/tests/node/configuration_test.cpp
+++ b/tests/node/configuration_test.cpp
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
+#include "common/random.hpp"
 #include "control/configuration/reader.hpp"
 #include "control/configuration/state.hpp"
 #include "control/configuration/taken_changes.hpp"
@@ -206,4 +207,75 @@
   CHECK(json::parse(loaded.Save())["taken"].size() == static_cast<std::size_t>(kMostKept));
 }
 
+namespace {
+
+json RouteOf(Random& random, std::int64_t name) {
+  json route{{"name", "r" + std::to_string(name)},
+             {"hostname", "h" + std::to_string(random.Below(3)) + ".example"},
+             {"path_prefix", "/" + std::to_string(random.Below(12)) + "/"},
+             {"type", random.Below(30) == 0 ? "unknown" : "idempotent"},
+             {"timeout_ms", random.Below(30) == 0 ? 0 : 1000},
+             {"later", random.Below(9)}};
+  if (random.Below(3) == 0)
+    route["traffic_split"] = {{{"backend", "s" + std::to_string(random.Below(4))}, {"weight", 1}}};
+  else
+    route["backend"] = "s" + std::to_string(random.Below(4));
+  if (random.Below(40) == 0) route["timeout_ms"] = "soon";
+  return route;
+}
+
+json PatchOf(Random& random, std::int64_t version) {
+  json patch{{"version", version}};
+  for (std::uint64_t i = random.Below(3); i > 0; --i)
+    patch["upsert"]["routes"].push_back(RouteOf(random, static_cast<std::int64_t>(random.Below(12))));
+  if (random.Below(3) == 0)
+    patch["upsert"]["backends"].push_back(
+        {{"name", "s" + std::to_string(random.Below(4))}, {"max_connections", random.Below(99)}});
+  if (random.Below(6) == 0) patch["upsert"]["limits"] = {{"max_body_bytes", 1000 + random.Below(9)}};
+  if (random.Below(9) == 0) patch["upsert"]["unheard_of"] = {1, 2};
+  if (random.Below(3) == 0) patch["delete"]["routes"].push_back("r" + std::to_string(random.Below(12)));
+  if (random.Below(12) == 0) patch["delete"]["backends"].push_back("s" + std::to_string(random.Below(4)));
+  return patch;
+}
+
+// Of the fields that a patch may change.
+std::string Describe(const Configuration& configuration) {
+  std::string out = std::to_string(configuration.version);
+  for (const Route& route : configuration.routes) {
+    out +=
+        "\n" + route.name + " " + route.hostname + route.path_prefix + " " + std::to_string(route.timeout_ms);
+    for (const Share& share : route.shares) out += " " + share.backend;
+  }
+  for (const Backend& backend : configuration.backends)
+    out += "\n" + backend.name + " " + std::to_string(backend.max_connections);
+  return out + "\n" + std::to_string(configuration.limits.max_body_bytes);
+}
+
+}  // namespace
+
+TEST_CASE("What a patch leads to, read item by item, is what its document says, read whole") {
+  Random random(1);
+  int taken = 0;
+  int invalid = 0;
+  for (int round = 0; round < 60; ++round) {
+    State state;
+    json first{{"version", 1}, {"routes", json::array()}, {"backends", json::array()}};
+    for (int i = 0; i < 4; ++i) first["backends"].push_back({{"name", "s" + std::to_string(i)}});
+    REQUIRE(Put(state, 0, first).outcome == Outcome::kTaken);
+    for (std::int64_t version = 2; version < 60; ++version) {
+      const json patch = PatchOf(random, version);
+      const std::string before = state.document();
+      const Outcome outcome = PatchWith(state, state.version(), patch).outcome;
+      REQUIRE(outcome != Outcome::kConflict);
+      (outcome == Outcome::kTaken ? taken : invalid) += 1;
+      const ReadResult read = Read(state.document());
+      REQUIRE(read.configuration != nullptr);
+      REQUIRE(Describe(*state.current()) == Describe(*read.configuration));
+      if (outcome != Outcome::kTaken) REQUIRE(state.document() == before);
+    }
+  }
+  CHECK(taken > 1000);
+  CHECK(invalid > 200);
+}
+
 }  // namespace violetwing::configuration
