Accept the next client as soon as a descriptor comes free

Cause, from the lab's log: where accept failed for want of a descriptor, one idle connection was closed and accepting rested 50 ms, whatever became of descriptors meanwhile. So one client was taken every 50 ms, 20 a second of the 72 that came, and those in the listener's queue gave up before their turn.

Change: while accepting rests for that reason, the end of a connection makes it go on at once, and a connection that becomes idle is asked for its place, as it is where all places are taken. The pause stays for descriptors that come free elsewhere.

--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -501,12 +501,21 @@
   AcceptLater();
 }
 
-// No descriptor is left for those that wait: an idle one makes room for the next.
+// No descriptor is left for those that wait: an idle connection makes room for the next. Descriptors that
+// come free elsewhere are not told of, so accepting is tried again after a pause as well.
 void Inbound::AcceptLater() {
+  short_of_descriptors_ = true;
+  ResumeAfter(kAcceptPause);
   RetireIdle();
-  pause_.expires_after(kAcceptPause);
+}
+
+// Accepts again after a time, in place of any time set before.
+void Inbound::ResumeAfter(Clock::duration time) {
+  pause_.expires_after(time);
   pause_.async_wait([this](ErrorCode stopped) {
-    if (!stopped) stopping_ ? StopAccepting() : Accept();
+    if (stopped) return;
+    short_of_descriptors_ = false;
+    stopping_ ? StopAccepting() : Accept();
   });
 }
 
@@ -529,11 +538,13 @@
 void Inbound::Remove(const Session& session) {
   const bool was_full = sessions_.size() >= most_sessions_;
   sessions_.erase(session.place);
+  if (short_of_descriptors_) return ResumeAfter(Clock::duration::zero());  // its descriptor is free
   if (was_full) Accept();
 }
 
-// Where all places were at work, the next client gets this one's.
+// Where all places or descriptors were at work, the next client gets this one's.
 void Inbound::OnIdle() {
+  if (short_of_descriptors_) return RetireIdle();
   if (sessions_.size() >= most_sessions_) Accept();
 }
 
@@ -556,6 +567,7 @@
 // Never shut down: that would end the listener for all that hold it.
 void Inbound::LeaveQueue() {
   pause_.cancel();
+  short_of_descriptors_ = false;
   ErrorCode ignored;
   acceptor_.close(ignored);
 }
--- a/src/net/inbound.hpp
+++ b/src/net/inbound.hpp
@@ -2,6 +2,7 @@
 #ifndef MERLINRUN_NET_INBOUND_HPP_
 #define MERLINRUN_NET_INBOUND_HPP_
 
+#include <chrono>
 #include <functional>
 #include <list>
 #include <memory>
@@ -57,6 +58,7 @@
   void OnAccepted(ErrorCode error, Tcp::socket socket);
   void Add(Tcp::socket socket);
   void AcceptLater();
+  void ResumeAfter(std::chrono::steady_clock::duration time);
   void RetireIdle();
   void OnIdle();
   void Remove(const Session& session);
@@ -71,7 +73,8 @@
   bool accepting_ = false;
   bool stopping_ = false;  // to accept: what waits already is still taken
   bool draining_ = false;
-  std::list<SessionPtr> sessions_;  // the one whose last answer is oldest first
+  bool short_of_descriptors_ = false;  // the last accept failed for want of one, and none was tried since
+  std::list<SessionPtr> sessions_;     // the one whose last answer is oldest first
 };
 
 }  // namespace merlinrun::net
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -146,6 +146,37 @@
   }
 }
 
+// Many clients wait for a descriptor: each gets the one that the client before it has no more use for, as
+// soon as that one has its answer. Accepting rested 50 ms for each instead, and most had given up by then.
+TEST_F(EndingsTest, ADescriptorThatComesFreeIsTheNextClientsAtOnce) {
+  constexpr int kClients = 60;
+  constexpr auto kMostTime = 500ms;  // they took 6 s
+  Inbound::Events events;
+  events.on_request = [&](const Inbound::SessionPtr& session, const RequestHead&, const BodyPtr&, Micros) {
+    Inbound::Respond(session, Plain(http::status::ok, "ok"));
+  };
+  events.on_gone = [](const Inbound::SessionPtr&) {};
+  events.ready = [] { return true; };
+  for (const bool enough : {true, false}) {  // as above
+    Inbound inbound(io, Tcp::acceptor(io, Loopback()), 2 * kClients, std::make_shared<Budget>(1024), events);
+    inbound.Accept();
+    const auto idle = Connect(io, inbound.address());
+    idle->Write(Get("r0"));
+    ASSERT_EQ(Status(*idle), "200");
+    std::vector<std::shared_ptr<Peer>> waiting;
+    for (int i = 0; i < kClients; ++i) waiting.push_back(Connect(io, inbound.address()));
+    std::optional<NoMoreDescriptors> none;
+    if (!enough) none.emplace();
+    const auto begin = std::chrono::steady_clock::now();
+    for (const auto& client : waiting) client->Write(Get("r1"));
+    for (const auto& client : waiting) EXPECT_EQ(Status(*client), "200");
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, kMostTime);
+    inbound.LeaveQueue();
+    inbound.CloseIdle();
+    EXPECT_TRUE(RunUntil(io, [&] { return !inbound.holds_connections(); }));
+  }
+}
+
 // Who connects has 2.5 s for a request (kMostReading), whatever it sends of it.
 constexpr auto kTimeToSend = 2500ms;
 
