Spread the sidecars of a zone over its control processes, and keep sorted routes

Need: each sidecar asked the first control process of its zone that it was told of, and all were told of the same first one.

Change: among those of a zone, and among all others, each sidecar has an order of its own by a hash of both names. One that began at a seed moves once it knows its zone. And a directory with other servers keeps the sorted routes of the one before: they were sorted anew at each change of a server.

--- a/src/dataplane/control_choice.cpp
+++ b/src/dataplane/control_choice.cpp
@@ -15,15 +15,24 @@
   return current_;
 }
 
-bool ControlChoice::InOwnZone(const std::string& address, const std::vector<ControlNode>& known) const {
-  return std::any_of(known.begin(), known.end(),
-                     [&](const ControlNode& node) { return node.zone == zone_ && node.address == address; });
+std::vector<std::string> ControlChoice::OwnZone(const std::vector<ControlNode>& known) const {
+  std::vector<std::string> out;
+  for (const ControlNode& node : known)
+    if (node.zone == zone_) out.push_back(node.address);
+  return out;
+}
+
+void ControlChoice::Sort(std::vector<std::string>& addresses) const {
+  std::sort(addresses.begin(), addresses.end(),
+            [this](const std::string& a, const std::string& b) { return Hash(order_, a) < Hash(order_, b); });
 }
 
 void ControlChoice::OnAnswered(const std::vector<ControlNode>& known, Micros now) {
   failed_.clear();
   const bool lately = failed_at_ > 0 && now - failed_at_ < kComeBackAfter;
-  if (!lately && !InOwnZone(current_, known)) Pick(known);
+  const std::vector<std::string> own = OwnZone(known);
+  const bool in_own = std::find(own.begin(), own.end(), current_) != own.end();
+  if (!lately && !own.empty() && (from_seeds_ || !in_own)) Pick(known);
 }
 
 void ControlChoice::OnFailed(const std::vector<ControlNode>& known, Micros now) {
@@ -34,14 +43,18 @@
 
 // Those of the own zone first, then the others that are known, then the seeds.
 std::vector<std::string> ControlChoice::Candidates(const std::vector<ControlNode>& known) const {
-  std::vector<std::string> out;
-  const auto add = [&](const std::string& address) {
-    if (std::find(out.begin(), out.end(), address) == out.end()) out.push_back(address);
+  std::vector<std::string> out = OwnZone(known);
+  Sort(out);
+  const auto missing = [&](const std::string& address) {
+    return std::find(out.begin(), out.end(), address) == out.end();
   };
+  std::vector<std::string> others;
   for (const ControlNode& node : known)
-    if (node.zone == zone_) add(node.address);
-  for (const ControlNode& node : known) add(node.address);
-  for (const std::string& seed : seeds_) add(seed);
+    if (missing(node.address)) others.push_back(node.address);
+  Sort(others);
+  out.insert(out.end(), others.begin(), others.end());
+  for (const std::string& seed : seeds_)
+    if (missing(seed)) out.push_back(seed);
   return out;
 }
 
@@ -56,7 +69,8 @@
   }
   if (untried.empty()) return;
   // Seeds are taken by chance, so that not all sidecars ask the first.
-  current_ = known.empty() ? untried[random_.Below(untried.size())] : untried.front();
+  from_seeds_ = known.empty();
+  current_ = from_seeds_ ? untried[random_.Below(untried.size())] : untried.front();
 }
 
 }  // namespace violetwing
--- a/src/dataplane/directory.cpp
+++ b/src/dataplane/directory.cpp
@@ -22,6 +22,11 @@
   return false;
 }
 
+std::shared_ptr<const RouteTable> TableOf(const configuration::Configuration* configuration) {
+  return configuration == nullptr ? std::make_shared<const RouteTable>()
+                                  : std::make_shared<const RouteTable>(*configuration);
+}
+
 }  // namespace
 
 RouteTable::RouteTable(const configuration::Configuration& configuration) {
@@ -43,16 +48,25 @@
 }
 
 Directory::Directory(std::shared_ptr<const configuration::Configuration> configuration,
+                     std::shared_ptr<const RouteTable> routes,
                      const std::map<std::string, Instance>& instances, int number, int sidecars)
     : configuration_(std::move(configuration)),
+      routes_(std::move(routes)),
       instances_(instances),
       number_(number),
       sidecars_(std::max(sidecars, 1)) {
-  if (configuration_ != nullptr) routes_ = RouteTable(*configuration_);
   for (const auto& [id, instance] : instances_)
     if (instance.phase == Phase::kReady) servers_[instance.backend].push_back(&instance);
 }
 
+Directory::Directory(std::shared_ptr<const configuration::Configuration> configuration,
+                     const std::map<std::string, Instance>& instances, int number, int sidecars)
+    : Directory(configuration, TableOf(configuration.get()), instances, number, sidecars) {}
+
+Directory::Directory(const Directory& before, const std::map<std::string, Instance>& instances, int number,
+                     int sidecars)
+    : Directory(before.configuration_, before.routes_, instances, number, sidecars) {}
+
 const configuration::Limits& Directory::limits() const {
   static const configuration::Limits kDefaults;
   return configuration_ == nullptr ? kDefaults : configuration_->limits;
--- a/src/dataplane/directory.hpp
+++ b/src/dataplane/directory.hpp
@@ -14,7 +14,7 @@
 
 namespace violetwing {
 
-// Routes by host and path.
+// Routes by host and path, of a configuration that outlives it.
 class RouteTable {
  public:
   RouteTable() = default;
@@ -33,11 +33,14 @@
   Directory() = default;
   Directory(std::shared_ptr<const configuration::Configuration> configuration,
             const std::map<std::string, Instance>& instances, int number, int sidecars);
+  // What `before` knows, with other servers: its routes need not be sorted again.
+  Directory(const Directory& before, const std::map<std::string, Instance>& instances, int number,
+            int sidecars);
 
   bool HasConfiguration() const { return configuration_ != nullptr; }
   std::int64_t version() const { return configuration_ == nullptr ? 0 : configuration_->version; }
   const configuration::Limits& limits() const;
-  const RouteTable& routes() const { return routes_; }
+  const RouteTable& routes() const { return *routes_; }
   const configuration::Backend* FindBackend(const std::string& name) const;
   // Servers of a service that take requests, sorted by id. They live as long as this directory.
   const std::vector<const Instance*>& Servers(const std::string& backend) const;
@@ -49,8 +52,12 @@
   int sidecars() const { return sidecars_; }
 
  private:
+  Directory(std::shared_ptr<const configuration::Configuration> configuration,
+            std::shared_ptr<const RouteTable> routes, const std::map<std::string, Instance>& instances,
+            int number, int sidecars);
+
   std::shared_ptr<const configuration::Configuration> configuration_;
-  RouteTable routes_;
+  std::shared_ptr<const RouteTable> routes_ = std::make_shared<const RouteTable>();
   std::map<std::string, Instance> instances_;
   std::map<std::string, std::vector<const Instance*>> servers_;
   int number_ = 0;
--- a/src/dataplane/system_view.cpp
+++ b/src/dataplane/system_view.cpp
@@ -45,6 +45,7 @@
   }
   configuration_ = std::move(read->configuration);
   message_ = std::move(read->message);
+  routing_ = std::make_shared<const Directory>(configuration_, std::map<std::string, Instance>(), 0, 1);
   spdlog::info("configuration of version {} is in force", version());
   return true;
 }
@@ -99,7 +100,7 @@
 }
 
 DirectoryPtr SystemView::MakeDirectory() const {
-  return std::make_shared<const Directory>(configuration_, instances_, number_, sidecars_);
+  return std::make_shared<const Directory>(*routing_, instances_, number_, sidecars_);
 }
 
 }  // namespace violetwing
--- a/src/dataplane/system_view.hpp
+++ b/src/dataplane/system_view.hpp
@@ -52,6 +52,7 @@
   Neighbors neighbors_;
   int number_ = 0;
   int sidecars_ = 1;
+  DirectoryPtr routing_ = std::make_shared<const Directory>();  // of the configuration, without servers
 };
 
 }  // namespace violetwing
--- a/tests/node/routing_test.cpp
+++ b/tests/node/routing_test.cpp
@@ -51,6 +51,49 @@
   }
 }
 
+TEST_CASE("The control processes of a zone share its sidecars, also those of one that has failed") {
+  constexpr int kSidecars = 90;
+  const std::vector<ControlNode> known{{"c0", "far", "far:1", ""},
+                                       {"c1", "near", "near:1", ""},
+                                       {"c2", "near", "near:2", ""},
+                                       {"c3", "near", "near:3", ""}};
+  std::map<std::string, int> asked;
+  std::map<std::string, int> asked_after;
+  for (int i = 0; i < kSidecars; ++i) {
+    ControlChoice choice("near", "edge-" + std::to_string(i));
+    choice.SetSeeds({"far:1", "near:1"});
+    choice.Current({});
+    choice.OnAnswered(known, kSecond);
+    ++asked[choice.Current(known)];
+    if (choice.Current(known) != "near:1") continue;
+    choice.OnFailed(known, 2 * kSecond);
+    ++asked_after[choice.Current(known)];
+  }
+  CHECK(asked.size() == 3);
+  for (const auto& [address, count] : asked) CHECK((count > kSidecars / 5 && count < kSidecars / 2));
+  CHECK(asked_after.size() == 2);
+  CHECK(asked_after.count("far:1") == 0);
+}
+
+TEST_CASE("A directory made of another one with other servers finds the same routes") {
+  const auto read = configuration::Read(R"({"version": 1, "backends": [{"name": "s"}], "routes": [
+    {"name": "r", "hostname": "a.example", "path_prefix": "/", "type": "idempotent", "timeout_ms": 1, "backend": "s"}]})");
+  Instance server;
+  server.id = "i";
+  server.backend = "s";
+  server.phase = Phase::kReady;
+  auto before =
+      std::make_unique<const Directory>(read.configuration, std::map<std::string, Instance>{}, 0, 1);
+  const configuration::Route* const route = before->routes().Match("a.example", "/x");
+  REQUIRE(route != nullptr);
+  const Directory after(*before, {{"i", server}}, 1, 2);
+  before.reset();
+  CHECK(after.routes().Match("a.example", "/x") == route);
+  CHECK(after.version() == 1);
+  CHECK(after.Servers("s").size() == 1);
+  CHECK(after.number() == 1);
+}
+
 TEST_CASE("The route of the host with the longest prefix is taken") {
   const auto read = configuration::Read(R"({"version": 1, "backends": [{"name": "s"}], "routes": [
     {"name": "short", "hostname": "A.example", "path_prefix": "/x/", "type": "idempotent", "timeout_ms": 1, "backend": "s"},
