--- a/src/dataplane/directory.cpp
+++ b/src/dataplane/directory.cpp
@@ -59,7 +59,7 @@
     if (instance.phase == Phase::kReady) servers_[instance.backend].push_back(&instance);
 }
 
-Directory::Directory(std::shared_ptr<const configuration::Configuration> configuration,
+Directory::Directory(const std::shared_ptr<const configuration::Configuration>& configuration,
                      const std::map<std::string, Instance>& instances, int number, int sidecars)
     : Directory(configuration, TableOf(configuration.get()), instances, number, sidecars) {}
 
--- a/src/dataplane/directory.hpp
+++ b/src/dataplane/directory.hpp
@@ -31,7 +31,7 @@
 class Directory {
  public:
   Directory() = default;
-  Directory(std::shared_ptr<const configuration::Configuration> configuration,
+  Directory(const std::shared_ptr<const configuration::Configuration>& configuration,
             const std::map<std::string, Instance>& instances, int number, int sidecars);
   // What `before` knows, with other servers: its routes need not be sorted again.
   Directory(const Directory& before, const std::map<std::string, Instance>& instances, int number,
