Take no news of servers that goes by what an earlier life of the process knew

Cause, found by reading: a control process sends another the changes since the version vector that this one told last. It kept the vector over the other's end, also of one that started again at its address. The new life took the part and then its own vector said that it held all before it; nobody sent it the rest any more, drains among it, until a server changed again. Besides, a record that came by an exchange was not held against the departures that the process had in its own log.

Change: exchanges name the sender's life and the life of the receiver whose knowledge the changes go by; another life passes them over, and asks as it does anyhow. What is merged is held against the departures. Messages without these fields are taken as before, so versions get on with each other.

Result: two tests; the node tests pass.

--- a/src/control/core.cpp
+++ b/src/control/core.cpp
@@ -63,6 +63,7 @@
 Peers::Outputs ControlCore::PeerOutputs() {
   Peers::Outputs outputs;
   outputs.fill = [this](ExchangeRequest& request, const VersionVector* known) {
+    request.source = life_;
     request.disk = shards_.disk();
     request.known = table_.known();
     request.joins = shards_.Joins(now_);
@@ -182,8 +183,10 @@
 ExchangeReply ControlCore::Exchange(const ExchangeRequest& request, Micros now) {
   now_ = now;
   peers_.Meet(request.from, now);
-  peers_.Knows(request.from.address, request.known);
-  table_.Merge(request.changed, now);
+  peers_.Knows(request.from.address, request.source, request.known);
+  // What an earlier life of this process knew is not known here: its vector would hide the difference for
+  // good.
+  if (request.changed_for.empty() || request.changed_for == life_) MergeInstances(request.changed);
   shards_.Meet(request.disk, request.from.address);
   shards_.SetLeaving(request.disk, request.from.leaving);
   for (const int shard : request.joins) shards_.Join(shard, {request.disk, request.from.address}, now);
@@ -207,15 +210,22 @@
   now_ = now;
   peers_.OnExchanged(address, reply.has_value(), now);
   if (reply) {
-    peers_.Knows(address, reply->known);
+    peers_.Knows(address, reply->source, reply->known);
     Take(*reply);
     TellNews();
   }
   Flush();
 }
 
+// Another process may not have applied a departure yet that stands in the log here.
+void ControlCore::MergeInstances(const std::vector<Instance>& changed) {
+  table_.Merge(changed, now_);
+  for (const Instance& instance : changed)
+    if (const auto phase = shards_.Departed(instance.id)) table_.Leave(instance.id, *phase, now_);
+}
+
 void ControlCore::Take(const ExchangeReply& reply) {
-  table_.Merge(reply.changed, now_);
+  MergeInstances(reply.changed);
   for (const Heard& heard : reply.heard) table_.Hear(heard, now_);
   for (const HeardSidecar& sidecar : reply.edges) sidecars_.HearOf(sidecar, now_);
   for (const ControlNode& node : reply.controls) peers_.Meet(node, now_);
--- a/src/control/core.hpp
+++ b/src/control/core.hpp
@@ -113,6 +113,7 @@
   void TickPlacer();
   void TellNews();
   void Take(const ExchangeReply& reply);
+  void MergeInstances(const std::vector<Instance>& changed);
   // Lets out what the event at hand has led to.
   void Flush() { peers_.Flush(now_); }
 
--- a/src/control/peers.cpp
+++ b/src/control/peers.cpp
@@ -69,9 +69,11 @@
   peer.urgent = true;
 }
 
-void Peers::Knows(const std::string& address, const VersionVector& known) {
+void Peers::Knows(const std::string& address, const std::string& life, const VersionVector& known) {
   const auto it = peers_.find(address);
-  if (it != peers_.end()) it->second.known = known;
+  if (it == peers_.end()) return;
+  it->second.life = life;
+  it->second.known = known;
 }
 
 void Peers::Leave(Micros now) {
@@ -108,6 +110,7 @@
 void Peers::Exchange(const std::string& address, Peer& peer, Micros now) {
   ExchangeRequest request = std::exchange(peer.next, {});
   request.from = self_;
+  request.changed_for = peer.life;
   outputs_.fill(request, peer.known ? &*peer.known : nullptr);
   peer.busy = true;
   peer.urgent = peer.news = false;
--- a/src/control/peers.hpp
+++ b/src/control/peers.hpp
@@ -35,7 +35,7 @@
   void Propose(const std::string& address, ShardProposal proposal);
   void Tell(const std::string& address, std::vector<ModelDemand> demand);
   // What the process at this address knows, by its own word.
-  void Knows(const std::string& address, const VersionVector& known);
+  void Knows(const std::string& address, const std::string& life, const VersionVector& known);
   // This process is about to end: all are told at once.
   void Leave(Micros now);
   // There is news of this process that all others should have soon.
@@ -63,6 +63,7 @@
     bool urgent = false;  // `next` holds something that was said
     bool news = false;    // it should hear what has changed here
     std::optional<VersionVector> known;
+    std::string life;  // of the process there that said so
   };
 
   Peer& Get(const std::string& address);
--- a/src/messages/peer.hpp
+++ b/src/messages/peer.hpp
@@ -61,16 +61,18 @@
 
 struct ExchangeRequest {
   ControlNode from;
-  std::string disk;        // id of the sender's replicas
-  std::vector<int> joins;  // shards in which that disk has no vote
+  std::string source;       // one life of the sender
+  std::string changed_for;  // the life of the receiver by whose knowledge `changed` goes
+  std::string disk;         // id of the sender's replicas
+  std::vector<int> joins;   // shards in which that disk has no vote
   VersionVector known;
   std::vector<Instance> changed;  // what the other one misses, by what it last said that it knows
   std::vector<ShardMessage> messages;
   std::vector<ShardProposal> proposals;
   std::vector<ModelDemand> demand;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ExchangeRequest, from, disk, joins, known, changed, messages, proposals,
-                                   demand)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ExchangeRequest, from, source, changed_for, disk, joins,
+                                                known, changed, messages, proposals, demand)
 
 struct ExchangeReply {
   std::string source;  // one life of the answering process
--- a/tests/node/system_test.cpp
+++ b/tests/node/system_test.cpp
@@ -352,6 +352,60 @@
   }
 }
 
+namespace {
+
+// What control process 1 tells of one server, as another process heard of it.
+ExchangeRequest TellOf(VirtualSystem& system, const std::string& id, Phase phase) {
+  Instance server;
+  server.id = id;
+  server.backend = "s";
+  server.address = "10.1.0.2:80";
+  server.sequence = 5;
+  server.phase = phase;
+  server.origin = "another";
+  server.counter = 5;
+  ExchangeRequest request;
+  request.from.node = "control-1";
+  request.from.address = system.control(1).address;
+  request.source = "life of 1";
+  request.changed = {server};
+  return request;
+}
+
+}  // namespace
+
+// The other process takes a restarted one for its life before, and leaves out what that one knew. Its vector
+// said then that it knew all of it, and no process ever told it of a drain that it had missed.
+TEST_CASE("Cores: changes that go by the knowledge of an earlier life are not taken") {
+  VirtualSystem system(3, 1, 1);
+  system.Run(kSecond);
+  ControlCore& core = *system.control(0).core;
+  ExchangeRequest request = TellOf(system, "i-1", Phase::kReady);
+  request.changed_for = "life before";
+  const ExchangeReply refused = core.Exchange(request, system.now());
+  CHECK(refused.known.count("another") == 0);
+  request.changed_for = refused.source;
+  CHECK(core.Exchange(request, system.now()).known.at("another") == 5);
+}
+
+TEST_CASE("Cores: a server that has left by the log stays so when another process tells of it as ready") {
+  VirtualSystem system(3, 1, 1);
+  system.Run(2 * kSecond);
+  int status = 0;
+  system.CallPublic(1, "DELETE", "/api/instances/i-1", "", 0,
+                    [&](int got, const std::string&) { status = got; });
+  REQUIRE(system.RunUntil([&] { return status == 200; }, 3 * kSecond));
+  system.Run(kSecond);
+  ControlCore& core = *system.control(0).core;
+  REQUIRE(core.shards().Departed("i-1") == Phase::kGone);  // and it has heard of no such server
+  core.Exchange(TellOf(system, "i-1", Phase::kReady), system.now());
+  ExchangeRequest asking = TellOf(system, "i-1", Phase::kReady);
+  asking.changed.clear();
+  const ExchangeReply reply = core.Exchange(asking, system.now());
+  REQUIRE(reply.changed.size() == 1);
+  CHECK(reply.changed[0].phase == Phase::kGone);
+}
+
 // A sidecar that asks again while servers have changed meanwhile was answered each time, as fast as it could
 // ask.
 TEST_CASE("Cores: while servers keep changing, each of many sidecars is answered once between two wakes") {
