Refuse exchanges that lack a field again, and test that senders name the life

And its tests held the receiver alone: a sender that named no life would have passed them all, and the guard with it.

Change: every field but the two lives is required, as before. Tests of both.

--- a/src/messages/peer.hpp
+++ b/src/messages/peer.hpp
@@ -71,8 +71,27 @@
   std::vector<ShardProposal> proposals;
   std::vector<ModelDemand> demand;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ExchangeRequest, from, source, changed_for, disk, joins,
-                                                known, changed, messages, proposals, demand)
+
+inline void to_json(nlohmann::json& out, const ExchangeRequest& request) {
+  out = {{"from", request.from},       {"source", request.source},     {"changed_for", request.changed_for},
+         {"disk", request.disk},       {"joins", request.joins},       {"known", request.known},
+         {"changed", request.changed}, {"messages", request.messages}, {"proposals", request.proposals},
+         {"demand", request.demand}};
+}
+
+inline void from_json(const nlohmann::json& in, ExchangeRequest& request) {
+  in.at("from").get_to(request.from);
+  // Control processes of earlier versions name no lives.
+  request.source = in.value("source", std::string());
+  request.changed_for = in.value("changed_for", std::string());
+  in.at("disk").get_to(request.disk);
+  in.at("joins").get_to(request.joins);
+  in.at("known").get_to(request.known);
+  in.at("changed").get_to(request.changed);
+  in.at("messages").get_to(request.messages);
+  in.at("proposals").get_to(request.proposals);
+  in.at("demand").get_to(request.demand);
+}
 
 struct ExchangeReply {
   std::string source;  // one life of the answering process
--- a/tests/node/system_test.cpp
+++ b/tests/node/system_test.cpp
@@ -388,6 +388,37 @@
   CHECK(core.Exchange(request, system.now()).known.at("another") == 5);
 }
 
+TEST_CASE("Cores: an exchange that tells changes names the life by whose knowledge they go") {
+  Play play;
+  int told = 0;
+  int unnamed = 0;
+  play.system.tamper = [&](Letter& letter) {
+    if (letter.path != kExchangePath || letter.answer) return;
+    const auto request = json::parse(letter.body).get<ExchangeRequest>();
+    if (request.changed.empty()) return;
+    ++told;
+    unnamed += request.changed_for.empty() ? 1 : 0;
+  };
+  play.Configure(3, 0);
+  play.AwaitServers(2);
+  CHECK(told > 0);
+  CHECK(unnamed == 0);
+}
+
+TEST_CASE(
+    "Cores: an exchange without one of its fields is refused, but for the lives that earlier versions lack") {
+  const json whole = ExchangeRequest();
+  for (const auto& [field, value] : whole.items()) {
+    INFO(field);
+    json part = whole;
+    part.erase(field);
+    if (field == "source" || field == "changed_for")
+      CHECK_NOTHROW(part.get<ExchangeRequest>());
+    else
+      CHECK_THROWS(part.get<ExchangeRequest>());
+  }
+}
+
 TEST_CASE("Cores: a server that has left by the log stays so when another process tells of it as ready") {
   VirtualSystem system(3, 1, 1);
   system.Run(2 * kSecond);
