--- a/src/control/api/handlers.cpp
+++ b/src/control/api/handlers.cpp
@@ -104,7 +104,7 @@
 void HandlePull(ControlCore& core, PullRequest request, ControlCore::Micros now, const http::Answer& answer) {
   core.Pull(std::move(request), now, [answer](const std::optional<PullReply>& reply) {
     if (!reply) return answer(Unavailable("this process is out of touch with the others, or stops"));
-    answer({200, json(*reply).dump(), {}});
+    answer({200, Encode(*reply), {}, http::BodyType::kBinary});
   });
 }
 
@@ -125,19 +125,21 @@
 
 void HandleInternal(ControlCore& core, const http::Request& request, ControlCore::Micros now,
                     const http::Answer& answer) {
-  try {
-    if (request.path == kExchangePath) {
-      const auto exchange = json::parse(request.body).get<ExchangeRequest>();
-      return answer({200, json(core.Exchange(exchange, now)).dump(), {}});
-    }
-    if (request.path == kPullPath)
-      return HandlePull(core, json::parse(request.body).get<PullRequest>(), now, answer);
-    if (request.path == kDemandPath) {
-      core.Demand(json::parse(request.body).get<std::vector<ModelDemand>>(), now);
-      return answer(Done());
-    }
-  } catch (const json::exception& error) {
-    return answer(Problem(400, error.what()));
+  const auto unreadable = [&] { answer(Problem(400, request.path + ": the body is no such call")); };
+  if (request.path == kExchangePath) {
+    const auto exchange = Decode<ExchangeRequest>(request.body);
+    if (!exchange) return unreadable();
+    return answer({200, Encode(core.Exchange(*exchange, now)), {}, http::BodyType::kBinary});
+  }
+  if (request.path == kPullPath) {
+    auto pull = Decode<PullRequest>(request.body);
+    return pull ? HandlePull(core, std::move(*pull), now, answer) : unreadable();
+  }
+  if (request.path == kDemandPath) {
+    const auto demand = Decode<std::vector<ModelDemand>>(request.body);
+    if (!demand) return unreadable();
+    core.Demand(*demand, now);
+    return answer(Done());
   }
   answer(NotFound(request));
 }
--- a/src/control/api/http.cpp
+++ b/src/control/api/http.cpp
@@ -54,13 +54,17 @@
   }
 }
 
+const char* NameOf(BodyType type) {
+  return type == BodyType::kJson ? "application/json" : "application/octet-stream";
+}
+
 void Send(evhttp_request* request, const Response& response) {
   evkeyvalq* headers = evhttp_request_get_output_headers(request);
-  evhttp_add_header(headers, "Content-Type", "application/json");
+  evhttp_add_header(headers, "Content-Type", NameOf(response.type));
   for (const auto& [name, value] : response.headers) evhttp_add_header(headers, name.c_str(), value.c_str());
   evbuffer* out = evbuffer_new();
   evbuffer_add(out, response.body.data(), response.body.size());
-  evbuffer_add(out, "\n", 1);  // readers go by lines
+  if (response.type == BodyType::kJson) evbuffer_add(out, "\n", 1);  // for those who read it in a terminal
   evhttp_send_reply(request, response.status, ReasonOf(response.status), out);
   evbuffer_free(out);
 }
@@ -132,7 +136,8 @@
 }
 
 void Client::Call(const std::string& address, const std::string& method, const std::string& path,
-                  std::string body, std::chrono::milliseconds silence, Done done, const Headers& extra) {
+                  std::string body, std::chrono::milliseconds silence, Done done, const Headers& extra,
+                  BodyType type) {
   std::shared_ptr<Connection>& connection = connections_[address];
   if (connection == nullptr) {
     std::string host;
@@ -154,13 +159,13 @@
   evhttp_add_header(headers, "Host", address.c_str());
   for (const auto& [name, value] : extra) evhttp_add_header(headers, name.c_str(), value.c_str());
   if (!body.empty()) {
-    evhttp_add_header(headers, "Content-Type", "application/json");
+    evhttp_add_header(headers, "Content-Type", NameOf(type));
     evbuffer_add(evhttp_request_get_output_buffer(request), body.data(), body.size());
   }
-  evhttp_cmd_type type = EVHTTP_REQ_GET;
+  evhttp_cmd_type command = EVHTTP_REQ_GET;
   for (const Method& known : kMethods)
-    if (method == known.name) type = known.type;
-  evhttp_make_request(connection->handle, request, type, path.c_str());
+    if (method == known.name) command = known.type;
+  evhttp_make_request(connection->handle, request, command, path.c_str());
   ResetOnClose(connection->handle);
 }
 
--- a/src/control/api/http.hpp
+++ b/src/control/api/http.hpp
@@ -54,7 +54,8 @@
   // Calls to one address go one after the other. `silence` bounds each wait: for the connection, for the
   // answer.
   void Call(const std::string& address, const std::string& method, const std::string& path, std::string body,
-            std::chrono::milliseconds silence, Done done, const Headers& headers = {});
+            std::chrono::milliseconds silence, Done done, const Headers& headers = {},
+            BodyType type = BodyType::kJson);
   // Closes what has not been used for so long.
   void CloseIdle(std::chrono::seconds unused);
 
--- a/src/control/api/messages.hpp
+++ b/src/control/api/messages.hpp
@@ -18,10 +18,13 @@
   std::string if_match;
 };
 
+enum class BodyType { kJson, kBinary };  // binary: of internal calls
+
 struct Response {
   int status = 200;
-  std::string body;  // JSON; may be empty
+  std::string body;  // may be empty
   Headers headers;
+  BodyType type = BodyType::kJson;
 };
 
 // Takes the answer to one request: to be called once, at any time.
--- a/src/control/configuration/reader.cpp
+++ b/src/control/configuration/reader.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <string_view>
+#include <unordered_map>
 #include <utility>
 
 #include "generated/configuration.pb.h"
@@ -182,13 +184,16 @@
 template <class Item>
 void Upsert(google::protobuf::RepeatedPtrField<Item>& list,
             const google::protobuf::RepeatedPtrField<Item>& items) {
+  if (items.empty()) return;
+  std::unordered_map<std::string_view, int> places;
+  places.reserve(static_cast<std::size_t>(list.size() + items.size()));
+  for (int at = 0; at < list.size(); ++at) places.emplace(list.Get(at).name(), at);
   for (const Item& item : items) {
-    const auto at =
-        std::find_if(list.begin(), list.end(), [&](const Item& old) { return old.name() == item.name(); });
-    if (at == list.end())
+    const auto [place, added] = places.emplace(item.name(), list.size());
+    if (added)
       *list.Add() = item;
     else
-      *at = item;
+      *list.Mutable(place->second) = item;
   }
 }
 
--- a/src/control/configuration/state.cpp
+++ b/src/control/configuration/state.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 namespace violetwing::configuration {
@@ -17,34 +19,59 @@
                                                                      : std::string();
 }
 
-void Upsert(Json& list, const Json& item) {
-  const std::string name = NameOf(item);
-  const auto at =
-      std::find_if(list.begin(), list.end(), [&](const Json& old) { return NameOf(old) == name; });
-  if (at == list.end())
-    list.push_back(item);
-  else
-    *at = item;
+// The places of a list's items by their names.
+std::unordered_map<std::string, std::size_t> PlacesOf(const Json& list) {
+  std::unordered_map<std::string, std::size_t> places;
+  places.reserve(list.size());
+  for (std::size_t at = 0; at < list.size(); ++at) places.emplace(NameOf(list[at]), at);
+  return places;
 }
 
-// Works a patch into a document. Returns what is wrong with it; empty if nothing is.
-std::string Patch(Json& document, const Json& patch) {
-  if (!patch.is_object()) return "document: is not an object";
-  const Json upsert = patch.value("upsert", Json::object());
-  const Json remove = patch.value("delete", Json::object());
-  if (!upsert.is_object()) return "upsert: is not an object";
+// Returns what is wrong; empty if nothing is.
+std::string Upsert(Json& list, const Json& items, const std::string& key) {
+  std::unordered_map<std::string, std::size_t> places = PlacesOf(list);
+  for (const Json& item : items) {
+    const std::string name = NameOf(item);
+    if (name.empty()) return "upsert." + key + ": an item has no name";
+    const auto [place, added] = places.emplace(name, list.size());
+    if (added)
+      list.push_back(item);
+    else
+      list[place->second] = item;
+  }
+  return {};
+}
+
+std::string Remove(Json& list, const Json& names, const std::string& key) {
+  std::unordered_set<std::string> gone;
+  for (const Json& name : names) {
+    if (!name.is_string()) return "delete." + key + ": holds something that is not a name";
+    gone.insert(name.get<std::string>());
+  }
+  if (gone.empty()) return {};
+  auto& items = list.get_ref<Json::array_t&>();
+  std::erase_if(items, [&](const Json& item) { return gone.count(NameOf(item)) > 0; });
+  return {};
+}
+
+const Json& Part(const Json& patch, const char* key) {
+  static const Json kNothing = Json::object();
+  const auto part = patch.find(key);
+  return part == patch.end() ? kNothing : *part;
+}
+
+std::string RemoveAll(Json& document, const Json& remove) {
   if (!remove.is_object()) return "delete: is not an object";
   for (const auto& [key, names] : remove.items()) {
     if (!names.is_array()) return "delete." + key + ": is not a list";
     if (!document.contains(key)) continue;
     if (!document[key].is_array()) return "delete." + key + ": is no list of items";
-    for (const Json& name : names) {
-      if (!name.is_string()) return "delete." + key + ": holds something that is not a name";
-      Json& list = document[key];
-      for (auto item = list.begin(); item != list.end();)
-        item = NameOf(*item) == name.get<std::string>() ? list.erase(item) : std::next(item);
-    }
+    if (std::string problem = Remove(document[key], names, key); !problem.empty()) return problem;
   }
+  return {};
+}
+
+std::string UpsertAll(Json& document, const Json& upsert) {
   for (const auto& [key, items] : upsert.items()) {
     if (!items.is_array()) {
       document[key] = items;  // not a list of items: replaced whole
@@ -53,11 +80,18 @@
     Json& list = document[key];
     if (list.is_null()) list = Json::array();
     if (!list.is_array()) return "upsert." + key + ": is no list of items";
-    for (const Json& item : items) {
-      if (NameOf(item).empty()) return "upsert." + key + ": an item has no name";
-      Upsert(list, item);
-    }
+    if (std::string problem = Upsert(list, items, key); !problem.empty()) return problem;
   }
+  return {};
+}
+
+// Works a patch into a document. Returns what is wrong with it; empty if nothing is.
+std::string Patch(Json& document, const Json& patch) {
+  if (!patch.is_object()) return "document: is not an object";
+  const Json& upsert = Part(patch, "upsert");
+  if (!upsert.is_object()) return "upsert: is not an object";
+  if (std::string problem = RemoveAll(document, Part(patch, "delete")); !problem.empty()) return problem;
+  if (std::string problem = UpsertAll(document, upsert); !problem.empty()) return problem;
   if (!patch.contains("version")) return "version: is missing";
   document["version"] = patch["version"];
   return {};
--- a/src/control/consensus/replication.cpp
+++ b/src/control/consensus/replication.cpp
@@ -14,16 +14,6 @@
 // A learner that was not heard for so long is sent nothing more: it asks again if it is there.
 constexpr Micros kForgetLearner = 10'000'000;
 
-// Pieces end between characters, as each is sent as text (UTF-8).
-std::size_t PieceSize(const std::string& state, std::size_t offset) {
-  std::size_t end = std::min(state.size(), offset + kMostBytes);
-  const auto continues = [&](std::size_t at) {
-    return at < state.size() && (static_cast<unsigned char>(state[at]) & 0xC0U) == 0x80U;
-  };
-  while (end > offset + 1 && continues(end)) --end;
-  return end - offset;
-}
-
 }  // namespace
 
 void Replica::SyncFollowers(Micros now) {
@@ -87,8 +77,8 @@
   Message message = Make(MessageKind::kSnapshot, follower.member.id);
   message.offset = follower.snapshot_offset;
   message.size = whole.state.size();
-  message.snapshot = Snapshot{whole.index, whole.term, whole.members,
-                              whole.state.substr(message.offset, PieceSize(whole.state, message.offset))};
+  message.snapshot =
+      Snapshot{whole.index, whole.term, whole.members, whole.state.substr(message.offset, kMostBytes)};
   effects_.messages.push_back(std::move(message));
 }
 
--- a/src/control/group.cpp
+++ b/src/control/group.cpp
@@ -2,15 +2,15 @@
 
 #include <spdlog/spdlog.h>
 
-#include <nlohmann/json.hpp>
+#include <algorithm>
 #include <utility>
-#include <vector>
+
+#include "control/commands.hpp"
 
 namespace violetwing {
 namespace {
 
 using consensus::EntryKind;
-using nlohmann::json;
 
 // Entries after the snapshot from which a new one is taken.
 constexpr std::size_t kCompactAfter = 128;
@@ -41,38 +41,58 @@
   replica_.Tick(now);
   std::vector<Done> late;
   for (auto it = waiting_.begin(); it != waiting_.end();) {
-    if (now >= it->second.deadline) {
-      late.push_back(std::move(it->second.done));
+    TakeLate(it->second, now, late);
+    if (it->second.callers.empty()) {
       it = waiting_.erase(it);
       continue;
     }
-    Offer(it->second, now);
+    Offer(it->first, it->second, now);
     ++it;
   }
   Flush();
   for (const Done& done : late) done(std::nullopt);
 }
 
+void Group::TakeLate(Waiting& waiting, Micros now, std::vector<Done>& late) const {
+  const bool in_touch = replica_.InTouch(now);
+  std::erase_if(waiting.callers, [&](Caller& caller) {
+    if (now < (in_touch ? caller.until : caller.least_until)) return false;
+    late.push_back(std::move(caller.done));
+    return true;
+  });
+}
+
 void Group::TakeForwarded(const std::string& command) {
-  replica_.Propose(command);
+  const std::optional<Envelope> envelope = DecodeEnvelope(command);
+  if (envelope) Propose(envelope->request, command);
   Flush();
 }
 
+void Group::Propose(const std::string& request, const std::string& command) {
+  if (!replica_.leader()) return;
+  if (std::exchange(proposed_in_, replica_.term()) != replica_.term()) proposed_.clear();
+  if (proposed_.insert(request).second) replica_.Propose(command);
+}
+
 void Group::Call(const std::string& command, Micros now, Micros within, Done done) {
-  const std::string request = life_ + "/" + std::to_string(++calls_);
-  Waiting waiting;
-  waiting.command = json{{"request", request}, {"command", command}}.dump();
-  waiting.deadline = now + within;
-  waiting.done = std::move(done);
-  Offer(waiting_.emplace(request, std::move(waiting)).first->second, now);
+  CallOnce(life_ + "/" + std::to_string(++calls_), command, now, {within, within}, std::move(done));
+}
+
+void Group::CallOnce(const std::string& name, const std::string& command, Micros now, Patience patience,
+                     Done done) {
+  const auto [it, fresh] = waiting_.try_emplace(name);
+  Waiting& waiting = it->second;
+  if (fresh) waiting.command = Encode(Envelope{name, command});
+  waiting.callers.push_back({now + patience.least, now + patience.in_touch, std::move(done)});
+  Offer(name, waiting, now);
   Flush();
 }
 
-void Group::Offer(Waiting& waiting, Micros now) {
+void Group::Offer(const std::string& request, Waiting& waiting, Micros now) {
   const bool new_term = waiting.sent_in != replica_.term();
   if (waiting.sent_at > 0 && !new_term && now - waiting.sent_at < kOfferAgain) return;
   if (replica_.leader()) {
-    replica_.Propose(waiting.command);
+    Propose(request, waiting.command);
   } else if (replica_.known_leader() && !replica_.known_leader()->address.empty()) {
     outputs_.forward(shard_, *replica_.known_leader(), waiting.command);
   } else {
@@ -89,14 +109,15 @@
 void Group::Apply(const consensus::Entry& entry) {
   if (entry.kind != EntryKind::kCommand) return;
   logged_since_snapshot_ += entry.command.size();
-  const json envelope = json::parse(entry.command, nullptr, /*allow_exceptions=*/false);
-  if (!envelope.is_object() || !envelope.contains("request") || !envelope.contains("command")) return;
-  const std::string result = machine_.Apply(envelope["command"].get<std::string>());
-  const auto it = waiting_.find(envelope["request"].get<std::string>());
+  const std::optional<Envelope> envelope = DecodeEnvelope(entry.command);
+  if (!envelope) return;
+  const std::string result = machine_.Apply(envelope->command);
+  proposed_.erase(envelope->request);
+  const auto it = waiting_.find(envelope->request);
   if (it == waiting_.end()) return;
-  const Done done = std::move(it->second.done);
+  const std::vector<Caller> callers = std::move(it->second.callers);
   waiting_.erase(it);
-  done(result);
+  for (const Caller& caller : callers) caller.done(result);
 }
 
 void Group::Flush() {
--- a/src/control/group.hpp
+++ b/src/control/group.hpp
@@ -6,7 +6,9 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "control/consensus/core.hpp"
 #include "control/store/store.hpp"
@@ -50,6 +52,15 @@
   void TakeForwarded(const std::string& command);
   // The command's answer once it is committed and applied here. It may be applied more than once.
   void Call(const std::string& command, Micros now, Micros within, Done done);
+  // How long a caller waits: in any case, and as long as this replica is in touch with a quorum.
+  struct Patience {
+    Micros least = 0;
+    Micros in_touch = 0;
+  };
+  // The same for a command whose answer does not depend on who calls: `name` is the command's own. Calls of
+  // the same name that are under way at any process are one command in the log, and share its answer.
+  void CallOnce(const std::string& name, const std::string& command, Micros now, Patience patience,
+                Done done);
   // The write of this token is on disk. False if it is not this group's.
   bool Written(std::uint64_t token);
 
@@ -58,12 +69,17 @@
   consensus::Replica& replica() { return replica_; }
 
  private:
+  struct Caller {
+    Micros least_until = 0;
+    Micros until = 0;
+    Done done;
+  };
+  // A command that is not applied yet, and who waits for it.
   struct Waiting {
-    std::string command;
-    Micros deadline = 0;
-    Micros sent_at = 0;  // 0: not yet
+    std::string command;  // in its envelope
+    Micros sent_at = 0;   // 0: not yet
     consensus::Term sent_in = 0;
-    Done done;
+    std::vector<Caller> callers;
   };
   // What waits for the disk.
   struct Unwritten {
@@ -77,14 +93,19 @@
   bool CompactionDue() const;
   void Send(const std::vector<consensus::Message>& messages);
   void Apply(const consensus::Entry& entry);
-  void Offer(Waiting& waiting, Micros now);
+  // As the leader; nothing if the same call's command is in the log already, not yet applied.
+  void Propose(const std::string& request, const std::string& command);
+  void Offer(const std::string& request, Waiting& waiting, Micros now);
+  void TakeLate(Waiting& waiting, Micros now, std::vector<Done>& late) const;
 
   const int shard_;
   const std::string life_;
   consensus::Replica replica_;
   StateMachine& machine_;
   Outputs outputs_;
-  std::map<std::string, Waiting> waiting_;
+  std::map<std::string, Waiting> waiting_;  // by the name of the call
+  std::set<std::string> proposed_;  // calls whose commands this leader has in its log, not yet applied
+  consensus::Term proposed_in_ = 0;
   std::map<std::uint64_t, Unwritten> unwritten_;
   std::uint64_t calls_ = 0;
   std::size_t worked_at_snapshot_ = 0;
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -52,11 +52,7 @@
 // The answer to an exchange; empty if it is not one of ours, or of another version.
 std::optional<ExchangeReply> ReadReply(int status, const std::string& body) {
   if (status != 200) return std::nullopt;
-  try {
-    return json::parse(body).get<ExchangeReply>();
-  } catch (const json::exception&) {
-    return std::nullopt;
-  }
+  return Decode<ExchangeReply>(body);
 }
 
 }  // namespace
@@ -187,10 +183,11 @@
 // ---- Calls of the core ----
 
 void ControlService::Exchange(const std::string& address, const ExchangeRequest& request) {
-  client_.Call(address, "POST", kExchangePath, json(request).dump(), kExchangeSilence,
-               [this, address](int status, const std::string& body) {
-                 core_->Exchanged(address, ReadReply(status, body), SteadyMicros());
-               });
+  const auto done = [this, address](int status, const std::string& body) {
+    core_->Exchanged(address, ReadReply(status, body), SteadyMicros());
+  };
+  client_.Call(address, "POST", kExchangePath, Encode(request), kExchangeSilence, done, {},
+               http::BodyType::kBinary);
 }
 
 void ControlService::SendOrder(const PlacementCall& order, consensus::Term fencing_token) {
--- a/src/control/shards.cpp
+++ b/src/control/shards.cpp
@@ -6,6 +6,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "control/commands.hpp"
+
 namespace violetwing {
 namespace {
 
@@ -15,6 +17,9 @@
 constexpr int kServiceShards = 2;
 // Callers go elsewhere after a second without an answer.
 constexpr Shards::Micros kCallWithin = 900'000;
+// For large bodies they wait longer: while a quorum is there, a large change is on its way. One that goes
+// elsewhere sooner joins the same change there.
+constexpr Shards::Micros kChangeWithin = 2'500'000;
 constexpr const char* kFounderPrefix = "founder/";
 
 }  // namespace
@@ -29,10 +34,10 @@
   explicit ConfigurationMachine(configuration::State& state) : state_(state) {}
 
   std::string Apply(const std::string& command) override {
-    const json in = json::parse(command, nullptr, /*allow_exceptions=*/false);
-    if (!in.is_object() || in.value("read", false)) return {};
-    const configuration::Answer answer = state_.Apply(
-        {in.value("patch", false), in.value("base", std::int64_t{0}), in.value("body", std::string())});
+    const std::optional<ConfigurationCommand> in = DecodeConfigurationCommand(command);
+    const auto* change = in ? std::get_if<configuration::Change>(&*in) : nullptr;
+    if (change == nullptr) return {};
+    const configuration::Answer answer = state_.Apply(*change);
     return json{{"outcome", answer.outcome}, {"version", answer.version}, {"problem", answer.problem}}.dump();
   }
   std::string Save() const override { return state_.Save(); }
@@ -49,12 +54,10 @@
   DeparturesMachine(Departures& state, const Outputs& outputs) : state_(state), outputs_(outputs) {}
 
   std::string Apply(const std::string& command) override {
-    const json in = json::parse(command, nullptr, /*allow_exceptions=*/false);
-    if (!in.is_object()) return {};
-    const std::string id = in.value("id", std::string());
-    const Phase phase = in.value("phase", Phase::kDraining);
-    state_.Apply(id, phase);
-    outputs_.left(id, phase);
+    const std::optional<DepartureCommand> in = DecodeDepartureCommand(command);
+    if (!in) return {};
+    state_.Apply(in->id, in->phase);
+    outputs_.left(in->id, in->phase);
     return {};
   }
   std::string Save() const override { return state_.Save(); }
@@ -183,27 +186,27 @@
 
 void Shards::Change(const configuration::Change& change, Micros now,
                     std::function<void(const std::optional<configuration::Answer>&)> done) {
-  const json command{{"patch", change.patch}, {"base", change.base}, {"body", change.body}};
-  groups_.front()->Call(command.dump(), now, kCallWithin,
-                        [done = std::move(done)](const std::optional<std::string>& result) {
-                          if (!result) return done(std::nullopt);
-                          const json out = json::parse(*result);
-                          done(configuration::Answer{out.at("outcome").get<configuration::Outcome>(),
-                                                     out.at("version").get<std::int64_t>(),
-                                                     out.at("problem").get<std::string>()});
-                        });
+  groups_.front()->CallOnce("change/" + configuration::DigestOf(change), Encode(ConfigurationCommand(change)),
+                            now, {kCallWithin, kChangeWithin},
+                            [done = std::move(done)](const std::optional<std::string>& result) {
+                              if (!result) return done(std::nullopt);
+                              const json out = json::parse(*result);
+                              done(configuration::Answer{out.at("outcome").get<configuration::Outcome>(),
+                                                         out.at("version").get<std::int64_t>(),
+                                                         out.at("problem").get<std::string>()});
+                            });
 }
 
 void Shards::Read(Micros now, std::function<void(bool current)> done) {
   groups_.front()->Call(
-      json{{"read", true}}.dump(), now, kCallWithin,
+      Encode(ConfigurationCommand(ReadCommand{})), now, kCallWithin,
       [done = std::move(done)](const std::optional<std::string>& result) { done(result.has_value()); });
 }
 
 void Shards::Leave(const std::string& service, const std::string& id, Phase phase, Micros now,
                    std::function<void(bool taken)> done) {
   OfService(service).Call(
-      json{{"id", id}, {"phase", phase}}.dump(), now, kCallWithin,
+      Encode(DepartureCommand{id, phase}), now, kCallWithin,
       [done = std::move(done)](const std::optional<std::string>& result) { done(result.has_value()); });
 }
 
--- a/src/control/store/store.cpp
+++ b/src/control/store/store.cpp
@@ -1,9 +1,9 @@
 #include "store.hpp"
 
 #include <chrono>
-#include <nlohmann/json.hpp>
 #include <utility>
 
+#include "json_form.hpp"
 #include "messages/consensus.hpp"
 
 namespace violetwing {
@@ -11,13 +11,12 @@
 
 using consensus::Entry;
 using consensus::Index;
-using nlohmann::json;
 
 // Between two tries of a write that the disk has refused.
 constexpr std::chrono::milliseconds kRetryPause{200};
 
-// The form of what is stored; a newer binary reads the older ones.
-constexpr int kFormat = 1;
+// The form of what is stored; a newer binary reads the older ones. 1: bodies in JSON, 2: in protocol buffers.
+constexpr int kFormat = 2;
 
 // A write-ahead log with one sync for each commit. The exclusive lock keeps its index in this process's own
 // memory: no file is mapped by several processes.
@@ -31,8 +30,8 @@
     "CREATE TABLE IF NOT EXISTS identity (format INTEGER NOT NULL, disk TEXT NOT NULL);"
     "CREATE TABLE IF NOT EXISTS hard_state (shard INTEGER PRIMARY KEY, term INTEGER NOT NULL, vote TEXT NOT "
     "NULL);"
-    "CREATE TABLE IF NOT EXISTS snapshot (shard INTEGER PRIMARY KEY, body TEXT NOT NULL);"
-    "CREATE TABLE IF NOT EXISTS entry (shard INTEGER NOT NULL, position INTEGER NOT NULL, body TEXT NOT NULL,"
+    "CREATE TABLE IF NOT EXISTS snapshot (shard INTEGER PRIMARY KEY, body BLOB NOT NULL);"
+    "CREATE TABLE IF NOT EXISTS entry (shard INTEGER NOT NULL, position INTEGER NOT NULL, body BLOB NOT NULL,"
     " PRIMARY KEY (shard, position)) WITHOUT ROWID;";
 
 std::string Text(sqlite3_stmt* statement, int column) {
@@ -42,6 +41,24 @@
              : std::string(text, static_cast<std::size_t>(sqlite3_column_bytes(statement, column)));
 }
 
+std::string Blob(sqlite3_stmt* statement, int column) {
+  const auto* bytes = static_cast<const char*>(sqlite3_column_blob(statement, column));
+  const auto size = static_cast<std::size_t>(sqlite3_column_bytes(statement, column));
+  return bytes == nullptr ? std::string() : std::string(bytes, size);
+}
+
+std::optional<Entry> ReadEntry(const std::string& body) {
+  return IsJsonForm(body) ? EntryFromJson(body) : consensus::DecodeEntry(body);
+}
+
+std::optional<consensus::Snapshot> ReadSnapshot(const std::string& body) {
+  return IsJsonForm(body) ? SnapshotFromJson(body) : consensus::DecodeSnapshot(body);
+}
+
+void BindBlob(sqlite3_stmt* statement, int at, const std::string& bytes) {
+  sqlite3_bind_blob(statement, at, bytes.data(), static_cast<int>(bytes.size()), SQLITE_TRANSIENT);
+}
+
 void Bind(sqlite3_stmt* statement, int at, const std::string& text) {
   sqlite3_bind_text(statement, at, text.data(), static_cast<int>(text.size()), SQLITE_TRANSIENT);
 }
@@ -104,7 +121,8 @@
     }
     disk_ = Text(read, 1);
     sqlite3_reset(read);
-    return ReadAll(problem) ? std::error_code() : failed;
+    const std::string upgrade = "UPDATE identity SET format = " + std::to_string(kFormat);
+    return ReadAll(problem) && Run(upgrade.c_str(), &problem) ? std::error_code() : failed;
   }
   if (read != nullptr) sqlite3_reset(read);
   sqlite3_stmt* insert = Prepare("INSERT INTO identity VALUES (?, ?)");
@@ -120,31 +138,48 @@
 }
 
 bool Store::ReadAll(std::string& problem) {
-  try {
-    sqlite3_stmt* hard = Prepare("SELECT shard, term, vote FROM hard_state");
-    while (hard != nullptr && sqlite3_step(hard) == SQLITE_ROW)
-      stored_[sqlite3_column_int(hard, 0)].hard = {
-          static_cast<consensus::Term>(sqlite3_column_int64(hard, 1)), Text(hard, 2)};
-    sqlite3_stmt* snapshot = Prepare("SELECT shard, body FROM snapshot");
-    while (snapshot != nullptr && sqlite3_step(snapshot) == SQLITE_ROW)
-      stored_[sqlite3_column_int(snapshot, 0)].snapshot =
-          json::parse(Text(snapshot, 1)).get<consensus::Snapshot>();
-    sqlite3_stmt* entry = Prepare("SELECT shard, position, body FROM entry ORDER BY shard, position");
-    while (entry != nullptr && sqlite3_step(entry) == SQLITE_ROW) {
-      consensus::StoredState& state = stored_[sqlite3_column_int(entry, 0)];
-      const auto position = static_cast<Index>(sqlite3_column_int64(entry, 1));
-      if (position != state.snapshot.index + state.entries.size() + 1) {
-        problem = "control.db: the log has a gap at " + std::to_string(position);
-        return false;
-      }
-      state.entries.push_back(json::parse(Text(entry, 2)).get<Entry>());
+  sqlite3_stmt* hard = Prepare("SELECT shard, term, vote FROM hard_state");
+  while (hard != nullptr && sqlite3_step(hard) == SQLITE_ROW)
+    stored_[sqlite3_column_int(hard, 0)].hard = {static_cast<consensus::Term>(sqlite3_column_int64(hard, 1)),
+                                                 Text(hard, 2)};
+  const bool read = ReadSnapshots(problem) && ReadEntries(problem);
+  if (hard != nullptr) sqlite3_reset(hard);
+  return read;
+}
+
+bool Store::ReadSnapshots(std::string& problem) {
+  sqlite3_stmt* row = Prepare("SELECT shard, body FROM snapshot");
+  while (row != nullptr && sqlite3_step(row) == SQLITE_ROW) {
+    std::optional<consensus::Snapshot> snapshot = ReadSnapshot(Blob(row, 1));
+    const int shard = sqlite3_column_int(row, 0);
+    if (!snapshot) {
+      problem = "control.db: the snapshot of shard " + std::to_string(shard) + " cannot be read";
+      return false;
     }
-    for (sqlite3_stmt* statement : {hard, snapshot, entry}) sqlite3_reset(statement);
-    return true;
-  } catch (const std::exception& error) {
-    problem = std::string("control.db: ") + error.what();
-    return false;
+    stored_[shard].snapshot = std::move(*snapshot);
+  }
+  if (row != nullptr) sqlite3_reset(row);
+  return true;
+}
+
+bool Store::ReadEntries(std::string& problem) {
+  sqlite3_stmt* row = Prepare("SELECT shard, position, body FROM entry ORDER BY shard, position");
+  while (row != nullptr && sqlite3_step(row) == SQLITE_ROW) {
+    consensus::StoredState& state = stored_[sqlite3_column_int(row, 0)];
+    const auto position = static_cast<Index>(sqlite3_column_int64(row, 1));
+    if (position != state.snapshot.index + state.entries.size() + 1) {
+      problem = "control.db: the log has a gap at " + std::to_string(position);
+      return false;
+    }
+    std::optional<Entry> entry = ReadEntry(Blob(row, 2));
+    if (!entry) {
+      problem = "control.db: the entry at " + std::to_string(position) + " cannot be read";
+      return false;
+    }
+    state.entries.push_back(std::move(*entry));
   }
+  if (row != nullptr) sqlite3_reset(row);
+  return true;
 }
 
 void Store::Start(std::function<void()> notify) {
@@ -224,7 +259,7 @@
     if (entry == nullptr) return false;
     Bind(entry, 1, shard);
     Bind(entry, 2, write.first + i);
-    Bind(entry, 3, json(write.entries[i]).dump());
+    BindBlob(entry, 3, consensus::Encode(write.entries[i]));
     if (!Step(entry)) return false;
   }
   if (!write.snapshot) return true;
@@ -232,7 +267,7 @@
   sqlite3_stmt* erase = Prepare("DELETE FROM entry WHERE shard = ? AND position <= ?");
   if (snapshot == nullptr || erase == nullptr) return false;
   Bind(snapshot, 1, shard);
-  Bind(snapshot, 2, json(*write.snapshot).dump());
+  BindBlob(snapshot, 2, consensus::Encode(*write.snapshot));
   Bind(erase, 1, shard);
   Bind(erase, 2, write.snapshot->index);
   return Step(snapshot) && Step(erase);
--- a/src/control/store/store.hpp
+++ b/src/control/store/store.hpp
@@ -56,6 +56,8 @@
 
   bool Run(const char* sql, std::string* problem = nullptr);
   bool ReadAll(std::string& problem);
+  bool ReadSnapshots(std::string& problem);
+  bool ReadEntries(std::string& problem);
   bool WriteAll(const std::vector<Job>& jobs);
   bool Write(const ShardWrite& write);
   bool Step(sqlite3_stmt* statement);
--- a/src/dataplane/control_link.cpp
+++ b/src/dataplane/control_link.cpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <utility>
 
+#include "common/http_client.hpp"
 #include "common/steady_time.hpp"
 
 namespace violetwing {
@@ -28,8 +29,9 @@
     : io_(io),
       changed_(std::move(changed)),
       pause_(io),
-      guard_(io),
       demand_soon_(io),
+      pulls_(io, kSilence),
+      reports_(io, kSilence),
       view_(settings.node_name, settings.InternalAddress()),
       choice_(settings.zone, settings.node_name) {
   Reload(settings);
@@ -46,36 +48,17 @@
 void ControlLink::Stop() {
   stopped_ = true;
   pause_.cancel();
-  guard_.cancel();
   demand_soon_.cancel();
-  if (call_ != nullptr) call_->Stop();
+  pulls_.Stop();
+  reports_.Stop();
 }
 
 void ControlLink::Pull() {
   if (stopped_) return;
   const auto endpoint = ParseEndpoint(choice_.Current(view_.controls()));
   if (!endpoint) return OnPulled(0, {});
-  HttpExchange::Call call;
-  call.to = *endpoint;
-  call.method = "POST";
-  call.target = kPullPath;
-  call.body = nlohmann::json(view_.NextPull(kWaitMs, TakeDemand())).dump();
-  call.silence = kSilence;
-  answer_.clear();
-  HttpExchange::Events events;
-  events.on_line = [this](const std::string& line) { answer_ += line; };
-  events.on_end = [this](int status, const std::string& why) {
-    guard_.cancel();
-    OnPulled(why.empty() ? status : 0, answer_);
-  };
-  call_ = HttpExchange::Start(io_, std::move(call), std::move(events));
-  // Bounds the whole call: an answer that drips in would keep each single wait short.
-  guard_.expires_after(2 * kSilence);
-  guard_.async_wait([this](const boost::system::error_code& error) {
-    if (error || stopped_) return;
-    call_->Stop();
-    OnPulled(0, {});
-  });
+  pulls_.Post(*endpoint, kPullPath, Encode(view_.NextPull(kWaitMs, TakeDemand())),
+              [this](int status, const std::string& body) { OnPulled(status, body); });
 }
 
 void ControlLink::OnPulled(int status, const std::string& body) {
@@ -93,13 +76,13 @@
 }
 
 bool ControlLink::Take(const std::string& body) {
-  try {
-    if (view_.Take(nlohmann::json::parse(body).get<PullReply>())) changed_(view_.MakeDirectory());
-    return true;
-  } catch (const std::exception& error) {
-    spdlog::warn("the answer of {} cannot be read: {}", choice_.Current(view_.controls()), error.what());
+  const auto reply = Decode<PullReply>(body);
+  if (!reply) {
+    spdlog::warn("the answer of {} cannot be read", choice_.Current(view_.controls()));
     return false;
   }
+  if (view_.Take(*reply)) changed_(view_.MakeDirectory());
+  return true;
 }
 
 // ---- Demand ----
@@ -111,6 +94,7 @@
   sum.requests += demand.requests;
   sum.tokens += demand.tokens;
   sum.waiting += demand.waiting;
+  demand_urgent_ = demand_urgent_ || urgent;
   if (!urgent || std::exchange(demand_pending_, true)) return;
   demand_soon_.expires_after(kDemandAfter);
   demand_soon_.async_wait([this](const boost::system::error_code& error) {
@@ -123,19 +107,18 @@
   std::vector<ModelDemand> out;
   for (auto& [key, sum] : demand_) out.push_back(std::move(sum));
   demand_.clear();
+  demand_urgent_ = false;
   return out;
 }
 
 void ControlLink::SendDemand() {
   const auto endpoint = ParseEndpoint(choice_.Current(view_.controls()));
   if (!endpoint || demand_.empty()) return;
-  HttpExchange::Call call;
-  call.to = *endpoint;
-  call.method = "POST";
-  call.target = kDemandPath;
-  call.body = nlohmann::json(TakeDemand()).dump();
-  call.silence = kSilence;
-  HttpExchange::Start(io_, std::move(call), {nullptr, [](int, const std::string&) {}});
+  // What comes meanwhile goes with the next report, or with the next pull.
+  if (reports_.busy()) return;
+  reports_.Post(*endpoint, kDemandPath, Encode(TakeDemand()), [this](int, const std::string&) {
+    if (!demand_.empty() && std::exchange(demand_urgent_, false)) SendDemand();
+  });
 }
 
 }  // namespace violetwing
--- a/src/dataplane/control_link.hpp
+++ b/src/dataplane/control_link.hpp
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-#include "common/http_client.hpp"
+#include "dataplane/control_channel.hpp"
 #include "dataplane/control_choice.hpp"
 #include "dataplane/directory.hpp"
 #include "dataplane/system_view.hpp"
@@ -47,11 +47,11 @@
   boost::asio::io_context& io_;
   const std::function<void(DirectoryPtr)> changed_;
   boost::asio::steady_timer pause_;
-  boost::asio::steady_timer guard_;
   boost::asio::steady_timer demand_soon_;
   bool demand_pending_ = false;
-  std::shared_ptr<HttpExchange> call_;
-  std::string answer_;
+  bool demand_urgent_ = false;  // a request waits for some of it
+  ControlChannel pulls_;
+  ControlChannel reports_;  // of demand: a pull may be waiting for news meanwhile
   bool stopped_ = false;
 
   SystemView view_;
--- a/src/dataplane/load_gossip.cpp
+++ b/src/dataplane/load_gossip.cpp
@@ -3,7 +3,6 @@
 #include <spdlog/spdlog.h>
 
 #include <chrono>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "common/http_client.hpp"
@@ -71,7 +70,7 @@
   LoadReport report = chooser_.TakeReport();
   if (report.prompts.empty() || neighbors_.empty() || !socket_.is_open()) return;
   report.node = node_;
-  const std::string text = nlohmann::json(report).dump();
+  const std::string text = Encode(report);
   if (text.size() > kMostBytes) return;
   boost::system::error_code ignored;  // a report that is lost is merely not known elsewhere
   for (const udp::endpoint& neighbor : neighbors_)
@@ -89,12 +88,8 @@
 
 void LoadGossip::Take(std::size_t bytes) {
   const std::string_view text(buffer_.data(), bytes);
-  const nlohmann::json in = nlohmann::json::parse(text, nullptr, /*allow_exceptions=*/false);
-  try {
-    chooser_.OnReport(in.get<LoadReport>(), SteadyMicros());
-  } catch (const nlohmann::json::exception& error) {
-    spdlog::debug("a report of load cannot be read: {}", error.what());
-  }
+  if (const auto report = DecodeLoadReport(text)) return chooser_.OnReport(*report, SteadyMicros());
+  spdlog::debug("a report of load cannot be read: {} bytes", bytes);
 }
 
 }  // namespace violetwing
--- a/src/dataplane/system_view.cpp
+++ b/src/dataplane/system_view.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace violetwing {
--- a/src/messages/consensus.cpp
+++ b/src/messages/consensus.cpp
@@ -1,163 +1,258 @@
 #include "consensus.hpp"
 
-#include <stdexcept>
+#include <algorithm>
 
-namespace violetwing::consensus {
-
-using nlohmann::json;
+#include "generated/internal.pb.h"
+#include "messages/parse.hpp"
 
+namespace violetwing::consensus {
 namespace {
 
-// A piece has a name of its own: a process of an earlier version would take it for the whole.
-void WriteSnapshot(json& out, const Message& message) {
-  const bool whole = message.offset == 0 && message.snapshot->state.size() >= message.size;
-  out[whole ? "snapshot" : "piece"] = *message.snapshot;
-  if (whole) return;
-  out["offset"] = message.offset;
-  out["size"] = message.size;
+using WireMessage = wire::ConsensusMessage;
+
+WireMessage::Kind ToWire(MessageKind kind) {
+  switch (kind) {
+    case MessageKind::kHeartbeat:
+      return WireMessage::HEARTBEAT;
+    case MessageKind::kHeartbeatReply:
+      return WireMessage::HEARTBEAT_REPLY;
+    case MessageKind::kPreVote:
+      return WireMessage::PRE_VOTE;
+    case MessageKind::kPreVoteReply:
+      return WireMessage::PRE_VOTE_REPLY;
+    case MessageKind::kVote:
+      return WireMessage::VOTE;
+    case MessageKind::kVoteReply:
+      return WireMessage::VOTE_REPLY;
+    case MessageKind::kAppend:
+      return WireMessage::APPEND;
+    case MessageKind::kAppendReply:
+      return WireMessage::APPEND_REPLY;
+    case MessageKind::kSnapshot:
+      return WireMessage::SNAPSHOT;
+    case MessageKind::kSnapshotReply:
+      return WireMessage::SNAPSHOT_REPLY;
+  }
+  return WireMessage::HEARTBEAT;
 }
 
-void ReadSnapshot(const json& in, Message& message) {
-  const bool whole = in.contains("snapshot");
-  message.snapshot = in.at(whole ? "snapshot" : "piece").get<Snapshot>();
-  message.size = message.snapshot->state.size();
-  if (whole) return;
-  in.at("offset").get_to(message.offset);
-  in.at("size").get_to(message.size);
+MessageKind FromWire(WireMessage::Kind kind) {
+  switch (kind) {
+    case WireMessage::HEARTBEAT:
+      return MessageKind::kHeartbeat;
+    case WireMessage::HEARTBEAT_REPLY:
+      return MessageKind::kHeartbeatReply;
+    case WireMessage::PRE_VOTE:
+      return MessageKind::kPreVote;
+    case WireMessage::PRE_VOTE_REPLY:
+      return MessageKind::kPreVoteReply;
+    case WireMessage::VOTE:
+      return MessageKind::kVote;
+    case WireMessage::VOTE_REPLY:
+      return MessageKind::kVoteReply;
+    case WireMessage::APPEND:
+      return MessageKind::kAppend;
+    case WireMessage::APPEND_REPLY:
+      return MessageKind::kAppendReply;
+    case WireMessage::SNAPSHOT:
+      return MessageKind::kSnapshot;
+    case WireMessage::SNAPSHOT_REPLY:
+      return MessageKind::kSnapshotReply;
+  }
+  return MessageKind::kHeartbeat;
 }
 
-}  // namespace
+void ToWire(const Members& members, wire::Members& out) {
+  for (const Member& member : members) {
+    wire::Member& one = *out.add_members();
+    one.set_id(member.id);
+    one.set_address(member.address);
+  }
+}
 
-void to_json(json& out, const Member& member) { out = json{{"id", member.id}, {"address", member.address}}; }
+Members FromWire(const wire::Members& in) {
+  Members members;
+  members.reserve(static_cast<std::size_t>(in.members_size()));
+  for (const wire::Member& member : in.members()) members.push_back({member.id(), member.address()});
+  return members;
+}
 
-void from_json(const json& in, Member& member) {
-  in.at("id").get_to(member.id);
-  in.at("address").get_to(member.address);
+void ToWire(const Entry& entry, wire::Entry& out) {
+  out.set_term(entry.term);
+  if (entry.kind == EntryKind::kCommand) out.set_command(entry.command);
+  if (entry.kind == EntryKind::kMembers) ToWire(entry.members, *out.mutable_members());
 }
 
-void to_json(json& out, const Entry& entry) {
-  out = json{{"term", entry.term}, {"kind", entry.kind}};
-  if (entry.kind == EntryKind::kCommand) out["command"] = entry.command;
-  if (entry.kind == EntryKind::kMembers) out["members"] = entry.members;
+// False where an entry says to be of two kinds.
+bool FromWire(const wire::Entry& in, Entry& entry) {
+  if (in.has_command() && in.has_members()) return false;
+  entry.term = in.term();
+  entry.kind = EntryKind::kNoop;
+  if (in.has_command()) {
+    entry.kind = EntryKind::kCommand;
+    entry.command = in.command();
+  } else if (in.has_members()) {
+    entry.kind = EntryKind::kMembers;
+    entry.members = FromWire(in.members());
+  }
+  return true;
 }
 
-void from_json(const json& in, Entry& entry) {
-  in.at("term").get_to(entry.term);
-  in.at("kind").get_to(entry.kind);
-  if (json(entry.kind) != in.at("kind")) throw std::invalid_argument("unknown kind of entry");
-  if (entry.kind == EntryKind::kCommand) in.at("command").get_to(entry.command);
-  if (entry.kind == EntryKind::kMembers) in.at("members").get_to(entry.members);
+void ToWire(const Snapshot& snapshot, wire::Snapshot& out) {
+  out.set_index(snapshot.index);
+  out.set_term(snapshot.term);
+  ToWire(snapshot.members, *out.mutable_members());
+  out.set_state(snapshot.state);
 }
 
-void to_json(json& out, const Snapshot& snapshot) {
-  out = json{{"index", snapshot.index},
-             {"term", snapshot.term},
-             {"members", snapshot.members},
-             {"state", snapshot.state}};
+Snapshot FromWire(const wire::Snapshot& in) {
+  return {in.index(), in.term(), FromWire(in.members()), in.state()};
 }
 
-void from_json(const json& in, Snapshot& snapshot) {
-  in.at("index").get_to(snapshot.index);
-  in.at("term").get_to(snapshot.term);
-  in.at("members").get_to(snapshot.members);
-  in.at("state").get_to(snapshot.state);
+bool ReadEntries(const wire::Entries& in, std::vector<Entry>& entries) {
+  entries.resize(static_cast<std::size_t>(in.entries_size()));
+  for (std::size_t i = 0; i < entries.size(); ++i)
+    if (!FromWire(in.entries(static_cast<int>(i)), entries[i])) return false;
+  return true;
 }
 
-void to_json(json& out, const Message& message) {
-  out = json{{"kind", message.kind}, {"from", message.from}, {"to", message.to}, {"term", message.term}};
-  switch (message.kind) {
-    case MessageKind::kHeartbeat:
-      out["commit"] = message.commit;
-      out["leader_commit"] = message.leader_commit;
-      out["sent_at"] = message.sent_at;
-      out["follower_sent_at"] = message.follower_sent_at;
-      out["quorum_age"] = message.quorum_age;
-      break;
-    case MessageKind::kHeartbeatReply:
-      out["sent_at"] = message.sent_at;
-      out["follower_sent_at"] = message.follower_sent_at;
-      break;
-    case MessageKind::kPreVote:
-    case MessageKind::kVote:
-      out["index"] = message.index;
-      out["log_term"] = message.log_term;
-      out["leaderless"] = message.leaderless;
-      break;
-    case MessageKind::kPreVoteReply:
-    case MessageKind::kVoteReply:
-      out["granted"] = message.granted;
-      out["leaderless"] = message.leaderless;
-      break;
-    case MessageKind::kAppend:
-      out["index"] = message.index;
-      out["log_term"] = message.log_term;
-      out["commit"] = message.commit;
-      out["entries"] = message.entries;
-      break;
-    case MessageKind::kAppendReply:
-      out["index"] = message.index;
-      out["granted"] = message.granted;
-      break;
-    case MessageKind::kSnapshot:
-      if (message.snapshot) WriteSnapshot(out, message);
-      break;
-    case MessageKind::kSnapshotReply:
-      out["index"] = message.index;
-      out["offset"] = message.offset;
-      break;
+// Whether all fields are there that a message of its kind has.
+bool IsWhole(const WireMessage& in) {
+  switch (in.kind()) {
+    case WireMessage::HEARTBEAT:
+      return in.has_commit() && in.has_leader_commit() && in.has_sent_at() && in.has_follower_sent_at() &&
+             in.has_quorum_age();
+    case WireMessage::HEARTBEAT_REPLY:
+      return in.has_sent_at() && in.has_follower_sent_at();
+    case WireMessage::PRE_VOTE:
+    case WireMessage::VOTE:
+      return in.has_index() && in.has_log_term() && in.has_leaderless();
+    case WireMessage::PRE_VOTE_REPLY:
+    case WireMessage::VOTE_REPLY:
+      return in.has_granted() && in.has_leaderless();
+    case WireMessage::APPEND:
+      return in.has_index() && in.has_log_term() && in.has_commit() && in.has_entries();
+    case WireMessage::APPEND_REPLY:
+      return in.has_index() && in.has_granted();
+    case WireMessage::SNAPSHOT:
+      return in.has_snapshot() && in.has_offset() && in.has_size();
+    case WireMessage::SNAPSHOT_REPLY:
+      return in.has_index() && in.has_offset();
   }
+  return false;
 }
 
-void from_json(const json& in, Message& message) {
-  in.at("kind").get_to(message.kind);
-  // The library reads an unknown name as the first of the list.
-  if (json(message.kind) != in.at("kind")) throw std::invalid_argument("unknown kind of message");
-  in.at("from").get_to(message.from);
-  in.at("to").get_to(message.to);
-  in.at("term").get_to(message.term);
+}  // namespace
+
+void ToWire(const Message& message, wire::ConsensusMessage& out) {
+  out.set_kind(ToWire(message.kind));
+  out.set_from(message.from);
+  out.set_to(message.to);
+  out.set_term(message.term);
   switch (message.kind) {
     case MessageKind::kHeartbeat:
-      in.at("commit").get_to(message.commit);
-      in.at("leader_commit").get_to(message.leader_commit);
-      in.at("sent_at").get_to(message.sent_at);
-      // A process of an earlier version returns nothing, which proves nothing.
-      message.follower_sent_at = in.value("follower_sent_at", Micros{0});
-      message.quorum_age = in.value("quorum_age", Micros{-1});
+      out.set_commit(message.commit);
+      out.set_leader_commit(message.leader_commit);
+      out.set_sent_at(message.sent_at);
+      out.set_follower_sent_at(message.follower_sent_at);
+      out.set_quorum_age(message.quorum_age);
       break;
     case MessageKind::kHeartbeatReply:
-      in.at("sent_at").get_to(message.sent_at);
-      message.follower_sent_at = in.value("follower_sent_at", Micros{0});
+      out.set_sent_at(message.sent_at);
+      out.set_follower_sent_at(message.follower_sent_at);
       break;
     case MessageKind::kPreVote:
     case MessageKind::kVote:
-      in.at("index").get_to(message.index);
-      in.at("log_term").get_to(message.log_term);
-      message.leaderless =
-          in.value("leaderless", false);  // a process of an earlier version says nothing of it
+      out.set_index(message.index);
+      out.set_log_term(message.log_term);
+      out.set_leaderless(message.leaderless);
       break;
     case MessageKind::kPreVoteReply:
     case MessageKind::kVoteReply:
-      in.at("granted").get_to(message.granted);
-      message.leaderless = in.value("leaderless", false);
+      out.set_granted(message.granted);
+      out.set_leaderless(message.leaderless);
       break;
     case MessageKind::kAppend:
-      in.at("index").get_to(message.index);
-      in.at("log_term").get_to(message.log_term);
-      in.at("commit").get_to(message.commit);
-      in.at("entries").get_to(message.entries);
+      out.set_index(message.index);
+      out.set_log_term(message.log_term);
+      out.set_commit(message.commit);
+      out.mutable_entries();
+      for (const Entry& entry : message.entries) ToWire(entry, *out.mutable_entries()->add_entries());
       break;
     case MessageKind::kAppendReply:
-      in.at("index").get_to(message.index);
-      in.at("granted").get_to(message.granted);
+      out.set_index(message.index);
+      out.set_granted(message.granted);
       break;
     case MessageKind::kSnapshot:
-      ReadSnapshot(in, message);
+      if (!message.snapshot) break;
+      ToWire(*message.snapshot, *out.mutable_snapshot());
+      out.set_offset(message.offset);
+      out.set_size(std::max(message.size, message.offset + message.snapshot->state.size()));
       break;
     case MessageKind::kSnapshotReply:
-      in.at("index").get_to(message.index);
-      in.at("offset").get_to(message.offset);
+      out.set_index(message.index);
+      out.set_offset(message.offset);
       break;
   }
 }
 
+bool FromWire(const wire::ConsensusMessage& in, Message& message) {
+  if (!IsWhole(in)) return false;
+  message.kind = FromWire(in.kind());
+  message.from = in.from();
+  message.to = in.to();
+  message.term = in.term();
+  message.index = in.index();
+  message.log_term = in.log_term();
+  message.commit = in.commit();
+  message.leader_commit = in.leader_commit();
+  message.granted = in.granted();
+  message.leaderless = in.leaderless();
+  message.sent_at = in.sent_at();
+  message.follower_sent_at = in.follower_sent_at();
+  message.quorum_age = in.has_quorum_age() ? in.quorum_age() : Micros{-1};
+  message.offset = in.offset();
+  message.size = in.size();
+  if (in.has_snapshot()) message.snapshot = FromWire(in.snapshot());
+  return ReadEntries(in.entries(), message.entries);
+}
+
+std::string Encode(const Message& message) {
+  wire::ConsensusMessage out;
+  ToWire(message, out);
+  return out.SerializePartialAsString();
+}
+
+std::string Encode(const Entry& entry) {
+  wire::Entry out;
+  ToWire(entry, out);
+  return out.SerializeAsString();
+}
+
+std::string Encode(const Snapshot& snapshot) {
+  wire::Snapshot out;
+  ToWire(snapshot, out);
+  return out.SerializeAsString();
+}
+
+std::optional<Message> DecodeMessage(const std::string& bytes) {
+  const auto in = wire::Parse<wire::ConsensusMessage>(bytes);
+  Message message;
+  if (!in || !FromWire(*in, message)) return std::nullopt;
+  return message;
+}
+
+std::optional<Entry> DecodeEntry(const std::string& bytes) {
+  const auto in = wire::Parse<wire::Entry>(bytes);
+  Entry entry;
+  if (!in || !FromWire(*in, entry)) return std::nullopt;
+  return entry;
+}
+
+std::optional<Snapshot> DecodeSnapshot(const std::string& bytes) {
+  const auto in = wire::Parse<wire::Snapshot>(bytes);
+  if (!in) return std::nullopt;
+  return FromWire(*in);
+}
+
 }  // namespace violetwing::consensus
--- a/src/messages/consensus.hpp
+++ b/src/messages/consensus.hpp
@@ -1,36 +1,30 @@
-// JSON form of what the replicas of a shard say to each other.
+// The form in which replicas of a shard speak to each other and keep their log: protocol buffers
+// (internal.proto). What it holds is bytes, so that a command is never written as text inside a text.
 #ifndef VIOLETWING_MESSAGES_CONSENSUS_HPP_
 #define VIOLETWING_MESSAGES_CONSENSUS_HPP_
 
-#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
 
 #include "control/consensus/core.hpp"
 
+namespace violetwing::wire {
+class ConsensusMessage;
+}
+
 namespace violetwing::consensus {
 
-NLOHMANN_JSON_SERIALIZE_ENUM(EntryKind, {{EntryKind::kCommand, "command"},
-                                         {EntryKind::kNoop, "noop"},
-                                         {EntryKind::kMembers, "members"}})
-NLOHMANN_JSON_SERIALIZE_ENUM(MessageKind, {{MessageKind::kHeartbeat, "heartbeat"},
-                                           {MessageKind::kHeartbeatReply, "heartbeat_reply"},
-                                           {MessageKind::kPreVote, "pre_vote"},
-                                           {MessageKind::kPreVoteReply, "pre_vote_reply"},
-                                           {MessageKind::kVote, "vote"},
-                                           {MessageKind::kVoteReply, "vote_reply"},
-                                           {MessageKind::kAppend, "append"},
-                                           {MessageKind::kAppendReply, "append_reply"},
-                                           {MessageKind::kSnapshot, "snapshot"},
-                                           {MessageKind::kSnapshotReply, "snapshot_reply"}})
-
-// The readers throw nlohmann::json::exception where a field is missing or of another type.
-void to_json(nlohmann::json& out, const Member& member);
-void from_json(const nlohmann::json& in, Member& member);
-void to_json(nlohmann::json& out, const Entry& entry);
-void from_json(const nlohmann::json& in, Entry& entry);
-void to_json(nlohmann::json& out, const Snapshot& snapshot);
-void from_json(const nlohmann::json& in, Snapshot& snapshot);
-void to_json(nlohmann::json& out, const Message& message);
-void from_json(const nlohmann::json& in, Message& message);
+void ToWire(const Message& message, wire::ConsensusMessage& out);
+// False where a field that a message of its kind has is missing.
+bool FromWire(const wire::ConsensusMessage& in, Message& message);
+
+std::string Encode(const Message& message);
+std::string Encode(const Entry& entry);
+std::string Encode(const Snapshot& snapshot);
+// Empty where the bytes are no such message, or lack a field.
+std::optional<Message> DecodeMessage(const std::string& bytes);
+std::optional<Entry> DecodeEntry(const std::string& bytes);
+std::optional<Snapshot> DecodeSnapshot(const std::string& bytes);
 
 }  // namespace violetwing::consensus
 
--- a/src/messages/instances.hpp
+++ b/src/messages/instances.hpp
@@ -64,8 +64,6 @@
   double tokens = 0;  // read and put out, in tokens read
   int waiting = 0;    // requests held until a server has it
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ModelDemand, backend, model, requests, tokens, waiting)
-
 }  // namespace violetwing
 
 #endif  // VIOLETWING_MESSAGES_INSTANCES_HPP_
--- a/src/messages/load.hpp
+++ b/src/messages/load.hpp
@@ -3,8 +3,9 @@
 #ifndef VIOLETWING_MESSAGES_LOAD_HPP_
 #define VIOLETWING_MESSAGES_LOAD_HPP_
 
-#include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace violetwing {
@@ -16,13 +17,15 @@
   std::string parts;    // as in X-Violetwing-Prompt-Prefix
   double read_ms = 0;   // that the server takes to read it, as the sender expects
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SentPrompt, server, weights, parts, read_ms)
 
 struct LoadReport {
   std::string node;  // the sender
   std::vector<SentPrompt> prompts;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadReport, node, prompts)
+
+std::string Encode(const LoadReport& report);
+// Empty where the bytes are no report, or lack a field.
+std::optional<LoadReport> DecodeLoadReport(std::string_view bytes);
 
 }  // namespace violetwing
 
--- a/tests/node/consensus_test.cpp
+++ b/tests/node/consensus_test.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 
 #include "cluster.hpp"
+#include "wire_fields.hpp"
 
 namespace violetwing::consensus {
 namespace {
@@ -394,7 +395,7 @@
   CHECK(committed > schedules);
 }
 
-TEST_CASE("Messages keep all fields through their JSON form") {
+TEST_CASE("Messages keep all fields through their form on the wire") {
   Message message;
   message.kind = MessageKind::kAppend;
   message.from = "a";
@@ -404,23 +405,50 @@
   message.log_term = 2;
   message.commit = 1;
   message.entries = {{7, EntryKind::kCommand, "x\"\n", {}}, {7, EntryKind::kMembers, {}, {{"a", "1:2"}}}};
-  const auto back = nlohmann::json::parse(nlohmann::json(message).dump()).get<Message>();
+  const Message back = DecodeMessage(Encode(message)).value();
   CHECK(back.index == 3);
   Message reply;
   reply.kind = MessageKind::kPreVoteReply;
   reply.leaderless = true;
-  CHECK(nlohmann::json(reply).get<Message>().leaderless);
+  CHECK(DecodeMessage(Encode(reply)).value().leaderless);
   Message vote = reply;
   vote.kind = MessageKind::kVote;
-  CHECK(nlohmann::json(vote).get<Message>().leaderless);
+  CHECK(DecodeMessage(Encode(vote)).value().leaderless);
   CHECK(back.entries[0].command == "x\"\n");
   CHECK(back.entries[1].members == message.entries[1].members);
-  nlohmann::json unknown = message;
-  unknown["kind"] = "praise";
-  CHECK_THROWS(unknown.get<Message>());
-  unknown = message;
-  unknown.erase("entries");
-  CHECK_THROWS(unknown.get<Message>());
+  constexpr char kUnknownKind = 100;
+  std::string unknown = Encode(message);  // the kind is its first field: a tag, and the number
+  unknown[1] = kUnknownKind;
+  CHECK_FALSE(DecodeMessage(unknown));
+  const wire::ConsensusMessage form;
+  CHECK_FALSE(DecodeMessage(
+      testing::Without(form, form.GetDescriptor()->FindFieldByName("entries"), Encode(message))));
+}
+
+TEST_CASE("A message of any kind that lacks a field of its kind is refused") {
+  const wire::ConsensusMessage form;
+  for (int kind = 0; kind <= static_cast<int>(MessageKind::kSnapshotReply); ++kind) {
+    Message message;
+    message.kind = static_cast<MessageKind>(kind);
+    if (message.kind == MessageKind::kSnapshot) message.snapshot = Snapshot{3, 1, {{"a", "1:2"}}, "state"};
+    const std::string whole = Encode(message);
+    REQUIRE(DecodeMessage(whole));
+    CHECK(DecodeMessage(whole)->kind == message.kind);
+    for (const auto* field : testing::FieldsOf(form)) {
+      INFO("kind " << kind << ", field " << field->name());
+      const std::string without = testing::Without(form, field, whole);
+      if (without != whole) CHECK_FALSE(DecodeMessage(without));
+    }
+  }
+}
+
+TEST_CASE("An entry of two kinds is refused, and one of none is a no-op") {
+  wire::Entry entry;
+  entry.set_term(4);
+  CHECK(DecodeEntry(entry.SerializeAsString()).value().kind == EntryKind::kNoop);
+  entry.set_command("x");
+  entry.mutable_members();
+  CHECK_FALSE(DecodeEntry(entry.SerializeAsString()));
 }
 
 }  // namespace violetwing::consensus
--- a/tests/node/control_link_test.cpp
+++ b/tests/node/control_link_test.cpp
@@ -5,6 +5,7 @@
 #include <deque>
 
 #include "net/scripted_peers.hpp"
+#include "wire_fields.hpp"
 
 namespace violetwing {
 namespace {
@@ -35,7 +36,7 @@
 }
 
 // The answer that a control process gives when nothing is wrong.
-json Good(std::int64_t version, const Instance& instance) {
+PullReply Good(std::int64_t version, const Instance& instance) {
   PullReply reply;
   reply.source = "control";
   reply.configuration = version;
@@ -95,7 +96,8 @@
   int pulls_after_ = 0;
 };
 
-std::string Ok(const json& body) { return Reply("200 OK", body.dump() + "\n"); }
+std::string Ok(const std::string& body) { return Reply("200 OK", body); }
+std::string Ok(const PullReply& reply) { return Ok(Encode(reply)); }
 
 }  // namespace
 
@@ -109,19 +111,16 @@
 }
 
 TEST_CASE("An answer with a field changed or missing changes nothing that it should not") {
-  const json good = Good(9, Server(Phase::kReady, 2, 2));
+  const wire::PullReply form;
+  PullReply good = Good(9, Server(Phase::kReady, 2, 2));
+  good.document = "{";  // so that none of these is a good answer
+  const std::string bytes = Encode(good);
   std::vector<std::string> changed = {
-      Reply("503 Service Unavailable", "{}\n"), Ok(json::object()), Ok(json::array()), "", "not HTTP\r\n\r\n",
-      Reply("200 OK", "{\"source\": \"con")};
-  for (const auto& [key, value] : good.items()) {
-    json missing = good;
-    missing.erase(key);
-    missing["document"] = "{";  // so that none of these is a good answer
-    changed.push_back(Ok(missing));
-    json other = good;
-    other[key] = json::array({json::array({1})});
-    other["document"] = 7;
-    changed.push_back(Ok(other));
+      Reply("503 Service Unavailable", "{}\n"), Ok("{}"), Ok("[]"), "", "not HTTP\r\n\r\n",
+      Ok(bytes.substr(0, bytes.size() / 2))};
+  for (const auto* field : testing::FieldsOf(form)) {
+    changed.push_back(Ok(testing::Without(form, field, bytes)));
+    changed.push_back(Ok(testing::WithOtherType(form, field, bytes)));
   }
   for (const std::string& answer : changed) {
     INFO(answer);
@@ -141,9 +140,9 @@
 }
 
 TEST_CASE("A whole list replaces what another control process had told, but not that a server leaves") {
-  json whole = Good(5, Server(Phase::kReady, 3, 1));
-  whole["source"] = "another";
-  whole["whole"] = true;
+  PullReply whole = Good(5, Server(Phase::kReady, 3, 1));
+  whole.source = "another";
+  whole.whole = true;
   Link lost;
   lost.Play({Ok(Good(5, Server(Phase::kLost, 4, 1))), Ok(whole)});
   CHECK(lost.Serves());
--- a/tests/node/exploration.hpp
+++ b/tests/node/exploration.hpp
@@ -16,7 +16,6 @@
 #include <deque>
 #include <map>
 #include <memory>
-#include <nlohmann/json.hpp>
 #include <string>
 #include <tuple>
 #include <unordered_set>
@@ -241,7 +240,7 @@
 
   void Send(World& world, const Message& message) {
     if (message.kind == MessageKind::kHeartbeat || message.kind == MessageKind::kHeartbeatReply) return;
-    const std::string text = nlohmann::json(message).dump();
+    const std::string text = Encode(message);
     world.network[{message.from, message.to, message.kind}] = {message,
                                                                XXH3_64bits(text.data(), text.size())};
   }
@@ -249,7 +248,7 @@
   // ---- Invariants ----
 
   void Commit(World& world, Index index, const Entry& entry) {
-    const std::pair<Term, std::string> told{entry.term, nlohmann::json(entry).dump()};
+    const std::pair<Term, std::string> told{entry.term, Encode(entry)};
     const auto [it, fresh] = world.committed.emplace(index, told);
     if (!fresh && it->second != told)
       violations_.push_back("two entries at " + std::to_string(index) + ": " + it->second.second + " and " +
@@ -276,11 +275,11 @@
   static std::uint64_t HashOf(const Machine& machine) {
     std::string text = machine.replica->Fingerprint() + "|" + std::to_string(machine.disk.hard.term) +
                        machine.disk.hard.vote;
-    for (const Entry& entry : machine.disk.entries) text += nlohmann::json(entry).dump();
+    for (const Entry& entry : machine.disk.entries) text += Encode(entry);
     for (const Effects& write : machine.writes) {
       text += "w" + std::to_string(write.first) + (write.hard ? write.hard->vote : "");
-      for (const Entry& entry : write.entries) text += nlohmann::json(entry).dump();
-      for (const Message& message : write.messages_after_write) text += nlohmann::json(message).dump();
+      for (const Entry& entry : write.entries) text += Encode(entry);
+      for (const Message& message : write.messages_after_write) text += Encode(message);
     }
     return XXH3_64bits(text.data(), text.size());
   }
--- a/tests/node/group_test.cpp
+++ b/tests/node/group_test.cpp
@@ -4,7 +4,9 @@
 #include <catch2/catch.hpp>
 #include <deque>
 #include <string>
+#include <vector>
 
+#include "control/commands.hpp"
 #include "virtual_disk.hpp"
 
 namespace violetwing {
@@ -31,6 +33,16 @@
   void Call(const std::string& command, std::optional<std::string>& answer) {
     group_.Call(command, kNow, 1'000'000, [&answer](const std::optional<std::string>& got) { answer = got; });
   }
+  void CallOnce(const std::string& name, const std::string& command, std::vector<std::string>& answers) {
+    group_.CallOnce(
+        name, command, kNow, {1'000'000, 1'000'000},
+        [&answers](const std::optional<std::string>& got) { answers.push_back(got.value_or("")); });
+  }
+  // A command from a process that took the same call.
+  void Forward(const std::string& name, const std::string& command) {
+    group_.TakeForwarded(Encode(Envelope{name, command}));
+  }
+  std::size_t logged() const { return group_.replica().last(); }
   void Elect() {
     for (Micros at = kNow; !group_.replica().leader(); at += 50'000) group_.Tick(at);
   }
@@ -89,4 +101,23 @@
   CHECK(answer == "later");
 }
 
+TEST_CASE("A call that comes again while its command is under way joins it, also from another process") {
+  consensus::StoredState disk;
+  Process process("life", disk);
+  process.Elect();
+  const std::size_t before = process.logged();
+  std::vector<std::string> answers;
+  process.CallOnce("change", "large", answers);
+  process.CallOnce("change", "large", answers);
+  process.Forward("change", "large");
+  CHECK(process.logged() == before + 1);
+  process.WriteAll();
+  CHECK(answers == std::vector<std::string>{"large", "large"});
+  // Once it has been applied, the same call is a new command: it tells what stands then.
+  process.CallOnce("change", "large", answers);
+  process.WriteAll();
+  CHECK(process.logged() == before + 2);
+  CHECK(answers.size() == 3);
+}
+
 }  // namespace violetwing
--- a/tests/node/load_test.cpp
+++ b/tests/node/load_test.cpp
@@ -9,6 +9,7 @@
 #include "dataplane/system_view.hpp"
 #include "net/scripted_peers.hpp"
 #include "node/model_servers.hpp"
+#include "wire_fields.hpp"
 
 namespace violetwing {
 namespace {
@@ -240,10 +241,12 @@
 }
 
 TEST_CASE("An answer of a control process that knows of no neighbors is taken") {
-  nlohmann::json answer = PullReply();
-  answer.erase("neighbors");
+  const wire::PullReply form;
+  const auto without = [&](const char* field) {
+    return testing::Without(form, form.GetDescriptor()->FindFieldByName(field), Encode(PullReply()));
+  };
   SystemView view("edge", "10.0.0.1:1");
-  PullReply reply = answer.get<PullReply>();
+  PullReply reply = Decode<PullReply>(without("neighbors")).value();
   CHECK_FALSE(view.Take(reply));
   CHECK(view.neighbors().empty());
   reply.neighbors = {5, {"10.0.0.2:1"}};
@@ -253,8 +256,7 @@
   reply.neighbors = {5, {}};  // the same still
   CHECK_FALSE(view.Take(reply));
   CHECK(view.neighbors().size() == 1);
-  answer.erase("changed");
-  CHECK_THROWS(answer.get<PullReply>());
+  CHECK_FALSE(Decode<PullReply>(without("changed")));
 }
 
 }  // namespace violetwing
--- a/tests/node/patches_test.cpp
+++ b/tests/node/patches_test.cpp
@@ -133,10 +133,10 @@
   int patches = 0;
   system.tamper = [&](Letter& letter) {
     if (letter.path != kPullPath || !letter.answer) return;
-    const json answer = json::parse(letter.body, nullptr, /*allow_exceptions=*/false);
-    if (!answer.is_object() || !answer.contains("document")) return;
-    documents += answer["document"].get<std::string>().empty() ? 0 : 1;
-    patches += answer["patches"].empty() ? 0 : 1;
+    const auto answer = Decode<PullReply>(letter.body);
+    if (!answer) return;
+    documents += answer->document.empty() ? 0 : 1;
+    patches += answer->patches.empty() ? 0 : 1;
   };
   for (std::int64_t version = 2; version <= 6; ++version) {
     change("PATCH", version - 1, PatchDocument(version, static_cast<int>(version) * 1000));
--- a/tests/node/replication_test.cpp
+++ b/tests/node/replication_test.cpp
@@ -49,7 +49,7 @@
     std::size_t largest = 0;
     int pieces = 0;
     cluster.mutate = [&](Message& message) {
-      message = nlohmann::json::parse(nlohmann::json(message).dump()).get<Message>();
+      message = DecodeMessage(Encode(message)).value();
       largest = std::max(largest, BytesOf(message));
       pieces += message.kind == MessageKind::kSnapshot;
       return true;
--- a/tests/node/store_test.cpp
+++ b/tests/node/store_test.cpp
@@ -120,6 +120,59 @@
   CHECK(problem.find("newer version") != std::string::npos);
 }
 
+TEST_CASE("What version 1 wrote in JSON is read, and kept beside what is written since") {
+  const Folder folder;
+  std::string problem;
+  {
+    Store store;
+    REQUIRE_FALSE(store.Open(folder.path(), "disk/a", problem));
+  }
+  sqlite3* database = nullptr;
+  REQUIRE(sqlite3_open((folder.path() + "/control.db").c_str(), &database) == SQLITE_OK);
+  const char* version_1 = R"(UPDATE identity SET format = 1;
+    INSERT INTO snapshot VALUES (1, '{"index":4,"term":2,"members":[{"id":"a","address":"1:2"}],"state":"s"}');
+    INSERT INTO entry VALUES (1, 5, '{"term":2,"kind":"command","command":"{\"request\":\"r\"}"}');
+    INSERT INTO entry VALUES (1, 6, '{"term":3,"kind":"noop"}');
+    INSERT INTO entry VALUES (1, 7, '{"term":3,"kind":"members","members":[{"id":"b","address":"3:4"}]}');)";
+  REQUIRE(sqlite3_exec(database, version_1, nullptr, nullptr, nullptr) == SQLITE_OK);
+  sqlite3_close(database);
+  {
+    Store store;
+    REQUIRE_FALSE(store.Open(folder.path(), "disk/never used", problem));
+    WriteAll(store, {Entries(1, 8, {Command(4, std::string("\xff\x00x", 3))})});
+  }
+  Store store;
+  REQUIRE_FALSE(store.Open(folder.path(), "disk/never used", problem));
+  const consensus::StoredState& one = store.stored().at(1);
+  CHECK(one.snapshot.index == 4);
+  CHECK(one.snapshot.state == "s");
+  CHECK(one.snapshot.members == consensus::Members{{"a", "1:2"}});
+  REQUIRE(one.entries.size() == 4);
+  CHECK(one.entries[0].command == "{\"request\":\"r\"}");
+  CHECK(one.entries[1].kind == EntryKind::kNoop);
+  CHECK(one.entries[2].members == consensus::Members{{"b", "3:4"}});
+  CHECK(one.entries[3].command == std::string("\xff\x00x", 3));
+}
+
+TEST_CASE("A stored entry that cannot be read is told of, and nothing is served from it") {
+  for (const char* body : {"'{\"term\":2'", "'{\"term\":2,\"kind\":\"praise\"}'", "x'ffff'"}) {
+    const Folder folder;
+    std::string problem;
+    {
+      Store store;
+      REQUIRE_FALSE(store.Open(folder.path(), "disk/a", problem));
+    }
+    sqlite3* database = nullptr;
+    REQUIRE(sqlite3_open((folder.path() + "/control.db").c_str(), &database) == SQLITE_OK);
+    const std::string insert = std::string("INSERT INTO entry VALUES (1, 1, ") + body + ")";
+    REQUIRE(sqlite3_exec(database, insert.c_str(), nullptr, nullptr, nullptr) == SQLITE_OK);
+    sqlite3_close(database);
+    Store store;
+    CHECK(store.Open(folder.path(), "disk/a", problem));
+    CHECK(problem.find("entry at 1") != std::string::npos);
+  }
+}
+
 TEST_CASE("A folder that is not there is told of") {
   Store store;
   std::string problem;
--- a/tests/node/system_test.cpp
+++ b/tests/node/system_test.cpp
@@ -8,6 +8,7 @@
 
 #include "configuration_document.hpp"
 #include "virtual_system.hpp"
+#include "wire_fields.hpp"
 
 namespace violetwing {
 namespace {
@@ -212,26 +213,26 @@
 }
 
 TEST_CASE("Cores: one message of each kind lacks a field or has one of another type") {
-  // The JSON form of a message names all fields of its kind.
-  const std::pair<const char*, std::vector<json>> kinds[] = {
-      {kExchangePath, {json(ExchangeRequest{}), json(ExchangeReply{})}},
-      {kPullPath, {json(PullRequest{}), json(PullReply{})}}};
-  for (const auto& [path, forms] : kinds)
-    for (const bool answer : {false, true})
-      for (const auto& [key, value] : forms[answer ? 1 : 0].items())
-        for (const int at : {1, 12, 40}) {
-          INFO("field " << key);
-          PlayTampered(path, answer, at, [key = key](Letter& letter) {
-            json body = json::parse(letter.body);
-            body.erase(key);
-            letter.body = body.dump();
-          });
-          PlayTampered(path, answer, at, [key = key](Letter& letter) {
-            json body = json::parse(letter.body);
-            body[key] = json::array({json::array({1})});
-            letter.body = body.dump();
-          });
-        }
+  const wire::ExchangeRequest exchange;
+  const wire::ExchangeReply exchanged;
+  const wire::PullRequest pull;
+  const wire::PullReply pulled;
+  struct Kind {
+    const char* path;
+    bool answer;
+    const google::protobuf::Message& form;
+  };
+  for (const Kind& kind : {Kind{kExchangePath, false, exchange}, Kind{kExchangePath, true, exchanged},
+                           Kind{kPullPath, false, pull}, Kind{kPullPath, true, pulled}})
+    for (const auto* field : testing::FieldsOf(kind.form))
+      for (const int at : {1, 12, 40}) {
+        INFO("field " << field->full_name());
+        PlayTampered(kind.path, kind.answer, at,
+                     [&](Letter& letter) { letter.body = testing::Without(kind.form, field, letter.body); });
+        PlayTampered(kind.path, kind.answer, at, [&](Letter& letter) {
+          letter.body = testing::WithOtherType(kind.form, field, letter.body);
+        });
+      }
 }
 
 TEST_CASE("Cores: a process ends while it takes a change, and the change is acknowledged exactly once") {
@@ -283,7 +284,7 @@
   bool lost = false;
   play.system.tamper = [&](Letter& letter) {
     if (lost || letter.path != kExchangePath || letter.answer) return;
-    if (json::parse(letter.body).at("proposals").empty()) return;
+    if (Decode<ExchangeRequest>(letter.body).value().proposals.empty()) return;
     lost = true;
     letter.copies = 0;
   };
@@ -394,7 +395,7 @@
   int unnamed = 0;
   play.system.tamper = [&](Letter& letter) {
     if (letter.path != kExchangePath || letter.answer) return;
-    const auto request = json::parse(letter.body).get<ExchangeRequest>();
+    const ExchangeRequest request = Decode<ExchangeRequest>(letter.body).value();
     if (request.changed.empty()) return;
     ++told;
     unnamed += request.changed_for.empty() ? 1 : 0;
@@ -407,15 +408,12 @@
 
 TEST_CASE(
     "Cores: an exchange without one of its fields is refused, but for the lives that earlier versions lack") {
-  const json whole = ExchangeRequest();
-  for (const auto& [field, value] : whole.items()) {
-    INFO(field);
-    json part = whole;
-    part.erase(field);
-    if (field == "source" || field == "changed_for")
-      CHECK_NOTHROW(part.get<ExchangeRequest>());
-    else
-      CHECK_THROWS(part.get<ExchangeRequest>());
+  const wire::ExchangeRequest form;
+  for (const auto* field : testing::FieldsOf(form)) {
+    INFO(field->name());
+    const bool optional = field->name() == "source" || field->name() == "changed_for";
+    const std::string part = testing::Without(form, field, Encode(ExchangeRequest()));
+    CHECK(Decode<ExchangeRequest>(part).has_value() == optional);
   }
 }
 
@@ -447,8 +445,7 @@
   std::map<std::string, int> answers;
   system.tamper = [&](Letter& letter) {
     if (letter.path != kPullPath || !letter.answer) return;
-    const auto answer = json::parse(letter.body, nullptr, /*allow_exceptions=*/false);
-    if (answer.is_object() && answer.contains("number")) ++answers[answer["number"].dump()];
+    if (const auto answer = Decode<PullReply>(letter.body)) ++answers[std::to_string(answer->number)];
   };
   const Micros begin = system.now();
   for (int sequence = 1; system.now() < begin + 4 * kSecond; ++sequence) {
--- a/tests/node/virtual_system.hpp
+++ b/tests/node/virtual_system.hpp
@@ -1,6 +1,7 @@
 // A deterministic system: the cores of control processes and of sidecars' links on a virtual clock, with a
 // network that delays, cuts, and may lose, double, hold up or change one message, and disks that lose what
-// was not synced. What is said between the cores goes through its JSON form, as between real processes.
+// was not synced. What is said between the cores goes through its form on the wire, as between real
+// processes.
 #ifndef VIOLETWING_TESTS_NODE_VIRTUAL_SYSTEM_HPP_
 #define VIOLETWING_TESTS_NODE_VIRTUAL_SYSTEM_HPP_
 
@@ -9,7 +10,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <nlohmann/json.hpp>
 #include <set>
 #include <string>
 #include <tuple>
@@ -109,7 +109,7 @@
       controls_[i].writes.push_back({last + Draw(8'000), {std::move(write), token}});
     };
     outputs.exchange = [this, i](const std::string& to, const ExchangeRequest& request) {
-      CallInternal(controls_[i].address, to, kExchangePath, nlohmann::json(request).dump(),
+      CallInternal(controls_[i].address, to, kExchangePath, Encode(request),
                    [this, i, to, life = controls_[i].life](int status, const std::string& body) {
                      if (controls_[i].core == nullptr || controls_[i].life != life) return;
                      controls_[i].core->Exchanged(to, Read<ExchangeReply>(status, body), now_);
@@ -148,8 +148,7 @@
   void CallPull(std::size_t i, std::function<void(int status, const std::string&)> done) {
     PullRequest request;
     request.node = "edge-new";
-    Carry("outside", i, {"POST", kPullPath, nlohmann::json(request).dump(), {}}, /*internal=*/true,
-          std::move(done));
+    Carry("outside", i, {"POST", kPullPath, Encode(request), {}}, /*internal=*/true, std::move(done));
   }
   // `done` gets an HTTP status, 0 if there was no answer.
   void CallPublic(std::size_t i, const std::string& method, const std::string& path, const std::string& body,
@@ -186,12 +185,7 @@
 
   template <class Reply>
   static std::optional<Reply> Read(int status, const std::string& body) {
-    if (status != 200) return std::nullopt;
-    try {
-      return nlohmann::json::parse(body).get<Reply>();
-    } catch (const nlohmann::json::exception&) {
-      return std::nullopt;
-    }
+    return status == 200 ? Decode<Reply>(body) : std::nullopt;
   }
 
   static void Store(Control& control, const ShardWrite& write) {
@@ -288,8 +282,7 @@
     Sidecar& sidecar = sidecars_[i];
     sidecar.pulling = true;
     const std::string to = sidecar.choice->Current(sidecar.view->controls());
-    CallInternal("edge-" + std::to_string(i), to, kPullPath,
-                 nlohmann::json(sidecar.view->NextPull(kPullWaitMs, {})).dump(),
+    CallInternal("edge-" + std::to_string(i), to, kPullPath, Encode(sidecar.view->NextPull(kPullWaitMs, {})),
                  [this, i](int status, const std::string& body) { OnPulled(i, status, body); });
   }
 
--- a/tests/node/worst_days_test.cpp
+++ b/tests/node/worst_days_test.cpp
@@ -208,7 +208,8 @@
   int documents = 0;
   day.system.tamper = [&](testing::Letter& letter) {
     if (letter.path != kPullPath || !letter.answer) return;
-    documents += !json::parse(letter.body).value("document", std::string()).empty();
+    const auto answer = Decode<PullReply>(letter.body);
+    documents += answer && !answer->document.empty();
   };
   const Micros from = day.system.now();
   std::int64_t version = 1;
