Plan at once only for what a request waits for, and tell missing news by vectors

Cause: each report of demand, hundreds a second, made a plan; by a profile of nine control processes 8% of their time went into comparing names, as each pull and exchange looked up the origin of all 144 records.

Change: demand that nobody waits for is planned with the next tick (50 ms). A reader whose version vector covers ours misses nothing.

Node tests without the drawn ones: 184 of 184 by ctest.

--- a/src/control/core.cpp
+++ b/src/control/core.cpp
@@ -318,12 +318,15 @@
   Flush();
 }
 
-// The placer counts it; every other process passes it on.
+// The placer counts it; every other process passes it on. A plan costs more than a report, and hundreds of
+// these come each second: what a request waits for is planned at once, the rest with the next tick.
 void ControlCore::CountDemand(const std::vector<ModelDemand>& demand) {
   if (demand.empty()) return;
   if (shards_.configuration_replica().leader()) {
     placer_.CountDemand(demand, now_);
-    return TickPlacer();
+    const auto waits = [](const ModelDemand& one) { return one.waiting > 0; };
+    if (std::any_of(demand.begin(), demand.end(), waits)) TickPlacer();
+    return;
   }
   const std::string leader = shards_.ConfigurationLeader();
   if (!leader.empty()) peers_.Tell(leader, demand);
--- a/src/control/instances/table.cpp
+++ b/src/control/instances/table.cpp
@@ -155,8 +155,17 @@
   }
 }
 
+// Most callers know all: their vector tells it without a look at the records.
+bool InstanceTable::Covers(const VersionVector& known) const {
+  return std::all_of(known_.begin(), known_.end(), [&](const auto& version) {
+    const auto seen = known.find(version.first);
+    return seen != known.end() && seen->second >= version.second;
+  });
+}
+
 std::vector<Instance> InstanceTable::ChangedSince(const VersionVector& known) const {
   std::vector<Instance> out;
+  if (Covers(known)) return out;
   for (const Record& record : records_) {
     const auto seen = known.find(record.instance.origin);
     if (seen == known.end() || record.instance.counter > seen->second) out.push_back(record.instance);
@@ -165,6 +174,7 @@
 }
 
 bool InstanceTable::Misses(const VersionVector& known) const {
+  if (Covers(known)) return false;
   return std::any_of(records_.begin(), records_.end(), [&](const Record& record) {
     const auto seen = known.find(record.instance.origin);
     return seen == known.end() || record.instance.counter > seen->second;
--- a/src/control/instances/table.hpp
+++ b/src/control/instances/table.hpp
@@ -70,6 +70,8 @@
               boost::multi_index::tag<ByAddress>,
               boost::multi_index::member<Record, std::string, &Record::address>>>>;
 
+  // Whether a reader with this vector misses nothing for certain.
+  bool Covers(const VersionVector& known) const;
   void Merge(const Instance& instance, Micros now);
   void Insert(Instance instance, Micros heard_at, Micros heard_directly_at);
   void Stamp(Instance& instance);
