--- a/src/control/configuration/reader.cpp
+++ b/src/control/configuration/reader.cpp
@@ -186,7 +186,7 @@
             const google::protobuf::RepeatedPtrField<Item>& items) {
   if (items.empty()) return;
   std::unordered_map<std::string_view, int> places;
-  places.reserve(static_cast<std::size_t>(list.size() + items.size()));
+  places.reserve(static_cast<std::size_t>(list.size()) + static_cast<std::size_t>(items.size()));
   for (int at = 0; at < list.size(); ++at) places.emplace(list.Get(at).name(), at);
   for (const Item& item : items) {
     const auto [place, added] = places.emplace(item.name(), list.size());
