Tell whom a process has heard some times a second, not with each exchange

Cause: each exchange of two control processes, most of which carry a heartbeat of a shard, was answered with all servers, sidecars and control processes that the other one had heard of within 0.6 s.

Change: these lists come with an exchange that asks for them, each 150 ms.

Test: at rest two processes tell each other seven times a second at most; each exchange told without the change.

--- a/src/control/core.cpp
+++ b/src/control/core.cpp
@@ -197,9 +197,11 @@
   reply.source = life_;
   reply.changed = table_.ChangedSince(request.known);
   reply.known = table_.known();
-  reply.heard = table_.HeardSince(now - kHeardLately, now);
-  reply.edges = sidecars_.HeardSince(now - kHeardLately, now);
-  reply.controls = peers_.Known(now);
+  if (request.wants_heard) {
+    reply.heard = table_.HeardSince(now - kHeardLately, now);
+    reply.edges = sidecars_.HeardSince(now - kHeardLately, now);
+    reply.controls = peers_.Known(now);
+  }
   TellNews();
   Flush();
   return reply;
--- a/src/control/peers.cpp
+++ b/src/control/peers.cpp
@@ -5,6 +5,7 @@
 namespace violetwing {
 namespace {
 
+// Also how old may be what an exchange has told of whom another process has heard.
 constexpr Peers::Micros kExchangeEvery = 150'000;
 // News is told at once, but not more often than this to each.
 constexpr Peers::Micros kNewsEvery = 20'000;
@@ -111,6 +112,7 @@
   ExchangeRequest request = std::exchange(peer.next, {});
   request.from = self_;
   request.changed_for = peer.life;
+  request.wants_heard = peer.asked_heard = peer.told_at == 0 || now - peer.told_at >= kExchangeEvery;
   outputs_.fill(request, peer.known ? &*peer.known : nullptr);
   peer.busy = true;
   peer.urgent = peer.news = false;
@@ -122,10 +124,9 @@
   Peer& peer = Get(address);
   peer.busy = false;
   peer.failed = !answered;
-  if (answered)
-    peer.heard_at = now;
-  else
-    peer.next.messages.clear();  // repeated by the replicas, with later knowledge
+  if (!answered) return peer.next.messages.clear();  // repeated by the replicas, with later knowledge
+  peer.heard_at = now;
+  if (peer.asked_heard) peer.told_at = peer.tried_at;
 }
 
 std::vector<ControlNode> Peers::Known(Micros now) const {
--- a/src/control/peers.hpp
+++ b/src/control/peers.hpp
@@ -55,7 +55,9 @@
     ControlNode node;  // its names are empty until it was heard
     Micros heard_at = 0;
     Micros tried_at = 0;
+    Micros told_at = 0;  // when an exchange began whose answer told whom the process there has heard
     bool busy = false;
+    bool asked_heard = false;  // by the exchange under way
     bool failed = false;
     bool seed = false;
     bool member = false;
--- a/src/messages/peer.cpp
+++ b/src/messages/peer.cpp
@@ -175,6 +175,7 @@
     one.set_command(proposal.command);
   }
   ToWire(request.demand, *out.mutable_demand());
+  out.set_wants_heard(request.wants_heard);
   return out.SerializeAsString();
 }
 
@@ -194,6 +195,7 @@
   for (const wire::ShardProposal& one : in->proposals().proposals())
     request.proposals.push_back({one.shard(), one.command()});
   request.demand = FromWire(in->demand());
+  request.wants_heard = in->wants_heard();
   return request;
 }
 
--- a/src/messages/peer.hpp
+++ b/src/messages/peer.hpp
@@ -66,6 +66,9 @@
   std::vector<ShardMessage> messages;
   std::vector<ShardProposal> proposals;
   std::vector<ModelDemand> demand;
+  // The answer is to tell of servers, sidecars and control processes that were heard; else these lists are
+  // empty. Most exchanges carry a heartbeat of a shard, and come much more often than there is such news.
+  bool wants_heard = true;
 };
 
 struct ExchangeReply {
--- a/tests/node/system_test.cpp
+++ b/tests/node/system_test.cpp
@@ -417,6 +417,30 @@
   }
 }
 
+// Most exchanges carry heartbeats of the shards: to tell each time whom a process has heard would be most of
+// their bytes.
+TEST_CASE("Cores: who was heard is told some times a second, not with each exchange, and none is missed") {
+  constexpr int kSeconds = 4;
+  VirtualSystem system(3, 2, 1);
+  system.Run(2 * kSecond);
+  int answers = 0;
+  int telling = 0;
+  system.tamper = [&](Letter& letter) {
+    const auto reply =
+        letter.path == kExchangePath && letter.answer ? Decode<ExchangeReply>(letter.body) : std::nullopt;
+    if (!reply) return;
+    ++answers;
+    telling += reply->controls.empty() ? 0 : 1;
+  };
+  system.Run(kSeconds * kSecond);
+  const int pairs = 3 * 2;
+  CHECK(telling <= pairs * kSeconds * 7);  // each 150 ms
+  CHECK(telling >= pairs * kSeconds * 4);
+  CHECK(answers > telling + pairs * kSeconds);
+  for (std::size_t i = 0; i < system.sidecars(); ++i)
+    CHECK(system.sidecar(i).view->MakeDirectory()->sidecars() == 2);
+}
+
 TEST_CASE("Cores: a server that has left by the log stays so when another process tells of it as ready") {
   VirtualSystem system(3, 1, 1);
   system.Run(2 * kSecond);
