--- a/tests/node/system_test.cpp
+++ b/tests/node/system_test.cpp
@@ -298,6 +298,49 @@
   CHECK(status == 200);
 }
 
+// Each process proposed it anew, and the leader wrote and sent it as often.
+TEST_CASE("Cores: a change that is sent to all processes at once is one entry of the log, and all are told") {
+  Play play;
+  play.Configure(3, 0);
+  const auto last = [&] {
+    consensus::Index most = 0;
+    for (std::size_t i = 0; i < play.system.controls(); ++i)
+      most = std::max(most, play.system.control(i).core->shards().configuration_replica().last());
+    return most;
+  };
+  const consensus::Index before = last();
+  std::vector<std::unique_ptr<Operator>> operators;
+  for (std::size_t i = 0; i < play.system.controls(); ++i)
+    operators.push_back(std::make_unique<Operator>(play.system, 8, 3, i, 1400));
+  play.Await("all answers", [&] {
+    return std::all_of(operators.begin(), operators.end(), [](const auto& one) { return one->Answered(); });
+  });
+  for (const auto& one : operators) CHECK(one->status() == 200);
+  CHECK(last() == before + 1);
+  CHECK(play.system.violations().empty());
+}
+
+TEST_CASE(
+    "Cores: the leader ends while a large change is under way, which is then acknowledged all the same") {
+  for (Micros after = VirtualSystem::kStep; after <= 60'000; after += VirtualSystem::kStep) {
+    INFO("ends after " << after << " us");
+    Play play;
+    play.Configure(3, 0);
+    const std::size_t follower = play.Follower();
+    std::size_t leader = 0;
+    while (!play.system.control(leader).core->shards().configuration_replica().leader()) ++leader;
+    const Operator change(play.system, 8, 3, follower, 1400);
+    play.system.Run(after);
+    play.system.PowerOff(leader);
+    play.Await("an answer", [&] { return change.Answered(); });
+    CHECK(change.status() == 200);
+    play.system.Start(leader);
+    play.Await("version 8 at all sidecars",
+               [&] { return play.AllSidecars([](const SystemView& view) { return view.version() == 8; }); });
+    CHECK(play.system.violations().empty());
+  }
+}
+
 TEST_CASE("Cores: a drain outlives the process that has acknowledged it") {
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
     INFO("seed " << seed);
