--- a/tests/node/store_test.cpp
+++ b/tests/node/store_test.cpp
@@ -56,6 +56,19 @@
   return write;
 }
 
+// Makes a store in the folder and changes it behind its back.
+void MakeAndChange(const Folder& folder, const std::string& statements) {
+  {
+    Store store;
+    std::string problem;
+    REQUIRE_FALSE(store.Open(folder.path(), "disk/a", problem));
+  }
+  sqlite3* database = nullptr;
+  REQUIRE(sqlite3_open((folder.path() + "/control.db").c_str(), &database) == SQLITE_OK);
+  REQUIRE(sqlite3_exec(database, statements.c_str(), nullptr, nullptr, nullptr) == SQLITE_OK);
+  sqlite3_close(database);
+}
+
 }  // namespace
 
 TEST_CASE("A disk keeps its id, its votes and its logs, and what was overwritten is gone") {
@@ -107,14 +120,7 @@
 TEST_CASE("What a newer binary has written is not read, and the reason is told") {
   const Folder folder;
   std::string problem;
-  {
-    Store store;
-    REQUIRE_FALSE(store.Open(folder.path(), "disk/a", problem));
-  }
-  sqlite3* database = nullptr;
-  REQUIRE(sqlite3_open((folder.path() + "/control.db").c_str(), &database) == SQLITE_OK);
-  REQUIRE(sqlite3_exec(database, "UPDATE identity SET format = 99", nullptr, nullptr, nullptr) == SQLITE_OK);
-  sqlite3_close(database);
+  MakeAndChange(folder, "UPDATE identity SET format = 99");
   Store store;
   CHECK(store.Open(folder.path(), "disk/a", problem) == std::errc::not_supported);
   CHECK(problem.find("newer version") != std::string::npos);
@@ -123,19 +129,12 @@
 TEST_CASE("What version 1 wrote in JSON is read, and kept beside what is written since") {
   const Folder folder;
   std::string problem;
-  {
-    Store store;
-    REQUIRE_FALSE(store.Open(folder.path(), "disk/a", problem));
-  }
-  sqlite3* database = nullptr;
-  REQUIRE(sqlite3_open((folder.path() + "/control.db").c_str(), &database) == SQLITE_OK);
   const char* version_1 = R"(UPDATE identity SET format = 1;
     INSERT INTO snapshot VALUES (1, '{"index":4,"term":2,"members":[{"id":"a","address":"1:2"}],"state":"s"}');
     INSERT INTO entry VALUES (1, 5, '{"term":2,"kind":"command","command":"{\"request\":\"r\"}"}');
     INSERT INTO entry VALUES (1, 6, '{"term":3,"kind":"noop"}');
     INSERT INTO entry VALUES (1, 7, '{"term":3,"kind":"members","members":[{"id":"b","address":"3:4"}]}');)";
-  REQUIRE(sqlite3_exec(database, version_1, nullptr, nullptr, nullptr) == SQLITE_OK);
-  sqlite3_close(database);
+  MakeAndChange(folder, version_1);
   {
     Store store;
     REQUIRE_FALSE(store.Open(folder.path(), "disk/never used", problem));
@@ -158,15 +157,7 @@
   for (const char* body : {"'{\"term\":2'", "'{\"term\":2,\"kind\":\"praise\"}'", "x'ffff'"}) {
     const Folder folder;
     std::string problem;
-    {
-      Store store;
-      REQUIRE_FALSE(store.Open(folder.path(), "disk/a", problem));
-    }
-    sqlite3* database = nullptr;
-    REQUIRE(sqlite3_open((folder.path() + "/control.db").c_str(), &database) == SQLITE_OK);
-    const std::string insert = std::string("INSERT INTO entry VALUES (1, 1, ") + body + ")";
-    REQUIRE(sqlite3_exec(database, insert.c_str(), nullptr, nullptr, nullptr) == SQLITE_OK);
-    sqlite3_close(database);
+    MakeAndChange(folder, std::string("INSERT INTO entry VALUES (1, 1, ") + body + ")");
     Store store;
     CHECK(store.Open(folder.path(), "disk/a", problem));
     CHECK(problem.find("entry at 1") != std::string::npos);
