Pass over an answer whose patches cannot be applied, in place of ending

Need: read again, had dropped the catch around taking an answer in: a patch that names an item by a number threw json.exception.type_error.302 out of the sidecar's link.

Change: the catch is back; a line says so, and control is asked again.

Result: the new test fails without the catch with that error and passes with it.

--- a/src/dataplane/control_link.cpp
+++ b/src/dataplane/control_link.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <exception>
 #include <utility>
 
 #include "common/http_client.hpp"
@@ -81,8 +82,13 @@
     spdlog::warn("the answer of {} cannot be read", choice_.Current(view_.controls()));
     return false;
   }
-  if (view_.Take(*reply)) changed_(view_.MakeDirectory());
-  return true;
+  try {
+    if (view_.Take(*reply)) changed_(view_.MakeDirectory());
+    return true;
+  } catch (const std::exception& error) {  // a configuration of another form than ours
+    spdlog::warn("the answer of {} cannot be taken: {}", choice_.Current(view_.controls()), error.what());
+    return false;
+  }
 }
 
 // ---- Demand ----
--- a/tests/node/control_link_test.cpp
+++ b/tests/node/control_link_test.cpp
@@ -132,6 +132,16 @@
   }
 }
 
+TEST_CASE("A patch that names an item by something that is no name is passed over") {
+  PullReply odd = Good(6, Server(Phase::kReady, 2, 2));
+  odd.document.clear();
+  odd.patches = {R"({"version":6,"delete":{"routes":[7]}})"};
+  Link link;
+  link.Play({Ok(Good(5, Server(Phase::kReady, 1, 1))), Ok(odd), Ok(Good(7, Server(Phase::kReady, 3, 3)))});
+  CHECK(link.version() == 7);
+  CHECK(link.went_back() == 0);
+}
+
 TEST_CASE("A server that drains is not taken up again by an answer that knows less") {
   Link link;
   link.Play({Ok(Good(5, Server(Phase::kReady, 4, 1))), Ok(Good(5, Server(Phase::kDraining, 3, 2))),
