--- a/src/control/api/handlers.cpp
+++ b/src/control/api/handlers.cpp
@@ -88,20 +88,22 @@
   if (!json::accept(request.body))
     return answer(Failure(http::kBadRequest, "document: cannot be read whole as JSON"));
   change.body = request.body;
-  core.Change(change, now, [answer](const std::optional<configuration::ChangeOutcome>& result) {
+  core.Change(change, now, [answer](const Result<configuration::ChangeOutcome>& result) {
     if (!result) return answer(Unavailable("no quorum has taken it yet; send it again unchanged"));
-    const int status = StatusOf(result->status);
-    if (status == http::kOk) return answer({http::kOk, json{{"version", result->version}}.dump(), {}});
-    if (status == http::kServiceUnavailable) return answer(Unavailable(result->message));
-    answer(Failure(status, result->message));
+    const configuration::ChangeOutcome& outcome = result.value();
+    const int status = StatusOf(outcome.status);
+    if (status == http::kOk) return answer({http::kOk, json{{"version", outcome.version}}.dump(), {}});
+    if (status == http::kServiceUnavailable) return answer(Unavailable(outcome.message));
+    answer(Failure(status, outcome.message));
   });
 }
 
 void HandleRead(ControlCore& core, Micros now, const http::Answer& answer) {
-  core.ReadConfiguration(now, [answer](const std::optional<ControlCore::ConfigurationRead>& read) {
-    if (!read) return answer(Unavailable("no quorum answers"));
-    if (read->version == 0) return answer(Failure(http::kNotFound, "there is no configuration yet"));
-    answer({http::kOk, read->document, {{"ETag", std::to_string(read->version)}}});
+  core.ReadConfiguration(now, [answer](const Result<ControlCore::ConfigurationRead>& result) {
+    if (!result) return answer(Unavailable("no quorum answers"));
+    const ControlCore::ConfigurationRead& read = result.value();
+    if (read.version == 0) return answer(Failure(http::kNotFound, "there is no configuration yet"));
+    answer({http::kOk, read.document, {{"ETag", std::to_string(read.version)}}});
   });
 }
 
--- a/src/control/configuration/state.cpp
+++ b/src/control/configuration/state.cpp
@@ -83,21 +83,30 @@
       .dump();
 }
 
-void State::Load(const std::string& saved) {
-  const nlohmann::json in = nlohmann::json::parse(saved);
+bool State::Load(const std::string& saved) {
+  try {
+    return LoadDecoded(nlohmann::json::parse(saved));
+  } catch (const nlohmann::json::exception&) {
+    return false;
+  }
+}
+
+bool State::LoadDecoded(const nlohmann::json& saved) {
   document_.clear();
   json_ = Json::object();
   version_ = 0;
   current_.reset();
   message_.reset();
   patches_.Clear();
-  accepted_.Load(in.at("taken").get<std::map<std::string, std::int64_t>>(),
-                 in.value("horizon", std::int64_t{0}));  // earlier versions kept all digests
-  std::string document = in.at("document").get<std::string>();
-  if (document.empty()) return;
+  accepted_.Load(saved.at("taken").get<std::map<std::string, std::int64_t>>(),
+                 saved.value("horizon", std::int64_t{0}));  // earlier versions kept all digests
+  std::string document = saved.at("document").get<std::string>();
+  if (document.empty()) return true;
   json_ = Json::parse(document);
   ReadResult read = Read(document);
-  if (read.configuration != nullptr) Install(std::move(document), std::move(read));
+  if (read.configuration == nullptr) return false;
+  Install(std::move(document), std::move(read));
+  return true;
 }
 
 }  // namespace violetwing::configuration
--- a/src/control/configuration/state.hpp
+++ b/src/control/configuration/state.hpp
@@ -41,9 +41,9 @@
 
   /// The snapshot, as JSON.
   std::string Save() const;
-  /// Restores a snapshot, also of earlier versions of this program. Throws `nlohmann::json::exception` if it
-  /// cannot be read.
-  void Load(const std::string& saved);
+  /// Restores a snapshot, also of earlier versions of this program. False if it cannot be read, or if its
+  /// document is one that this version refuses; the state is then unspecified.
+  [[nodiscard]] bool Load(const std::string& saved);
 
  private:
   // A document that a change leads to, not yet in force.
@@ -55,6 +55,8 @@
   // Leaves the candidate's document in `json_` too.
   Candidate MakeCandidate(const Change& change, nlohmann::ordered_json body);
   void Install(std::string document, ReadResult read);
+  // Throws nlohmann::json::exception.
+  bool LoadDecoded(const nlohmann::json& saved);
 
   std::int64_t version_ = 0;
   std::string document_;
--- a/src/control/consensus/effects.cpp
+++ b/src/control/consensus/effects.cpp
@@ -3,27 +3,28 @@
 namespace violetwing::consensus {
 
 bool Effects::Empty() const {
-  return !WritesAnything() && messages.empty() && messages_after_write.empty() && !load && committed.empty();
+  return !WritesAnything() && messages.empty() && messages_after_write.empty() && !snapshot_to_load &&
+         committed.empty();
 }
 
 void Effects::RecordAppend(Index index, Entry entry) {
-  if (first == 0) first = index;
+  if (first_index == 0) first_index = index;
   entries.push_back(std::move(entry));
 }
 
 void Effects::RecordTruncation(Index index) {
-  if (first == 0 || first >= index) {
-    first = index;
+  if (first_index == 0 || first_index >= index) {
+    first_index = index;
     entries.clear();
   } else {
-    entries.resize(index - first);
+    entries.resize(index - first_index);
   }
 }
 
 void Effects::RecordSnapshotInstalled(const Snapshot& received) {
-  snapshot = load = received;
+  snapshot = snapshot_to_load = received;
   replaces_log = true;
-  first = 0;
+  first_index = 0;
   entries.clear();
   committed.clear();
 }
--- a/src/control/consensus/effects.hpp
+++ b/src/control/consensus/effects.hpp
@@ -15,10 +15,10 @@
 struct Effects {
   // ---- To be durable before `messages_after_write` are sent ----
 
-  std::optional<HardState> hard;
+  std::optional<HardState> hard_state;
   std::optional<Snapshot> snapshot;  ///< Replaces all stored entries up to its index.
   bool replaces_log = false;         ///< The snapshot replaces the later entries too.
-  Index first = 0;  ///< Index of entries[0]; stored entries from here on are dropped. 0: none.
+  Index first_index = 0;  ///< Index of entries[0]; stored entries from here on are dropped. 0: none.
   std::vector<Entry> entries;
 
   // ---- Messages ----
@@ -28,11 +28,11 @@
 
   // ---- For the state machine ----
 
-  std::optional<Snapshot> load;                    ///< To load before `committed` is applied.
+  std::optional<Snapshot> snapshot_to_load;        ///< To load before `committed` is applied.
   std::vector<std::pair<Index, Entry>> committed;  ///< To apply, in order.
 
   /// Whether anything must become durable.
-  bool WritesAnything() const { return hard || snapshot || first > 0; }
+  bool WritesAnything() const { return hard_state || snapshot || first_index > 0; }
   /// Whether there is nothing to do.
   bool Empty() const;
 
--- a/src/control/consensus/election.cpp
+++ b/src/control/consensus/election.cpp
@@ -63,7 +63,7 @@
   followers_.clear();
   if (term > hard_.term) {
     hard_ = {term, {}};
-    effects_.hard = hard_;
+    effects_.hard_state = hard_;
   }
   ResetElectionTimer(now_);
 }
@@ -83,7 +83,7 @@
   known_leader_.reset();
   role_ = Role::kCandidate;
   hard_ = {hard_.term + 1, id_};
-  effects_.hard = hard_;
+  effects_.hard_state = hard_;
   Message request = NewMessage(MessageKind::kVote, {});
   request.leaderless = AllVotersLeaderless();
   RequestVotes(std::move(request), now);
@@ -166,7 +166,7 @@
                   (hard_.vote.empty() || hard_.vote == message.from);
   if (reply.granted && hard_.vote.empty()) {
     hard_.vote = message.from;
-    effects_.hard = hard_;
+    effects_.hard_state = hard_;
   }
   if (reply.granted) ResetElectionTimer(now);
   effects_.messages_after_write.push_back(std::move(reply));
--- a/src/control/consensus/encoding.cpp
+++ b/src/control/consensus/encoding.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "generated/internal.pb.h"
+#include "messages/decode_error.hpp"
 #include "messages/parse.hpp"
 
 namespace violetwing::consensus {
@@ -242,16 +243,17 @@
   return message;
 }
 
-std::optional<Entry> DecodeEntry(const std::string& bytes) {
+Result<Entry> DecodeEntry(const std::string& bytes) {
   const auto in = wire::Parse<wire::Entry>(bytes);
+  if (!in) return DecodeErrc::kMalformed;
   Entry entry;
-  if (!in || !FromWire(*in, entry)) return std::nullopt;
+  if (!FromWire(*in, entry)) return DecodeErrc::kAmbiguousKind;
   return entry;
 }
 
-std::optional<Snapshot> DecodeSnapshot(const std::string& bytes) {
+Result<Snapshot> DecodeSnapshot(const std::string& bytes) {
   const auto in = wire::Parse<wire::Snapshot>(bytes);
-  if (!in) return std::nullopt;
+  if (!in) return DecodeErrc::kMalformed;
   return FromWire(*in);
 }
 
--- a/src/control/consensus/encoding.hpp
+++ b/src/control/consensus/encoding.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "common/result.hpp"
 #include "control/consensus/types.hpp"
 
 namespace violetwing::wire {
@@ -30,10 +31,10 @@
 
 /// Empty where the bytes do not parse, or FromWire refuses them.
 std::optional<Message> DecodeMessage(const std::string& bytes);
-/// Empty where the bytes do not parse, or claim to be of two kinds. An entry of no kind is a no-op.
-std::optional<Entry> DecodeEntry(const std::string& bytes);
-/// Empty where the bytes do not parse.
-std::optional<Snapshot> DecodeSnapshot(const std::string& bytes);
+/// An entry of no kind is a no-op. Errors: DecodeErrc::kMalformed and kAmbiguousKind.
+Result<Entry> DecodeEntry(const std::string& bytes);
+/// Errors: DecodeErrc::kMalformed.
+Result<Snapshot> DecodeSnapshot(const std::string& bytes);
 
 }  // namespace violetwing::consensus
 
--- a/src/control/consensus/replica.cpp
+++ b/src/control/consensus/replica.cpp
@@ -11,7 +11,7 @@
     : id_(std::move(id)),
       timing_(timing),
       random_(seed, id_),
-      hard_(std::move(stored.hard)),
+      hard_(std::move(stored.hard_state)),
       snapshot_(std::move(stored.snapshot)),
       log_(snapshot_.index, snapshot_.term, std::move(stored.entries)),
       bootstrap_members_(std::move(bootstrap_members)),
@@ -22,7 +22,7 @@
       last_leader_contact_at_(now),  // it may have acknowledged a lease just before it was restarted
       durable_index_(log_.last_index()) {
   RecomputeMembers();
-  if (snapshot_.index > 0) effects_.load = snapshot_;
+  if (snapshot_.index > 0) effects_.snapshot_to_load = snapshot_;
   ResetElectionTimer(now);
 }
 
--- a/src/control/consensus/types.hpp
+++ b/src/control/consensus/types.hpp
@@ -42,6 +42,7 @@
   EntryKind kind = EntryKind::kCommand;
   std::string command;  ///< Of kCommand only: bytes for the state machine.
   Members members;      ///< Of kMembers only: the voters from this entry on, as soon as it is in the log.
+  bool operator==(const Entry&) const = default;
 };
 
 /// The state to which the log up to and including `index` has led.
@@ -50,6 +51,7 @@
   Term term = 0;    ///< Of the entry at `index`.
   Members members;
   std::string state;  ///< Bytes written by the state machine.
+  bool operator==(const Snapshot&) const = default;
 };
 
 /// What a vote depends on. It is durable before the vote is sent.
@@ -61,9 +63,10 @@
 
 /// What a replica reads from its disk when its process starts.
 struct StoredState {
-  HardState hard;
+  HardState hard_state;
   Snapshot snapshot;
   std::vector<Entry> entries;  ///< Consecutive, the first at index snapshot.index + 1.
+  bool operator==(const StoredState&) const = default;
 };
 
 /// The kinds of messages that the replicas of a group exchange.
--- a/src/control/control_error.cpp
+++ b/src/control/control_error.cpp
@@ -13,6 +13,10 @@
     switch (static_cast<ControlErrc>(error)) {
       case ControlErrc::kCommitStatusUnknown:
         return "not applied in time, commit status unknown";
+      case ControlErrc::kNoQuorum:
+        return "no contact with a quorum";
+      case ControlErrc::kUnreadableState:
+        return "the saved state cannot be read";
     }
     return "unknown error " + std::to_string(error);
   }
--- a/src/control/control_error.hpp
+++ b/src/control/control_error.hpp
@@ -11,6 +11,12 @@
   /// The command was not applied here in time. It may have been committed, or may be later: only a command
   /// that is idempotent may be submitted again without harm.
   kCommitStatusUnknown = 1,
+  /// Nothing was submitted: this process has been out of contact with a quorum for longer than an election
+  /// takes.
+  kNoQuorum,
+  /// A snapshot of a state machine cannot be decoded, or is of a form that this version refuses. The replica
+  /// must not go on: it would answer from another state than its peers.
+  kUnreadableState,
 };
 
 /// The category "violetwing.control".
--- a/src/control/core/control_core.cpp
+++ b/src/control/core/control_core.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "control/control_error.hpp"
 #include "control/replication/bootstrap.hpp"
 
 namespace violetwing {
@@ -81,6 +82,7 @@
     watches_.OnUpdate();
     if (shard == kConfigurationShard) AnswerWatches(WatchRegistry::Urgency::kImmediate);
   };
+  outputs.failed = outputs_.failed;
   outputs.deregistered = [this](const std::string& id, Phase phase) {
     table_.ApplyDeregistration(id, phase, now_);
   };
@@ -158,18 +160,16 @@
 
 void ControlCore::Change(const configuration::Change& change, Micros now, const ChangeCallback& done) {
   now_ = now;
-  if (IsIsolated()) return done(std::nullopt);
-  shards_.SubmitChange(change, now, [done](const Result<configuration::ChangeOutcome>& outcome) {
-    done(outcome ? std::optional(outcome.value()) : std::nullopt);
-  });
+  if (IsIsolated()) return done(ControlErrc::kNoQuorum);
+  shards_.SubmitChange(change, now, done);
   Flush();
 }
 
 void ControlCore::ReadConfiguration(Micros now, const ReadCallback& done) {
   now_ = now;
-  if (IsIsolated()) return done(std::nullopt);
+  if (IsIsolated()) return done(ControlErrc::kNoQuorum);
   shards_.AwaitReadBarrier(now, [this, done](const Result<void>& current) {
-    if (!current) return done(std::nullopt);
+    if (!current) return done(current.error());
     done(ConfigurationRead{configuration().version(), configuration().document()});
   });
   Flush();
--- a/src/control/core/control_core.hpp
+++ b/src/control/core/control_core.hpp
@@ -9,9 +9,11 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <system_error>
 #include <vector>
 
 #include "common/node_settings.hpp"
+#include "common/result.hpp"
 #include "common/time.hpp"
 #include "control/core/quorum_contact.hpp"
 #include "control/core/watch_registry.hpp"
@@ -37,6 +39,9 @@
     std::function<void(const PlacementCall&, consensus::Term fencing_token)> order;
     /// Asks a server for its report. `OnServerReport` has to follow.
     std::function<void(const PlacementCall&)> ask_report;
+    /// The state of a shard cannot be read: the process must end without answering anything more. May be
+    /// called by the constructor.
+    std::function<void(int shard, std::error_code)> failed;
   };
   /// The outcome of a call that a quorum has to confirm.
   enum class Acceptance {
@@ -49,10 +54,10 @@
     std::string document;
   };
   using AcceptanceCallback = std::function<void(Acceptance)>;
-  /// Empty if no quorum has confirmed the change in time; it may still take effect.
-  using ChangeCallback = std::function<void(const std::optional<configuration::ChangeOutcome>&)>;
-  /// Empty if no quorum has answered in time.
-  using ReadCallback = std::function<void(const std::optional<ConfigurationRead>&)>;
+  /// Errors: kNoQuorum; kCommitStatusUnknown, after which the change may still take effect.
+  using ChangeCallback = std::function<void(const Result<configuration::ChangeOutcome>&)>;
+  /// Errors: kNoQuorum and kCommitStatusUnknown.
+  using ReadCallback = std::function<void(const Result<ConfigurationRead>&)>;
 
   /// `incarnation`: unique to this run of the process. `stored`: what the disk held at the start.
   ControlCore(const NodeSettings& settings, std::string incarnation, const Shards::Stored& stored,
--- a/src/control/instances/deregistrations.cpp
+++ b/src/control/instances/deregistrations.cpp
@@ -30,10 +30,15 @@
   return nlohmann::json{{"phases", phases_}, {"order", order_}}.dump();
 }
 
-void Deregistrations::Load(const std::string& saved) {
-  const nlohmann::json in = nlohmann::json::parse(saved);
-  in.at("phases").get_to(phases_);
-  in.at("order").get_to(order_);
+bool Deregistrations::Load(const std::string& saved) {
+  try {
+    const nlohmann::json in = nlohmann::json::parse(saved);
+    in.at("phases").get_to(phases_);
+    in.at("order").get_to(order_);
+    return true;
+  } catch (const nlohmann::json::exception&) {
+    return false;
+  }
 }
 
 }  // namespace violetwing
--- a/src/control/instances/deregistrations.hpp
+++ b/src/control/instances/deregistrations.hpp
@@ -24,8 +24,8 @@
 
   /// The state as JSON, for a snapshot of the shard; the form on disk.
   std::string Save() const;
-  /// Replaces the state by a saved one. Throws nlohmann::json::exception if it cannot be read.
-  void Load(const std::string& saved);
+  /// Replaces the state by a saved one. False if it cannot be read; the state is then unspecified.
+  [[nodiscard]] bool Load(const std::string& saved);
 
  private:
   std::map<std::string, Phase> phases_;  // by instance id
--- a/src/control/replication/commands.cpp
+++ b/src/control/replication/commands.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "control/storage/json_form.hpp"
+#include "messages/decode_error.hpp"
 #include "messages/generated/internal.pb.h"
 #include "messages/parse.hpp"
 
@@ -14,13 +15,13 @@
 
 // Decodes a command of the older stored form by `read`, which throws json::exception for a malformed one.
 template <class Read>
-auto FromJson(const std::string& text, Read read) -> std::optional<decltype(read(json()))> {
+auto FromJson(const std::string& text, Read read) -> Result<decltype(read(json()))> {
   const json object = json::parse(text, nullptr, /*allow_exceptions=*/false);
-  if (!object.is_object()) return std::nullopt;
+  if (!object.is_object()) return DecodeErrc::kMalformed;
   try {
     return read(object);
   } catch (const json::exception&) {
-    return std::nullopt;
+    return DecodeErrc::kMalformed;
   }
 }
 
@@ -47,10 +48,10 @@
   return message.SerializeAsString();
 }
 
-std::optional<Envelope> DecodeEnvelope(const std::string& bytes) {
+Result<Envelope> DecodeEnvelope(const std::string& bytes) {
   if (IsJsonForm(bytes)) return FromJson(bytes, EnvelopeFromJson);
   auto message = wire::Parse<wire::Command>(bytes);
-  if (!message) return std::nullopt;
+  if (!message) return DecodeErrc::kMalformed;
   return Envelope{std::move(*message->mutable_request()), std::move(*message->mutable_body())};
 }
 
@@ -66,12 +67,12 @@
   return message.SerializeAsString();
 }
 
-std::optional<ConfigurationCommand> DecodeConfigurationCommand(const std::string& bytes) {
+Result<ConfigurationCommand> DecodeConfigurationCommand(const std::string& bytes) {
   if (IsJsonForm(bytes)) return FromJson(bytes, ConfigurationFromJson);
   auto message = wire::Parse<wire::ConfigurationCommand>(bytes);
-  if (!message) return std::nullopt;
+  if (!message) return DecodeErrc::kMalformed;
   if (message->has_read()) return ReadCommand{};
-  if (!message->has_change()) return std::nullopt;
+  if (!message->has_change()) return DecodeErrc::kUnknownKind;
   wire::ConfigurationChange& change = *message->mutable_change();
   return configuration::Change{change.patch(), change.base(), std::move(*change.mutable_body())};
 }
@@ -83,10 +84,10 @@
   return message.SerializeAsString();
 }
 
-std::optional<DeregistrationCommand> DecodeDeregistrationCommand(const std::string& bytes) {
+Result<DeregistrationCommand> DecodeDeregistrationCommand(const std::string& bytes) {
   if (IsJsonForm(bytes)) return FromJson(bytes, DeregistrationFromJson);
   auto message = wire::Parse<wire::DepartureCommand>(bytes);
-  if (!message) return std::nullopt;
+  if (!message) return DecodeErrc::kMalformed;
   const Phase phase = message->phase() == wire::GONE ? Phase::kDeregistered : Phase::kDraining;
   return DeregistrationCommand{std::move(*message->mutable_id()), phase};
 }
--- a/src/control/replication/commands.hpp
+++ b/src/control/replication/commands.hpp
@@ -4,10 +4,10 @@
 #ifndef VIOLETWING_CONTROL_REPLICATION_COMMANDS_HPP_
 #define VIOLETWING_CONTROL_REPLICATION_COMMANDS_HPP_
 
-#include <optional>
 #include <string>
 #include <variant>
 
+#include "common/result.hpp"
 #include "control/configuration/change.hpp"
 #include "messages/instances.hpp"
 
@@ -35,10 +35,11 @@
 std::string Encode(const ConfigurationCommand& command);
 std::string Encode(const DeregistrationCommand& command);
 
-/// The decoders accept both stored forms; empty where the bytes are malformed.
-std::optional<Envelope> DecodeEnvelope(const std::string& bytes);
-std::optional<ConfigurationCommand> DecodeConfigurationCommand(const std::string& bytes);
-std::optional<DeregistrationCommand> DecodeDeregistrationCommand(const std::string& bytes);
+/// The decoders accept both stored forms. Errors: DecodeErrc::kMalformed, and kUnknownKind of a configuration
+/// command.
+Result<Envelope> DecodeEnvelope(const std::string& bytes);
+Result<ConfigurationCommand> DecodeConfigurationCommand(const std::string& bytes);
+Result<DeregistrationCommand> DecodeDeregistrationCommand(const std::string& bytes);
 
 }  // namespace violetwing
 
--- a/src/control/replication/replicated_state_machine.cpp
+++ b/src/control/replication/replicated_state_machine.cpp
@@ -24,7 +24,7 @@
 
 bool IsEmpty(const consensus::Effects& effects) {
   return !effects.WritesAnything() && effects.messages.empty() && effects.messages_after_write.empty() &&
-         !effects.load && effects.committed.empty();
+         !effects.snapshot_to_load && effects.committed.empty();
 }
 
 }  // namespace
@@ -56,8 +56,8 @@
 }
 
 void ReplicatedStateMachine::OnForwardedProposal(const std::string& command) {
-  const std::optional<Envelope> envelope = DecodeEnvelope(command);
-  if (envelope) Propose(envelope->request_id, command);
+  const Result<Envelope> envelope = DecodeEnvelope(command);
+  if (envelope) Propose(envelope.value().request_id, command);
   Flush();
 }
 
@@ -131,16 +131,18 @@
 // ---- Effects of the replica ----
 
 void ReplicatedStateMachine::Flush() {
-  if (std::exchange(flushing_, true)) return;  // a submitter's callback may submit the next command
+  if (failed_ || std::exchange(flushing_, true))
+    return;  // a submitter's callback may submit the next command
   bool applied = false;
   while (true) {
     consensus::Effects effects = replica_.TakeEffects();
     if (IsEmpty(effects)) break;
+    // Before it is stored: a snapshot that cannot be read must not replace a state that can.
+    if (effects.snapshot_to_load && !LoadSnapshot(*effects.snapshot_to_load)) return;
     Persist(effects);
     Send(effects.messages);
-    if (effects.load) machine_.Load(effects.load->state);
     for (const auto& [index, entry] : effects.committed) Apply(entry);
-    applied = applied || effects.load || !effects.committed.empty();
+    applied = applied || effects.snapshot_to_load || !effects.committed.empty();
     CompactIfDue();
   }
   flushing_ = false;
@@ -148,6 +150,15 @@
   if (applied) outputs_.applied(shard_);
 }
 
+bool ReplicatedStateMachine::LoadSnapshot(const consensus::Snapshot& snapshot) {
+  const std::error_code error = machine_.Load(snapshot.state);
+  if (!error) return true;
+  spdlog::error("snapshot not loaded shard={} index={}: {}", shard_, snapshot.index, error.message());
+  failed_ = true;
+  outputs_.failed(shard_, error);
+  return false;
+}
+
 void ReplicatedStateMachine::Persist(consensus::Effects& effects) {
   // Without a write of their own, messages still follow the earlier writes that they rely on.
   const bool follows_writes = !effects.messages_after_write.empty() && outputs_.has_pending_writes();
@@ -155,11 +166,11 @@
     Send(effects.messages_after_write);
     return;
   }
-  ShardWrite write{shard_,        effects.hard,    effects.replaces_log,
-                   effects.first, effects.entries, effects.snapshot};
+  ShardWrite write{shard_,          effects.hard_state, effects.replaces_log, effects.first_index,
+                   effects.entries, effects.snapshot};
   PendingWrite pending;
-  if (effects.first > 0 && !effects.entries.empty()) {
-    pending.last_index = effects.first + effects.entries.size() - 1;
+  if (effects.first_index > 0 && !effects.entries.empty()) {
+    pending.last_index = effects.first_index + effects.entries.size() - 1;
     pending.last_term = effects.entries.back().term;
   }
   pending.messages = std::move(effects.messages_after_write);
@@ -175,11 +186,15 @@
 void ReplicatedStateMachine::Apply(const consensus::Entry& entry) {
   if (entry.kind != consensus::EntryKind::kCommand) return;
   log_bytes_since_snapshot_ += entry.command.size();
-  const std::optional<Envelope> envelope = DecodeEnvelope(entry.command);
-  if (!envelope) return;
-  const std::string answer = machine_.Apply(envelope->command);
-  proposed_requests_.erase(envelope->request_id);
-  const auto it = pending_commands_.find(envelope->request_id);
+  const Result<Envelope> decoded = DecodeEnvelope(entry.command);
+  if (!decoded) {
+    spdlog::error("entry without effect shard={}: {}", shard_, decoded.error().message());
+    return;
+  }
+  const Envelope& envelope = decoded.value();
+  const std::string answer = machine_.Apply(envelope.command);
+  proposed_requests_.erase(envelope.request_id);
+  const auto it = pending_commands_.find(envelope.request_id);
   if (it == pending_commands_.end()) return;
   // Taken out first: a callback may submit the same request again.
   const std::vector<Submitter> submitters = std::move(it->second.submitters);
--- a/src/control/replication/replicated_state_machine.hpp
+++ b/src/control/replication/replicated_state_machine.hpp
@@ -39,6 +39,9 @@
     std::function<std::uint64_t()> next_write_token;
     /// Called after the state machine has applied commands or loaded a snapshot.
     std::function<void(int shard)> applied;
+    /// A snapshot cannot be loaded, for the reason given: the process must end. This shard has written and
+    /// sent nothing that depends on the snapshot and does nothing from now on.
+    std::function<void(int shard, std::error_code)> failed;
   };
 
   /// How long a submitter waits for its answer.
@@ -101,6 +104,7 @@
 
   // Carries out the replica's effects until there are none.
   void Flush();
+  bool LoadSnapshot(const consensus::Snapshot& snapshot);
   void Persist(consensus::Effects& effects);
   void Send(const std::vector<consensus::Message>& messages);
   void Apply(const consensus::Entry& entry);
@@ -127,6 +131,7 @@
   std::size_t worked_at_snapshot_ = 0;        // machine_.worked() then
   std::size_t log_bytes_since_snapshot_ = 0;  // of the commands that were applied since
   bool flushing_ = false;
+  bool failed_ = false;  // for good
   bool logged_as_leader_ = false;
 };
 
--- a/src/control/replication/shard_state_machines.cpp
+++ b/src/control/replication/shard_state_machines.cpp
@@ -1,23 +1,40 @@
 #include "control/replication/shard_state_machines.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <variant>
 
+#include "control/control_error.hpp"
 #include "control/replication/commands.hpp"
 
 namespace violetwing {
 
 using nlohmann::json;
 
+namespace {
+
+// A committed command has the same outcome on every replica of a version, so this one has no effect on any.
+// Not an end of the process: it would be that of all of them, at each start again.
+void LogUndecodable(std::error_code error) { spdlog::error("command without effect: {}", error.message()); }
+
+}  // namespace
+
 std::string ConfigurationStateMachine::Apply(const std::string& command) {
-  const std::optional<ConfigurationCommand> decoded = DecodeConfigurationCommand(command);
-  const auto* change = decoded ? std::get_if<configuration::Change>(&*decoded) : nullptr;
+  const Result<ConfigurationCommand> decoded = DecodeConfigurationCommand(command);
+  if (!decoded) LogUndecodable(decoded.error());
+  const auto* change = decoded ? std::get_if<configuration::Change>(&decoded.value()) : nullptr;
   if (change == nullptr) return {};
   const configuration::ChangeOutcome outcome = state_.Apply(*change);
   return json{{"outcome", outcome.status}, {"version", outcome.version}, {"problem", outcome.message}}.dump();
 }
 
+std::error_code ConfigurationStateMachine::Load(const std::string& saved) {
+  if (!state_.Load(saved)) return ControlErrc::kUnreadableState;
+  return {};
+}
+
 configuration::ChangeOutcome ConfigurationStateMachine::DecodeAnswer(const std::string& answer) {
   const json decoded = json::parse(answer);
   return {decoded.at("outcome").get<configuration::ChangeStatus>(), decoded.at("version").get<std::int64_t>(),
@@ -25,16 +42,21 @@
 }
 
 std::string DeregistrationStateMachine::Apply(const std::string& command) {
-  const std::optional<DeregistrationCommand> decoded = DecodeDeregistrationCommand(command);
-  if (!decoded) return {};
-  state_.Apply(decoded->server_id, decoded->phase);
-  on_deregistered_(decoded->server_id, decoded->phase);
+  const Result<DeregistrationCommand> decoded = DecodeDeregistrationCommand(command);
+  if (!decoded) {
+    LogUndecodable(decoded.error());
+    return {};
+  }
+  const DeregistrationCommand& deregistration = decoded.value();
+  state_.Apply(deregistration.server_id, deregistration.phase);
+  on_deregistered_(deregistration.server_id, deregistration.phase);
   return {};
 }
 
-void DeregistrationStateMachine::Load(const std::string& saved) {
-  state_.Load(saved);
+std::error_code DeregistrationStateMachine::Load(const std::string& saved) {
+  if (!state_.Load(saved)) return ControlErrc::kUnreadableState;
   for (const auto& [server_id, phase] : state_.all()) on_deregistered_(server_id, phase);
+  return {};
 }
 
 }  // namespace violetwing
--- a/src/control/replication/shard_state_machines.hpp
+++ b/src/control/replication/shard_state_machines.hpp
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <string>
+#include <system_error>
 
 #include "control/configuration/state.hpp"
 #include "control/instances/deregistrations.hpp"
@@ -20,7 +21,7 @@
   /// The answer to a change is for DecodeAnswer; that to a read or to an unreadable command is empty.
   std::string Apply(const std::string& command) override;
   std::string Save() const override { return state_.Save(); }
-  void Load(const std::string& saved) override { state_.Load(saved); }
+  std::error_code Load(const std::string& saved) override;
   std::size_t worked() const override { return state_.processed_bytes(); }
 
   /// Reads what Apply has answered to a change.
@@ -43,7 +44,7 @@
   /// See StateMachine.
   std::string Apply(const std::string& command) override;
   std::string Save() const override { return state_.Save(); }
-  void Load(const std::string& saved) override;
+  std::error_code Load(const std::string& saved) override;
 
  private:
   Deregistrations& state_;
--- a/src/control/replication/shards.cpp
+++ b/src/control/replication/shards.cpp
@@ -73,6 +73,7 @@
   outputs.has_pending_writes = [this] { return !pending_writes_.empty(); };
   outputs.next_write_token = [this] { return ++last_write_token_; };
   outputs.applied = [this](int shard) { outputs_.applied(shard); };
+  outputs.failed = [this](int shard, std::error_code error) { outputs_.failed(shard, error); };
   return outputs;
 }
 
--- a/src/control/replication/shards.hpp
+++ b/src/control/replication/shards.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <system_error>
 #include <vector>
 
 #include "common/result.hpp"
@@ -38,6 +39,8 @@
     std::function<void(int shard)> applied;
     /// A server drains or is deregistered, by a committed command.
     std::function<void(const std::string& server_id, Phase phase)> deregistered;
+    /// A snapshot of the shard cannot be loaded: the process must end (see ReplicatedStateMachine::Outputs).
+    std::function<void(int shard, std::error_code)> failed;
   };
 
   /// What the store held when the process started.
--- a/src/control/replication/state_machine.hpp
+++ b/src/control/replication/state_machine.hpp
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <string>
+#include <system_error>
 
 namespace violetwing {
 
@@ -16,8 +17,9 @@
   virtual std::string Apply(const std::string& command) = 0;
   /// The whole state, for a snapshot (Raft, section 7).
   virtual std::string Save() const = 0;
-  /// Replaces the state by one that Save has returned, on this replica or another.
-  virtual void Load(const std::string& saved) = 0;
+  /// Replaces the state by one that Save has returned, on this replica or another. After an error the state
+  /// is unspecified.
+  [[nodiscard]] virtual std::error_code Load(const std::string& saved) = 0;
   /// Bytes that commands have made it read and write since it was constructed: the cost of applying them
   /// again. It decides when a snapshot is due.
   virtual std::size_t worked() const { return 0; }
--- a/src/control/service/control_service.cpp
+++ b/src/control/service/control_service.cpp
@@ -70,13 +70,21 @@
                     }),
       client_(base) {}
 
-std::error_code ControlService::Start(std::string& problem) {
-  if (const std::error_code error = OpenDisk(problem)) return error;
+Fallible<void> ControlService::Start() {
+  if (auto opened = OpenDisk(); !opened) return opened;
   core_ = std::make_unique<ControlCore>(settings_, incarnation_,
                                         Shards::Stored{store_.replica_id(), store_.stored()}, CoreOutputs(),
                                         SteadyMicros());
-  if (const std::error_code error = Listen(problem)) return error;
-  if (const std::error_code error = StartStore(problem)) return error;
+  if (failure_) return *failure_;
+  if (auto listening = Listen(); !listening) return listening;
+  if (auto started = StartStore(); !started) return started;
+  StartTimers();
+  spdlog::info("control process {} of disk {} takes calls at {}", settings_.node_name, store_.replica_id(),
+               settings_.control_plane);
+  return Success();
+}
+
+void ControlService::StartTimers() {
   tick_event_.reset(event_new(
       base_, -1, EV_PERSIST,
       [](evutil_socket_t, short, void* service) { static_cast<ControlService*>(service)->Tick(); }, this));
@@ -85,41 +93,36 @@
       base_, -1, 0,
       [](evutil_socket_t, short, void* service) { static_cast<ControlService*>(service)->OnOrdersDue(); },
       this));
-  spdlog::info("control process {} of disk {} takes calls at {}", settings_.node_name, store_.replica_id(),
-               settings_.control_plane);
-  return {};
 }
 
-std::error_code ControlService::OpenDisk(std::string& problem) {
+Fallible<void> ControlService::OpenDisk() {
   const std::vector<std::string>& seeds = settings_.seeds;
   const bool founder =
       settings_.bootstrap && std::find(seeds.begin(), seeds.end(), settings_.control_plane) != seeds.end();
   const std::string disk = founder ? BootstrapReplicaId(settings_.InternalAddress()) : "disk/" + RandomId();
-  return store_.Open(settings_.data_dir, disk, problem);
+  return store_.Open(settings_.data_dir, disk);
 }
 
-std::error_code ControlService::Listen(std::string& problem) {
-  const auto listen = [&](http::Server& server, const std::string& address) {
+Fallible<void> ControlService::Listen() {
+  const auto listen = [&](http::Server& server, const std::string& address) -> Fallible<void> {
     const std::error_code error = server.Listen(address);
-    if (error) problem = "cannot listen on " + address + ": " + error.message();
-    return error;
+    if (error) return Failure{error, "cannot listen on " + address + ": " + error.message()};
+    return Success();
   };
-  if (const std::error_code error = listen(public_api_, settings_.control_plane)) return error;
+  if (auto listening = listen(public_api_, settings_.control_plane); !listening) return listening;
   return listen(internal_api_, settings_.InternalAddress());
 }
 
-std::error_code ControlService::StartStore(std::string& problem) {
-  if (const std::error_code error = writes_pipe_.Open()) {
-    problem = "cannot open a pipe";
-    return error;
-  }
+Fallible<void> ControlService::StartStore() {
+  if (const std::error_code error = writes_pipe_.Open())
+    return Failure{error, "cannot open a pipe: " + error.message()};
   writes_event_.reset(event_new(
       base_, writes_pipe_.read_fd(), EV_READ | EV_PERSIST,
       [](evutil_socket_t, short, void* service) { static_cast<ControlService*>(service)->OnWritesDurable(); },
       this));
   event_add(writes_event_.get(), nullptr);
   store_.Start([this] { writes_pipe_.Notify(); });
-  return {};
+  return Success();
 }
 
 ControlCore::Outputs ControlService::CoreOutputs() {
@@ -130,9 +133,15 @@
   };
   outputs.order = [this](const PlacementCall& order, consensus::Term token) { SendOrder(order, token); };
   outputs.ask_report = [this](const PlacementCall& call) { RequestReport(call); };
+  outputs.failed = [this](int shard, std::error_code error) { OnShardFailed(shard, error); };
   return outputs;
 }
 
+void ControlService::OnShardFailed(int shard, std::error_code error) {
+  failure_ = Failure{error, settings_.data_dir + ": shard " + std::to_string(shard) + ": " + error.message()};
+  event_base_loopbreak(base_);
+}
+
 void ControlService::Reload(const NodeSettings& settings) { core_->SetSeeds(settings.seeds, SteadyMicros()); }
 
 void ControlService::Stop() {
--- a/src/control/service/control_service.hpp
+++ b/src/control/service/control_service.hpp
@@ -7,9 +7,11 @@
 #include <event2/event.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <system_error>
 
+#include "common/failure.hpp"
 #include "common/node_settings.hpp"
 #include "control/api/http_client.hpp"
 #include "control/api/http_server.hpp"
@@ -28,12 +30,16 @@
   ControlService(const ControlService&) = delete;
   ControlService& operator=(const ControlService&) = delete;
 
-  /// Opens the store and listens. On an error `problem` says what has failed; the service is then not usable.
-  std::error_code Start(std::string& problem);
+  /// Opens the store and listens. After an error the service is not usable: the process has to end, as its
+  /// replicas must not vote or answer by a part of what they have stored. Errors: StorageErrc, ControlErrc,
+  /// and those of the sockets.
+  Fallible<void> Start();
   /// Takes the seeds of a changed settings file; other settings need a restart.
   void Reload(const NodeSettings& settings);
   /// Answers pending calls and ends the event loop after a grace period.
   void Stop();
+  /// Why the service has ended the event loop by itself, for a snapshot that cannot be read; empty otherwise.
+  const std::optional<Failure>& failure() const { return failure_; }
 
  private:
   struct EventDeleter {
@@ -41,10 +47,12 @@
   };
   using EventPtr = std::unique_ptr<event, EventDeleter>;
 
-  std::error_code OpenDisk(std::string& problem);
-  std::error_code Listen(std::string& problem);
+  Fallible<void> OpenDisk();
+  Fallible<void> Listen();
   // Starts the store's thread, which reports durable writes through the pipe.
-  std::error_code StartStore(std::string& problem);
+  Fallible<void> StartStore();
+  void StartTimers();
+  void OnShardFailed(int shard, std::error_code error);
   ControlCore::Outputs CoreOutputs();
 
   void Tick();
@@ -69,6 +77,7 @@
   EventPtr orders_event_;
   EventPtr writes_event_;  // reads `writes_pipe_`
   bool stopping_ = false;
+  std::optional<Failure> failure_;
 };
 
 }  // namespace violetwing
--- a/src/control/storage/json_form.cpp
+++ b/src/control/storage/json_form.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "messages/decode_error.hpp"
+
 namespace violetwing {
 namespace {
 
@@ -20,7 +22,7 @@
 
 }  // namespace
 
-std::optional<Entry> EntryFromJson(const std::string& text) {
+Result<Entry> EntryFromJson(const std::string& text) {
   try {
     const json object = json::parse(text);
     const auto kind = object.at("kind").get<std::string>();
@@ -34,15 +36,15 @@
     } else if (kind == "noop") {
       entry.kind = EntryKind::kNoop;
     } else {
-      return std::nullopt;
+      return DecodeErrc::kUnknownKind;
     }
     return entry;
   } catch (const json::exception&) {
-    return std::nullopt;
+    return DecodeErrc::kMalformed;
   }
 }
 
-std::optional<Snapshot> SnapshotFromJson(const std::string& text) {
+Result<Snapshot> SnapshotFromJson(const std::string& text) {
   try {
     const json object = json::parse(text);
     Snapshot snapshot;
@@ -52,7 +54,7 @@
     object.at("state").get_to(snapshot.state);
     return snapshot;
   } catch (const json::exception&) {
-    return std::nullopt;
+    return DecodeErrc::kMalformed;
   }
 }
 
--- a/src/control/storage/json_form.hpp
+++ b/src/control/storage/json_form.hpp
@@ -3,9 +3,9 @@
 #ifndef VIOLETWING_CONTROL_STORAGE_JSON_FORM_HPP_
 #define VIOLETWING_CONTROL_STORAGE_JSON_FORM_HPP_
 
-#include <optional>
 #include <string>
 
+#include "common/result.hpp"
 #include "control/consensus/types.hpp"
 
 namespace violetwing {
@@ -14,9 +14,9 @@
 /// snapshot or a command begins with the byte of an object's brace.
 inline bool IsJsonForm(const std::string& body) { return !body.empty() && body.front() == '{'; }
 
-/// The decoded entry or snapshot; empty if the text is malformed.
-std::optional<consensus::Entry> EntryFromJson(const std::string& text);
-std::optional<consensus::Snapshot> SnapshotFromJson(const std::string& text);
+/// Errors: DecodeErrc::kMalformed, and kUnknownKind of an entry.
+Result<consensus::Entry> EntryFromJson(const std::string& text);
+Result<consensus::Snapshot> SnapshotFromJson(const std::string& text);
 
 }  // namespace violetwing
 
--- a/src/control/storage/shard_database.cpp
+++ b/src/control/storage/shard_database.cpp
@@ -1,11 +1,9 @@
 #include "control/storage/shard_database.hpp"
 
-#include <optional>
 #include <utility>
 
-#include "control/consensus/encoding.hpp"
-#include "control/storage/json_form.hpp"
 #include "control/storage/storage_error.hpp"
+#include "control/storage/stored_form.hpp"
 
 namespace violetwing {
 namespace {
@@ -13,21 +11,27 @@
 using consensus::Entry;
 using consensus::Index;
 using consensus::Snapshot;
+using sqlite::StepResult;
 
 constexpr const char* kFileName = "control.db";
 
 // Format of the bodies, stored in table identity. 1: JSON, 2: protocol buffers. Older formats are read.
 constexpr int kFormat = 2;
+constexpr int kOldestFormat = 1;
 
 // A write-ahead log with one sync for each commit. The exclusive lock keeps the index of the log in this
 // process's own memory: no file is mapped by several processes.
-constexpr const char* kSetUp =
+constexpr const char* kSettings =
     "PRAGMA locking_mode=EXCLUSIVE;"
-    "PRAGMA journal_mode=WAL;"
     "PRAGMA synchronous=FULL;"
     "PRAGMA wal_autocheckpoint=256;"
     "PRAGMA journal_size_limit=2097152;"
-    "PRAGMA cache_size=-1024;"
+    "PRAGMA cache_size=-1024;";
+constexpr const char* kUseLog = "PRAGMA journal_mode=WAL";
+
+constexpr const char* kTables[] = {"identity", "hard_state", "snapshot", "entry"};
+// Versions before made the tables one by one: a file may have some of them, without rows.
+constexpr const char* kCreateTables =
     "CREATE TABLE IF NOT EXISTS identity (format INTEGER NOT NULL, disk TEXT NOT NULL);"
     "CREATE TABLE IF NOT EXISTS hard_state (shard INTEGER PRIMARY KEY, term INTEGER NOT NULL, vote TEXT NOT "
     "NULL);"
@@ -35,136 +39,229 @@
     "CREATE TABLE IF NOT EXISTS entry (shard INTEGER NOT NULL, position INTEGER NOT NULL, body BLOB NOT NULL,"
     " PRIMARY KEY (shard, position)) WITHOUT ROWID;";
 
-std::optional<Entry> DecodeStoredEntry(const std::string& body) {
-  return IsJsonForm(body) ? EntryFromJson(body) : consensus::DecodeEntry(body);
-}
-
-std::optional<Snapshot> DecodeStoredSnapshot(const std::string& body) {
-  return IsJsonForm(body) ? SnapshotFromJson(body) : consensus::DecodeSnapshot(body);
-}
+constexpr const char* kInsertIdentity = "INSERT INTO identity VALUES (?, ?)";
+constexpr const char* kUpdateFormat = "UPDATE identity SET format = ?";
+constexpr const char* kReplaceHardState = "INSERT OR REPLACE INTO hard_state VALUES (?, ?, ?)";
+constexpr const char* kReplaceSnapshot = "INSERT OR REPLACE INTO snapshot VALUES (?, ?)";
+constexpr const char* kInsertEntry = "INSERT INTO entry VALUES (?, ?, ?)";
+constexpr const char* kEraseEntriesFrom = "DELETE FROM entry WHERE shard = ? AND position >= ?";
+constexpr const char* kEraseEntriesUpTo = "DELETE FROM entry WHERE shard = ? AND position <= ?";
+constexpr const char* kWrites[] = {kInsertIdentity, kUpdateFormat,     kReplaceHardState, kReplaceSnapshot,
+                                   kInsertEntry,    kEraseEntriesFrom, kEraseEntriesUpTo};
 
-std::error_code Corrupt(std::string& error_message, const std::string& detail) {
-  error_message = std::string(kFileName) + ": " + detail;
-  return StorageErrc::kCorrupt;
-}
+std::uint64_t ShardColumn(int shard) { return static_cast<std::uint64_t>(shard); }
 
 }  // namespace
 
 // ---- Opening ----
 
-std::error_code ShardDatabase::Open(const std::string& directory, const consensus::ReplicaId& new_id,
-                                    std::string& error_message) {
-  const std::string file = directory + "/" + kFileName;
-  if (!database_.Open(file) || !database_.Execute(kSetUp)) return Fail(error_message);
-  return ReadTables(file, new_id, error_message);
+Fallible<void> ShardDatabase::Open(const std::string& directory, const consensus::ReplicaId& new_id) {
+  file_ = directory + "/" + kFileName;
+  if (auto opened = OpenFile(); !opened) return opened;
+  const Fallible<TablesFound> tables = FindTables();
+  if (!tables) return tables.error();
+  if (!tables.value().has_rows) {
+    if (auto created = CreateTables(new_id); !created) return created;
+  } else if (!tables.value().missing.empty()) {
+    return Fail(StorageErrc::kMissingTable, "table " + tables.value().missing.front() + " is missing");
+  }
+  if (auto prepared = PrepareWrites(); !prepared) return prepared;
+  return ReadTables();
+}
+
+Fallible<void> ShardDatabase::OpenFile() {
+  if (const std::error_code error = database_.Open(file_)) return FailAccess(error);
+  if (database_.IsEmptyBesideLog())
+    return Fail(StorageErrc::kTruncated, "is empty, and a write-ahead log lies beside it");
+  if (const std::error_code error = database_.Execute(kSettings)) return FailAccess(error);
+  sqlite::Statement mode = database_.Prepare(kUseLog);
+  if (mode.Next() != StepResult::kRow) return FailAccess(mode.error());
+  if (mode.Text(0) != "wal") return Fail(StorageErrc::kIoError, "cannot use a write-ahead log");
+  return Success();
 }
 
-std::error_code ShardDatabase::Fail(std::string& error_message) const {
-  error_message = database_.ErrorMessage();
-  return StorageErrc::kIoError;
+Failure ShardDatabase::Fail(std::error_code code, const std::string& detail) const {
+  return {code, file_ + ": " + detail};
 }
 
-std::error_code ShardDatabase::ReadTables(const std::string& file, const consensus::ReplicaId& new_id,
-                                          std::string& error_message) {
-  {
-    sqlite::Statement identity = database_.Prepare("SELECT format, disk FROM identity");
-    if (!identity.Next()) return InsertIdentity(new_id, error_message);
-    if (identity.Int(0) > kFormat) {
-      error_message = file + ": was written by a newer version";
-      return StorageErrc::kFormatTooNew;
+Failure ShardDatabase::FailAccess(std::error_code code) const {
+  if (code == StorageErrc::kCorrupt && database_.IsShorterThanHeader())
+    return Fail(StorageErrc::kTruncated, "is shorter than its header says");
+  return Fail(code, code.message() + ": " + database_.ErrorMessage());
+}
+
+Fallible<ShardDatabase::TablesFound> ShardDatabase::FindTables() {
+  TablesFound found;
+  for (const std::string table : kTables) {
+    const Fallible<bool> exists =
+        HasRow("SELECT 1 FROM sqlite_master WHERE type = 'table' AND name = '" + table + "'");
+    if (!exists) return exists.error();
+    if (!exists.value()) {
+      found.missing.push_back(table);
+      continue;
     }
-    replica_id_ = identity.Text(1);
+    const Fallible<bool> has_row = HasRow("SELECT 1 FROM " + table + " LIMIT 1");
+    if (!has_row) return has_row.error();
+    found.has_rows = found.has_rows || has_row.value();
   }
-  ReadHardStates();
-  if (const std::error_code error = ReadSnapshots(error_message)) return error;
-  if (const std::error_code error = ReadEntries(error_message)) return error;
-  const std::string upgrade = "UPDATE identity SET format = " + std::to_string(kFormat);
-  return database_.Execute(upgrade.c_str()) ? std::error_code() : Fail(error_message);
-}
-
-std::error_code ShardDatabase::InsertIdentity(const consensus::ReplicaId& new_id,
-                                              std::string& error_message) {
-  sqlite::Statement insert = database_.Prepare("INSERT INTO identity VALUES (?, ?)");
-  if (!insert.Bind(1, kFormat).BindText(2, new_id).Run()) return Fail(error_message);
-  replica_id_ = new_id;
-  return {};
+  return found;
+}
+
+Fallible<bool> ShardDatabase::HasRow(const std::string& query) {
+  sqlite::Statement statement = database_.Prepare(query);
+  const StepResult step = statement.Next();
+  if (step == StepResult::kError) return FailAccess(statement.error());
+  return step == StepResult::kRow;
+}
+
+// In one transaction: a file has all tables and its id, or nothing.
+Fallible<void> ShardDatabase::CreateTables(const consensus::ReplicaId& new_id) {
+  std::error_code error = database_.Execute("BEGIN IMMEDIATE");
+  if (!error) error = database_.Execute(kCreateTables);
+  if (!error) error = database_.Prepare(kInsertIdentity).Bind(1, kFormat).BindText(2, new_id).Run();
+  if (!error) error = database_.Execute("COMMIT");
+  if (error) return FailAccess(error);
+  return Success();
 }
 
-void ShardDatabase::ReadHardStates() {
+// So that tables of another form are found out now, and not by each write.
+Fallible<void> ShardDatabase::PrepareWrites() {
+  for (const char* sql : kWrites)
+    if (const std::error_code error = database_.Prepare(sql).error()) return FailAccess(error);
+  return Success();
+}
+
+Fallible<void> ShardDatabase::ReadTables() {
+  if (auto read = ReadIdentity(); !read) return read;
+  if (auto read = ReadHardStates(); !read) return read;
+  if (auto read = ReadSnapshots(); !read) return read;
+  return ReadEntries();
+}
+
+Fallible<void> ShardDatabase::ReadIdentity() {
+  sqlite::Statement row = database_.Prepare("SELECT format, disk FROM identity");
+  const StepResult step = row.Next();
+  if (step == StepResult::kError) return FailAccess(row.error());
+  if (step == StepResult::kEnd) return Fail(StorageErrc::kCorrupt, "the identity is missing");
+  if (!row.IsInteger(0) || row.Int(0) < kOldestFormat || !row.IsText(1))
+    return Fail(StorageErrc::kForeignSchema, "the identity is not that of a store");
+  if (row.Int(0) > kFormat) return Fail(StorageErrc::kFormatTooNew, "was written by a newer version");
+  has_older_format_ = row.Int(0) < kFormat;
+  replica_id_ = row.Text(1);
+  const StepResult second = row.Next();
+  if (second == StepResult::kError) return FailAccess(row.error());
+  if (second == StepResult::kRow) return Fail(StorageErrc::kCorrupt, "there are two identities");
+  return Success();
+}
+
+Fallible<void> ShardDatabase::ReadHardStates() {
   sqlite::Statement row = database_.Prepare("SELECT shard, term, vote FROM hard_state");
-  while (row.Next()) stored_[row.Int(0)].hard = {row.Unsigned(1), row.Text(2)};
+  StepResult step = row.Next();
+  for (; step == StepResult::kRow; step = row.Next()) {
+    if (!row.IsInteger(1) || !row.IsText(2))
+      return Fail(StorageErrc::kCorrupt,
+                  "the hard state of shard " + std::to_string(row.Int(0)) + " cannot be read");
+    stored_[row.Int(0)].hard_state = {row.Unsigned(1), row.Text(2)};
+  }
+  if (step == StepResult::kError) return FailAccess(row.error());
+  return Success();
 }
 
-std::error_code ShardDatabase::ReadSnapshots(std::string& error_message) {
+Fallible<void> ShardDatabase::ReadSnapshots() {
   sqlite::Statement row = database_.Prepare("SELECT shard, body FROM snapshot");
-  while (row.Next()) {
+  StepResult step = row.Next();
+  for (; step == StepResult::kRow; step = row.Next()) {
     const int shard = row.Int(0);
-    std::optional<Snapshot> snapshot = DecodeStoredSnapshot(row.Blob(1));
+    Result<Snapshot> snapshot = DecodeStoredSnapshot(row.Blob(1));
     if (!snapshot)
-      return Corrupt(error_message, "the snapshot of shard " + std::to_string(shard) + " cannot be read");
-    stored_[shard].snapshot = std::move(*snapshot);
+      return Fail(StorageErrc::kCorrupt, "the snapshot of shard " + std::to_string(shard) +
+                                             " cannot be read: " + snapshot.error().message());
+    stored_[shard].snapshot = std::move(snapshot.value());
   }
-  return {};
+  if (step == StepResult::kError) return FailAccess(row.error());
+  return Success();
 }
 
-std::error_code ShardDatabase::ReadEntries(std::string& error_message) {
+Fallible<void> ShardDatabase::ReadEntries() {
   sqlite::Statement row =
       database_.Prepare("SELECT shard, position, body FROM entry ORDER BY shard, position");
-  while (row.Next()) {
+  StepResult step = row.Next();
+  for (; step == StepResult::kRow; step = row.Next()) {
     consensus::StoredState& state = stored_[row.Int(0)];
     const Index index = row.Unsigned(1);
     if (index != state.snapshot.index + state.entries.size() + 1)
-      return Corrupt(error_message, "the log has a gap at " + std::to_string(index));
-    std::optional<Entry> entry = DecodeStoredEntry(row.Blob(2));
-    if (!entry) return Corrupt(error_message, "the entry at " + std::to_string(index) + " cannot be read");
-    state.entries.push_back(std::move(*entry));
+      return Fail(StorageErrc::kCorrupt, "the log has a gap at " + std::to_string(index));
+    Result<Entry> entry = DecodeStoredEntry(row.Blob(2));
+    if (!entry)
+      return Fail(StorageErrc::kCorrupt,
+                  "the entry at " + std::to_string(index) + " cannot be read: " + entry.error().message());
+    state.entries.push_back(std::move(entry.value()));
   }
-  return {};
+  if (step == StepResult::kError) return FailAccess(row.error());
+  return Success();
 }
 
 // ---- Writing ----
 
-bool ShardDatabase::Commit(const std::vector<ShardWrite>& writes) {
-  if (!database_.Execute("BEGIN IMMEDIATE")) return false;
-  bool written = true;
-  for (const ShardWrite& write : writes) written = written && Write(write);
-  if (written && database_.Execute("COMMIT")) return true;
-  database_.Execute("ROLLBACK");
-  return false;
+std::error_code ShardDatabase::Commit(const std::vector<ShardWrite>& writes) {
+  // A rollback may have failed too.
+  if (database_.InTransaction())
+    if (const std::error_code error = database_.Execute("ROLLBACK")) return error;
+  if (const std::error_code error = database_.Execute("BEGIN IMMEDIATE")) return error;
+  std::error_code error = WriteAll(writes);
+  if (!error) error = database_.Execute("COMMIT");
+  if (!error) {
+    has_older_format_ = false;
+    return {};
+  }
+  database_.Execute(
+      "ROLLBACK");  // SQLite may have rolled back by itself; the first error is the one that counts
+  return error;
 }
 
-bool ShardDatabase::Write(const ShardWrite& write) {
-  if (write.hard && !WriteHardState(write.shard, *write.hard)) return false;
-  if (!WriteEntries(write)) return false;
-  return !write.snapshot || WriteSnapshot(write.shard, *write.snapshot);
+std::error_code ShardDatabase::WriteAll(const std::vector<ShardWrite>& writes) {
+  if (has_older_format_)
+    if (const std::error_code error = database_.Prepare(kUpdateFormat).Bind(1, kFormat).Run()) return error;
+  for (const ShardWrite& write : writes)
+    if (const std::error_code error = Write(write)) return error;
+  return {};
 }
 
-bool ShardDatabase::WriteHardState(int shard, const consensus::HardState& hard) {
-  sqlite::Statement replace = database_.Prepare("INSERT OR REPLACE INTO hard_state VALUES (?, ?, ?)");
-  return replace.Bind(1, static_cast<std::uint64_t>(shard)).Bind(2, hard.term).BindText(3, hard.vote).Run();
+std::error_code ShardDatabase::Write(const ShardWrite& write) {
+  if (write.hard_state)
+    if (const std::error_code error = WriteHardState(write.shard, *write.hard_state)) return error;
+  if (const std::error_code error = WriteEntries(write)) return error;
+  return write.snapshot ? WriteSnapshot(write.shard, *write.snapshot) : std::error_code();
 }
 
-bool ShardDatabase::WriteEntries(const ShardWrite& write) {
-  const auto shard = static_cast<std::uint64_t>(write.shard);
-  if (write.replaces_log || write.first > 0) {
-    sqlite::Statement erase = database_.Prepare("DELETE FROM entry WHERE shard = ? AND position >= ?");
-    if (!erase.Bind(1, shard).Bind(2, write.replaces_log ? 0 : write.first).Run()) return false;
+std::error_code ShardDatabase::WriteHardState(int shard, const consensus::HardState& hard) {
+  sqlite::Statement replace = database_.Prepare(kReplaceHardState);
+  return replace.Bind(1, ShardColumn(shard)).Bind(2, hard.term).BindText(3, hard.vote).Run();
+}
+
+std::error_code ShardDatabase::WriteEntries(const ShardWrite& write) {
+  const std::uint64_t shard = ShardColumn(write.shard);
+  if (write.replaces_log || write.first_index > 0) {
+    sqlite::Statement erase = database_.Prepare(kEraseEntriesFrom);
+    const Index from = write.replaces_log ? 0 : write.first_index;
+    if (const std::error_code error = erase.Bind(1, shard).Bind(2, from).Run()) return error;
   }
-  Index index = write.first;
+  Index index = write.first_index;
   for (const Entry& entry : write.entries) {
-    sqlite::Statement insert = database_.Prepare("INSERT INTO entry VALUES (?, ?, ?)");
-    if (!insert.Bind(1, shard).Bind(2, index).BindBlob(3, consensus::Encode(entry)).Run()) return false;
+    sqlite::Statement insert = database_.Prepare(kInsertEntry);
+    insert.Bind(1, shard).Bind(2, index).BindBlob(3, EncodeStored(entry));
+    if (const std::error_code error = insert.Run()) return error;
     ++index;
   }
-  return true;
+  return {};
 }
 
-bool ShardDatabase::WriteSnapshot(int shard, const Snapshot& snapshot) {
-  const auto shard_column = static_cast<std::uint64_t>(shard);
-  sqlite::Statement replace = database_.Prepare("INSERT OR REPLACE INTO snapshot VALUES (?, ?)");
-  if (!replace.Bind(1, shard_column).BindBlob(2, consensus::Encode(snapshot)).Run()) return false;
-  sqlite::Statement erase = database_.Prepare("DELETE FROM entry WHERE shard = ? AND position <= ?");
-  return erase.Bind(1, shard_column).Bind(2, snapshot.index).Run();
+std::error_code ShardDatabase::WriteSnapshot(int shard, const Snapshot& snapshot) {
+  sqlite::Statement replace = database_.Prepare(kReplaceSnapshot);
+  replace.Bind(1, ShardColumn(shard)).BindBlob(2, EncodeStored(snapshot));
+  if (const std::error_code error = replace.Run()) return error;
+  sqlite::Statement erase = database_.Prepare(kEraseEntriesUpTo);
+  return erase.Bind(1, ShardColumn(shard)).Bind(2, snapshot.index).Run();
 }
 
 }  // namespace violetwing
--- a/src/control/storage/shard_write.hpp
+++ b/src/control/storage/shard_write.hpp
@@ -13,10 +13,10 @@
 /// What a replica asks the store to make durable, atomically and in the order of the fields.
 struct ShardWrite {
   int shard = 0;
-  std::optional<consensus::HardState> hard;  ///< term and vote, if they have changed
-  bool replaces_log = false;                 ///< deletes all entries before `entries` are written
-  consensus::Index first = 0;                ///< index of entries[0]; overwrites from here on; 0: no entries
-  std::vector<consensus::Entry> entries;     ///< consecutive, from `first` on
+  std::optional<consensus::HardState> hard_state;  ///< term and vote, if they have changed
+  bool replaces_log = false;                       ///< deletes all entries before `entries` are written
+  consensus::Index first_index = 0;       ///< index of entries[0]; overwrites from here on; 0: no entries
+  std::vector<consensus::Entry> entries;  ///< consecutive, from `first_index` on
   std::optional<consensus::Snapshot> snapshot;  ///< replaces the earlier one and the entries up to its index
 };
 
--- a/src/control/storage/storage_error.cpp
+++ b/src/control/storage/storage_error.cpp
@@ -17,6 +17,18 @@
         return "the stored format is newer than this program";
       case StorageErrc::kCorrupt:
         return "stored data is corrupt";
+      case StorageErrc::kCannotOpen:
+        return "the file cannot be opened";
+      case StorageErrc::kLocked:
+        return "another process has the store open";
+      case StorageErrc::kFull:
+        return "the disk is full";
+      case StorageErrc::kTruncated:
+        return "the file is truncated";
+      case StorageErrc::kMissingTable:
+        return "a table is missing";
+      case StorageErrc::kForeignSchema:
+        return "the tables are not those of a store";
     }
     return "unknown error " + std::to_string(error);
   }
@@ -25,8 +37,14 @@
     switch (static_cast<StorageErrc>(error)) {
       case StorageErrc::kIoError:
       case StorageErrc::kCorrupt:
+      case StorageErrc::kCannotOpen:
+      case StorageErrc::kLocked:
+      case StorageErrc::kFull:
+      case StorageErrc::kTruncated:
+      case StorageErrc::kMissingTable:
         return std::errc::io_error;
       case StorageErrc::kFormatTooNew:
+      case StorageErrc::kForeignSchema:
         return std::errc::not_supported;
     }
     return {error, *this};
--- a/src/control/storage/store.cpp
+++ b/src/control/storage/store.cpp
@@ -1,6 +1,9 @@
 #include "control/storage/store.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <chrono>
+#include <system_error>
 #include <utility>
 
 namespace violetwing {
@@ -56,10 +59,15 @@
 }
 
 bool Store::CommitWithRetry(const std::vector<ShardWrite>& writes) {
-  while (!database_.Commit(writes)) {
+  std::error_code logged;
+  while (const std::error_code error = database_.Commit(writes)) {
+    if (std::exchange(logged, error) != error)
+      spdlog::error("commit to the store failed, retried each {} ms: {}", kRetryDelay.count(),
+                    error.message());
     std::this_thread::sleep_for(kRetryDelay);
     if (IsStopped()) return false;
   }
+  if (logged) spdlog::info("commit to the store succeeded after retries");
   return true;
 }
 
--- a/src/control/storage/store.hpp
+++ b/src/control/storage/store.hpp
@@ -11,10 +11,10 @@
 #include <map>
 #include <mutex>
 #include <string>
-#include <system_error>
 #include <thread>
 #include <vector>
 
+#include "common/failure.hpp"
 #include "control/consensus/replica.hpp"
 #include "control/storage/shard_database.hpp"
 #include "control/storage/shard_write.hpp"
@@ -32,9 +32,8 @@
   Store& operator=(const Store&) = delete;
 
   /// See ShardDatabase::Open.
-  std::error_code Open(const std::string& directory, const consensus::ReplicaId& new_id,
-                       std::string& error_message) {
-    return database_.Open(directory, new_id, error_message);
+  Fallible<void> Open(const std::string& directory, const consensus::ReplicaId& new_id) {
+    return database_.Open(directory, new_id);
   }
   /// The id that stays with this disk.
   const consensus::ReplicaId& replica_id() const { return database_.replica_id(); }
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -92,8 +92,7 @@
   if (settings.data_dir.empty()) return ExitWith(kExitUsage, SettingsPath() + ": data_dir: is missing");
   event_base* base = event_base_new();
   violetwing::ControlService service(base, settings);
-  std::string problem;
-  if (service.Start(problem)) return ExitWith(kExitFailure, problem);
+  if (const auto started = service.Start(); !started) return ExitWith(kExitFailure, started.error().message);
   const auto on_stop = [](evutil_socket_t, short, void* at) {
     static_cast<violetwing::ControlService*>(at)->Stop();
   };
@@ -106,9 +105,10 @@
   const timeval poll_interval{kSettingsPollInterval.count(), 0};
   event_add(event_new(base, -1, EV_PERSIST, on_reload, &service), &poll_interval);
   event_base_dispatch(base);
+  const int status = service.failure() ? ExitWith(kExitFailure, service.failure()->message) : 0;
   spdlog::info("control process {} stops", settings.node_name);
   // The disk may hang: what is not written by now is not waited for.
-  std::_Exit(0);
+  std::_Exit(status);
 }
 
 int Run(int argc, char** argv) {
--- a/tests/control/configuration/configuration_test.cpp
+++ b/tests/control/configuration/configuration_test.cpp
@@ -151,12 +151,30 @@
   }
 }
 
+TEST_CASE("A snapshot that cannot be read, or whose document is refused, is not taken for an empty one") {
+  State state;
+  REQUIRE(Put(state, 0, Document(3)).status == ChangeStatus::kAccepted);
+  const std::string saved = state.Save();
+  json refused = json::parse(saved);
+  refused["document"] = R"({"version": 3, "routes": [{"name": "r"}]})";
+  json unreadable = json::parse(saved);
+  unreadable["document"] = "{";
+  json without_digests = json::parse(saved);
+  without_digests.erase("taken");
+  for (const std::string& text : {std::string(), saved.substr(0, saved.size() / 2), std::string("[]"),
+                                  refused.dump(), unreadable.dump(), without_digests.dump()}) {
+    INFO(text);
+    State loaded;
+    CHECK_FALSE(loaded.Load(text));
+  }
+}
+
 TEST_CASE("Loading a snapshot restores the state with its accepted changes") {
   State state;
   REQUIRE(Put(state, 0, Document(3)).status == ChangeStatus::kAccepted);
   REQUIRE(Put(state, 3, Document(5)).status == ChangeStatus::kAccepted);
   State loaded;
-  loaded.Load(state.Save());
+  REQUIRE(loaded.Load(state.Save()));
   CHECK(loaded.version() == 5);
   CHECK(loaded.document() == state.document());
   REQUIRE(loaded.current() != nullptr);
@@ -201,7 +219,7 @@
   CHECK(Put(state, 10, MinimalDocument(11)).status == ChangeStatus::kAccepted);
   CHECK(Put(state, 10, MinimalDocument(12)).status == ChangeStatus::kVersionConflict);
   State loaded;
-  loaded.Load(state.Save());
+  REQUIRE(loaded.Load(state.Save()));
   CHECK(Put(loaded, 9, MinimalDocument(10)).status == ChangeStatus::kUnknown);
   CHECK(Put(loaded, 10, MinimalDocument(11)).status == ChangeStatus::kAccepted);
   CHECK(Put(loaded, 10, MinimalDocument(12)).status == ChangeStatus::kVersionConflict);
@@ -225,7 +243,7 @@
   for (std::int64_t version = 1; version <= 20; ++version)  // older ones, which it kept too
     saved["taken"][DigestOf({false, 0, "old " + std::to_string(version)})] = -version;
   State loaded;
-  loaded.Load(saved.dump());
+  REQUIRE(loaded.Load(saved.dump()));
   CHECK(Put(loaded, 0, MinimalDocument(1)).status == ChangeStatus::kAccepted);
   CHECK(json::parse(loaded.Save())["taken"].size() == static_cast<std::size_t>(kMaxEntries));
 }
--- a/tests/control/configuration/patches_test.cpp
+++ b/tests/control/configuration/patches_test.cpp
@@ -76,7 +76,7 @@
   REQUIRE(state.Apply({true, 4, PatchDocument(5, 5000)}).status == configuration::ChangeStatus::kAccepted);
   CHECK(state.PatchesSince(4)->size() == 1);
   configuration::State loaded;
-  loaded.Load(state.Save());
+  REQUIRE(loaded.Load(state.Save()));
   CHECK(loaded.version() == 5);
   CHECK_FALSE(loaded.PatchesSince(4));
   CHECK(TimeoutOf(loaded) == 5000);
--- a/tests/control/consensus/election_test.cpp
+++ b/tests/control/consensus/election_test.cpp
@@ -14,7 +14,7 @@
 // Replica "a" as it starts with a log that ends in `kTerm`.
 Replica RestartedReplica() {
   StoredState stored;
-  stored.hard = {kTerm, "b"};
+  stored.hard_state = {kTerm, "b"};
   stored.entries = {{kTerm, EntryKind::kNoop, {}, {}}};
   return Replica("a", kThree, stored, Timing{}, 1, kStart);
 }
--- a/tests/control/consensus/replica_test.cpp
+++ b/tests/control/consensus/replica_test.cpp
@@ -343,20 +343,20 @@
   }
 }
 
-}  // namespace
+std::uint64_t NumberFromEnvironment(const char* name, std::uint64_t otherwise) {
+  const char* const text = std::getenv(name);
+  return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
+}
 
 // Random faults, on as many machines at a time as the deployments tolerate: one of a group of three, two of a
 // group of five. Some have a spare machine besides.
-TEST_CASE("Random fault schedules preserve the log") {
-  const char* wanted = std::getenv("CONSENSUS_SCHEDULES");
-  const std::uint64_t schedules = wanted == nullptr ? 400 : std::strtoull(wanted, nullptr, 10);
-  const char* from = std::getenv("CONSENSUS_FIRST");
-  const std::uint64_t first = from == nullptr ? 1 : std::strtoull(from, nullptr, 10);
+void PlaySchedules(std::uint64_t schedules, Cluster::Disks disks) {
+  const std::uint64_t first = NumberFromEnvironment("CONSENSUS_FIRST", 1);
   std::size_t committed = 0;
   for (std::uint64_t seed = first; seed < first + schedules; ++seed) {
     INFO("seed " << seed);
     const std::size_t voters = seed % 4 < 2 ? 3 : 5;
-    Cluster cluster(voters + seed % 2, voters, seed);
+    Cluster cluster(voters + seed % 2, voters, seed, disks);
     cluster.drop_probability = seed % 3 == 0 ? 0.05 : 0;
     cluster.duplicate_probability = seed % 5 == 0 ? 0.1 : 0;
     cluster.max_delay = seed % 7 == 0 ? 80'000 : 3'000;
@@ -379,7 +379,12 @@
       // The next is lost only when this one has caught up: two lost disks of three are beyond what is
       // tolerated.
       cluster.Run(5 * kSecond);
-      for (int i = 0; i < 20 && !cluster.HasFullMembership(); ++i) cluster.Run(kSecond);
+      for (int i = 0; i < 20 && !cluster.HasFullMembership(); ++i) {
+        // One whose disk could not be read is started again.
+        for (std::size_t machine = 0; machine < cluster.size(); ++machine)
+          if (!cluster.IsRunning(machine)) cluster.Start(machine);
+        cluster.Run(kSecond);
+      }
       REQUIRE(cluster.HasFullMembership());
     }
     cluster.Run(4 * kSecond);
@@ -393,4 +398,16 @@
   CHECK(committed > schedules);
 }
 
+}  // namespace
+
+TEST_CASE("Random fault schedules preserve the log") {
+  PlaySchedules(NumberFromEnvironment("CONSENSUS_SCHEDULES", 400), Cluster::Disks::kModel);
+}
+
+TEST_CASE(
+    "Random fault schedules preserve the log on the shipped database, with torn writes and read errors") {
+  constexpr std::uint64_t kShare = 5;  // these schedules take longer
+  PlaySchedules(NumberFromEnvironment("CONSENSUS_SCHEDULES", 400) / kShare, Cluster::Disks::kDatabase);
+}
+
 }  // namespace violetwing::consensus
--- a/tests/control/digest_test.cpp
+++ b/tests/control/digest_test.cpp
@@ -57,10 +57,10 @@
 
 void AddWrite(Digest& digest, const ShardWrite& write) {
   digest.Add(write.shard);
-  digest.Add(write.hard ? static_cast<std::int64_t>(write.hard->term) : -1);
-  digest.Add(write.hard ? write.hard->vote : consensus::ReplicaId());
+  digest.Add(write.hard_state ? static_cast<std::int64_t>(write.hard_state->term) : -1);
+  digest.Add(write.hard_state ? write.hard_state->vote : consensus::ReplicaId());
   digest.Add(write.replaces_log ? 1 : 0);
-  digest.Add(static_cast<std::int64_t>(write.first));
+  digest.Add(static_cast<std::int64_t>(write.first_index));
   for (const consensus::Entry& entry : write.entries) digest.Add(consensus::Encode(entry));
   if (write.snapshot) digest.Add(consensus::Encode(*write.snapshot));
 }
--- a/tests/control/instances/instances_test.cpp
+++ b/tests/control/instances/instances_test.cpp
@@ -147,7 +147,7 @@
   deregistrations.Apply("j", Phase::kDeregistered);
   deregistrations.Apply("j", Phase::kDraining);
   Deregistrations loaded;
-  loaded.Load(deregistrations.Save());
+  REQUIRE(loaded.Load(deregistrations.Save()));
   CHECK(loaded.Find("i") == Phase::kDraining);
   CHECK(loaded.Find("j") == Phase::kDeregistered);
   CHECK_FALSE(loaded.Find("k").has_value());
--- a/tests/control/replication/commands_test.cpp
+++ b/tests/control/replication/commands_test.cpp
@@ -23,7 +23,7 @@
   const auto read = DecodeConfigurationCommand(Encode(ConfigurationCommand(ReadCommand{})));
   CHECK(std::holds_alternative<ReadCommand>(read.value()));
   for (const Phase phase : {Phase::kDraining, Phase::kDeregistered})
-    CHECK(DecodeDeregistrationCommand(Encode(DeregistrationCommand{"i-1", phase}))->phase == phase);
+    CHECK(DecodeDeregistrationCommand(Encode(DeregistrationCommand{"i-1", phase})).value().phase == phase);
 }
 
 TEST_CASE("Commands of the older JSON form are decoded") {
--- a/tests/control/replication/replicated_state_machine_test.cpp
+++ b/tests/control/replication/replicated_state_machine_test.cpp
@@ -18,7 +18,7 @@
  public:
   std::string Apply(const std::string& command) override { return command; }
   std::string Save() const override { return {}; }
-  void Load(const std::string&) override {}
+  std::error_code Load(const std::string&) override { return {}; }
 };
 
 // A process with the one replica of a shard. Its clock restarts with each incarnation, as after a loss
@@ -74,6 +74,7 @@
     outputs.has_pending_writes = [this] { return !writes_.empty(); };
     outputs.next_write_token = [this] { return ++token_; };
     outputs.applied = [](int) {};
+    outputs.failed = [](int, std::error_code error) { FAIL(error.message()); };
     return outputs;
   }
 
@@ -125,6 +126,70 @@
   CHECK(answers.size() == 3);
 }
 
+namespace {
+
+// Refuses every snapshot.
+class UnreadableMachine : public EchoMachine {
+ public:
+  std::error_code Load(const std::string&) override { return ControlErrc::kUnreadableState; }
+};
+
+// What a shard has handed to its host.
+struct HostLog {
+  int writes = 0;
+  int messages = 0;
+  std::vector<std::error_code> failures;
+
+  ReplicatedStateMachine::Outputs Outputs() {
+    ReplicatedStateMachine::Outputs outputs;
+    outputs.send = [this](int, const consensus::Message&) { ++messages; };
+    outputs.forward = [](int, const consensus::Member&, const std::string&) {};
+    outputs.write = [this](ShardWrite, std::uint64_t) { ++writes; };
+    outputs.has_pending_writes = [] { return false; };
+    outputs.next_write_token = [] { return std::uint64_t{1}; };
+    outputs.applied = [](int) {};
+    outputs.failed = [this](int, std::error_code error) { failures.push_back(error); };
+    return outputs;
+  }
+};
+
+}  // namespace
+
+TEST_CASE("A stored snapshot that cannot be loaded fails the shard, which then does nothing") {
+  consensus::StoredState disk;
+  disk.snapshot = {5, 2, {{"disk", "here:1"}}, "state"};
+  UnreadableMachine machine;
+  HostLog host;
+  ReplicatedStateMachine shard(1, "incarnation", {"disk", {}, disk, consensus::Timing{}, 1, 1'000'000},
+                               machine, host.Outputs());
+  shard.Start();
+  CHECK(host.failures == std::vector<std::error_code>{ControlErrc::kUnreadableState});
+  for (Micros now = 1'000'000; now < 10'000'000; now += 50'000) shard.Tick(now);
+  CHECK(host.writes == 0);
+  CHECK(host.messages == 0);
+  CHECK(host.failures.size() == 1);
+}
+
+TEST_CASE("A received snapshot that cannot be loaded is neither stored nor acknowledged") {
+  const consensus::Members members{{"disk", "here:1"}, {"other", "there:1"}, {"third", "there:2"}};
+  UnreadableMachine machine;
+  HostLog host;
+  ReplicatedStateMachine shard(1, "incarnation", {"disk", members, {}, consensus::Timing{}, 1, 1'000'000},
+                               machine, host.Outputs());
+  shard.Start();
+  consensus::Message install;
+  install.kind = consensus::MessageKind::kSnapshot;
+  install.from = "other";
+  install.to = "disk";
+  install.term = 3;
+  install.snapshot = consensus::Snapshot{5, 2, members, "state"};
+  install.size = install.snapshot->state.size();
+  shard.OnMessage(install, 1'100'000);
+  CHECK(host.failures == std::vector<std::error_code>{ControlErrc::kUnreadableState});
+  CHECK(host.writes == 0);
+  CHECK(host.messages == 0);
+}
+
 TEST_CASE("A command that is not applied in time ends with an unknown commit status") {
   consensus::StoredState disk;
   Process process("incarnation", disk);
--- a/tests/control/storage/store_test.cpp
+++ b/tests/control/storage/store_test.cpp
@@ -7,11 +7,14 @@
 #include <condition_variable>
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <mutex>
 #include <variant>
 
 #include "control/replication/commands.hpp"
 #include "control/storage/storage_error.hpp"
+#include "testing/faulty_disk.hpp"
 
 namespace violetwing {
 namespace {
@@ -59,44 +62,47 @@
 ShardWrite Entries(int shard, consensus::Index first, std::vector<Entry> entries) {
   ShardWrite write;
   write.shard = shard;
-  write.first = first;
+  write.first_index = first;
   write.entries = std::move(entries);
   return write;
 }
 
+// Modifies the file of a store that is closed, or creates it, by SQL statements.
+void Modify(const TemporaryDirectory& directory, const std::string& statements) {
+  sqlite3* database = nullptr;
+  REQUIRE(sqlite3_open((directory.path() + "/control.db").c_str(), &database) == SQLITE_OK);
+  REQUIRE(sqlite3_exec(database, statements.c_str(), nullptr, nullptr, nullptr) == SQLITE_OK);
+  sqlite3_close(database);
+}
+
 // Creates a store in the directory and modifies its file by SQL statements.
 void CreateAndModify(const TemporaryDirectory& directory, const std::string& statements) {
   {
     Store store;
-    std::string error_message;
-    REQUIRE_FALSE(store.Open(directory.path(), "disk/a", error_message));
+    REQUIRE(store.Open(directory.path(), "disk/a"));
   }
-  sqlite3* database = nullptr;
-  REQUIRE(sqlite3_open((directory.path() + "/control.db").c_str(), &database) == SQLITE_OK);
-  REQUIRE(sqlite3_exec(database, statements.c_str(), nullptr, nullptr, nullptr) == SQLITE_OK);
-  sqlite3_close(database);
+  Modify(directory, statements);
 }
 
 }  // namespace
 
 TEST_CASE("Reopening restores the replica id, votes and logs without overwritten entries") {
   const TemporaryDirectory directory;
-  std::string error_message;
   {
     Store store;
-    REQUIRE_FALSE(store.Open(directory.path(), "disk/a", error_message));
+    REQUIRE(store.Open(directory.path(), "disk/a"));
     CHECK(store.stored().empty());
     ShardWrite vote;
     vote.shard = 1;
-    vote.hard = consensus::HardState{7, "disk/b"};
+    vote.hard_state = consensus::HardState{7, "disk/b"};
     WriteAll(store, {vote, Entries(1, 1, {Command(1, "x"), Command(1, "y"), Command(1, "z")}),
                      Entries(1, 2, {Command(2, "new y")}), Entries(2, 1, {Command(1, "other")})});
   }
   Store store;
-  REQUIRE_FALSE(store.Open(directory.path(), "disk/never used", error_message));
+  REQUIRE(store.Open(directory.path(), "disk/never used"));
   CHECK(store.replica_id() == "disk/a");
   const consensus::StoredState& one = store.stored().at(1);
-  CHECK(one.hard == consensus::HardState{7, "disk/b"});
+  CHECK(one.hard_state == consensus::HardState{7, "disk/b"});
   REQUIRE(one.entries.size() == 2);
   CHECK(one.entries[1].command == "new y");
   CHECK(store.stored().at(2).entries.size() == 1);
@@ -105,10 +111,9 @@
 TEST_CASE("A snapshot replaces the log entries up to its index, or the whole log") {
   for (const bool replaces_log : {false, true}) {
     const TemporaryDirectory directory;
-    std::string error_message;
     {
       Store store;
-      REQUIRE_FALSE(store.Open(directory.path(), "disk/a", error_message));
+      REQUIRE(store.Open(directory.path(), "disk/a"));
       ShardWrite snapshot;
       snapshot.shard = 1;
       snapshot.replaces_log = replaces_log;
@@ -116,7 +121,7 @@
       WriteAll(store, {Entries(1, 1, {Command(1, "x"), Command(1, "y"), Command(1, "z")}), snapshot});
     }
     Store store;
-    REQUIRE_FALSE(store.Open(directory.path(), "disk/a", error_message));
+    REQUIRE(store.Open(directory.path(), "disk/a"));
     const consensus::StoredState& one = store.stored().at(1);
     CHECK(one.snapshot.index == 2);
     CHECK(one.snapshot.state == "state");
@@ -127,18 +132,16 @@
 
 TEST_CASE("Opening a store of a newer format fails and reports the reason") {
   const TemporaryDirectory directory;
-  std::string error_message;
   CreateAndModify(directory, "UPDATE identity SET format = 99");
   Store store;
-  const std::error_code error = store.Open(directory.path(), "disk/a", error_message);
-  CHECK(error == StorageErrc::kFormatTooNew);
-  CHECK(error == std::errc::not_supported);
-  CHECK(error_message.find("newer version") != std::string::npos);
+  const Failure failure = store.Open(directory.path(), "disk/a").error();
+  CHECK(failure.code == StorageErrc::kFormatTooNew);
+  CHECK(failure.code == std::errc::not_supported);
+  CHECK(failure.message.find("newer version") != std::string::npos);
 }
 
 TEST_CASE("Entries and snapshots of format 1 (JSON) are read beside newer ones") {
   const TemporaryDirectory directory;
-  std::string error_message;
   const char* version_1 = R"(UPDATE identity SET format = 1;
     INSERT INTO snapshot VALUES (1, '{"index":4,"term":2,"members":[{"id":"a","address":"1:2"}],"state":"s"}');
     INSERT INTO entry VALUES (1, 5, '{"term":2,"kind":"command","command":"{\"request\":\"r\"}"}');
@@ -147,11 +150,11 @@
   CreateAndModify(directory, version_1);
   {
     Store store;
-    REQUIRE_FALSE(store.Open(directory.path(), "disk/never used", error_message));
+    REQUIRE(store.Open(directory.path(), "disk/never used"));
     WriteAll(store, {Entries(1, 8, {Command(4, std::string("\xff\x00x", 3))})});
   }
   Store store;
-  REQUIRE_FALSE(store.Open(directory.path(), "disk/never used", error_message));
+  REQUIRE(store.Open(directory.path(), "disk/never used"));
   const consensus::StoredState& one = store.stored().at(1);
   CHECK(one.snapshot.index == 4);
   CHECK(one.snapshot.state == "s");
@@ -166,37 +169,230 @@
 TEST_CASE("Opening a store with a malformed entry fails and names the entry") {
   for (const char* body : {"'{\"term\":2'", "'{\"term\":2,\"kind\":\"praise\"}'", "x'ffff'"}) {
     const TemporaryDirectory directory;
-    std::string error_message;
     CreateAndModify(directory, std::string("INSERT INTO entry VALUES (1, 1, ") + body + ")");
     Store store;
-    CHECK(store.Open(directory.path(), "disk/a", error_message) == StorageErrc::kCorrupt);
-    CHECK(error_message.find("entry at 1") != std::string::npos);
+    const Failure failure = store.Open(directory.path(), "disk/a").error();
+    CHECK(failure.code == StorageErrc::kCorrupt);
+    CHECK(failure.message.find("entry at 1") != std::string::npos);
   }
 }
 
 TEST_CASE("Opening a store in a missing directory fails with a message") {
   Store store;
-  std::string error_message;
-  CHECK(store.Open("/nonexistent", "disk/a", error_message) == StorageErrc::kIoError);
-  CHECK_FALSE(error_message.empty());
+  const Failure failure = store.Open("/nonexistent", "disk/a").error();
+  CHECK(failure.code == StorageErrc::kCannotOpen);
+  CHECK(failure.code == std::errc::io_error);
+  CHECK_FALSE(failure.message.empty());
+}
+
+namespace {
+
+// A store with a snapshot and entries of shard 1, and a hard state.
+void CreateFilled(const TemporaryDirectory& directory) {
+  Store store;
+  REQUIRE(store.Open(directory.path(), "disk/a"));
+  ShardWrite first;
+  first.shard = 1;
+  first.hard_state = consensus::HardState{7, "disk/b"};
+  first.replaces_log = true;
+  first.snapshot = consensus::Snapshot{2, 1, {{"disk/a", "10.0.0.1:1"}}, std::string(20'000, 's')};
+  std::vector<Entry> entries;
+  for (int i = 0; i < 20; ++i) entries.push_back(Command(7, std::string(1'000, static_cast<char>('a' + i))));
+  WriteAll(store, {first, Entries(1, 3, std::move(entries))});
+}
+
+Failure FailureToOpen(const TemporaryDirectory& directory) {
+  Store store;
+  const Fallible<void> opened = store.Open(directory.path(), "disk/never used");
+  REQUIRE(opened.has_error());
+  CHECK(opened.error().message.find("control.db") != std::string::npos);
+  CHECK(opened.error().message.find('\n') == std::string::npos);
+  return opened.error();
+}
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
+void WriteFile(const std::string& path, const std::string& content) {
+  std::ofstream(path, std::ios::binary) << content;
+}
+
+}  // namespace
+
+TEST_CASE("A missing table is named, also where the other tables can be read") {
+  for (const std::string table : {"identity", "hard_state", "snapshot", "entry"}) {
+    const TemporaryDirectory directory;
+    CreateFilled(directory);
+    Modify(directory, "DROP TABLE " + table);
+    const Failure failure = FailureToOpen(directory);
+    CHECK(failure.code == StorageErrc::kMissingTable);
+    CHECK(failure.message.find("table " + table) != std::string::npos);
+  }
+}
+
+TEST_CASE("Tables with other columns, and identities that are none, are a foreign schema") {
+  for (const char* statements :
+       {"ALTER TABLE hard_state RENAME COLUMN vote TO ballot", "ALTER TABLE entry ADD COLUMN more",
+        "ALTER TABLE identity RENAME COLUMN format TO form", "UPDATE identity SET format = 0",
+        "UPDATE identity SET format = 'two'", "UPDATE identity SET disk = x'00'"}) {
+    INFO(statements);
+    const TemporaryDirectory directory;
+    CreateFilled(directory);
+    Modify(directory, statements);
+    const Failure failure = FailureToOpen(directory);
+    CHECK(failure.code == StorageErrc::kForeignSchema);
+    CHECK(failure.code == std::errc::not_supported);
+  }
+}
+
+TEST_CASE("An identity that is missing or there twice, and a hard state that is none, are corrupt") {
+  for (const char* statements : {"DELETE FROM identity", "INSERT INTO identity VALUES (2, 'disk/b')",
+                                 "UPDATE hard_state SET term = 'seven'", "UPDATE hard_state SET vote = x'00'",
+                                 "DELETE FROM entry WHERE position = 4"}) {
+    INFO(statements);
+    const TemporaryDirectory directory;
+    CreateFilled(directory);
+    Modify(directory, statements);
+    CHECK(FailureToOpen(directory).code == StorageErrc::kCorrupt);
+  }
+}
+
+// Whichever part of the file is damaged, what opens is what was stored.
+TEST_CASE("A damaged page is corrupt, or holds nothing of the store") {
+  constexpr std::size_t kPageBytes = 4096;
+  const TemporaryDirectory directory;
+  CreateFilled(directory);
+  const std::string path = directory.path() + "/control.db";
+  const std::string content = ReadFile(path);
+  consensus::StoredState stored;
+  {
+    Store store;
+    REQUIRE(store.Open(directory.path(), "disk/never used"));
+    stored = store.stored().at(1);
+  }
+  const std::size_t pages = content.size() / kPageBytes;
+  REQUIRE(pages > 8);
+  std::size_t corrupt = 0;
+  for (std::size_t page = 0; page < pages; ++page) {
+    std::string damaged = content;
+    damaged.replace(page * kPageBytes, kPageBytes, std::string(kPageBytes, '\xa5'));
+    WriteFile(path, damaged);
+    Store store;
+    const Fallible<void> opened = store.Open(directory.path(), "disk/never used");
+    INFO("page " << page);
+    if (opened) {
+      CHECK(store.stored().at(1) == stored);
+      CHECK(store.replica_id() == "disk/a");
+    } else {
+      CHECK(opened.error().code == StorageErrc::kCorrupt);
+      ++corrupt;
+    }
+  }
+  CHECK(corrupt >= pages - 2);
+}
+
+TEST_CASE("One changed byte in a stored snapshot or entry is corrupt") {
+  for (const char* statements :
+       {"UPDATE snapshot SET body = CAST(replace(body, 'ssss', 'sssS') AS BLOB)",
+        "UPDATE entry SET body = CAST(replace(body, 'cccccccc', 'ccccCccc') AS BLOB) WHERE position = 5"}) {
+    const TemporaryDirectory directory;
+    CreateFilled(directory);
+    Modify(directory, statements);
+    const Failure failure = FailureToOpen(directory);
+    CHECK(failure.code == StorageErrc::kCorrupt);
+    CHECK(failure.message.find("checksum") != std::string::npos);
+  }
+}
+
+TEST_CASE("A file that is cut short, or emptied beside its log, is truncated") {
+  const TemporaryDirectory directory;
+  CreateFilled(directory);
+  const std::string path = directory.path() + "/control.db";
+  const std::string content = ReadFile(path);
+  WriteFile(path, content.substr(0, content.size() / 2));
+  CHECK(FailureToOpen(directory).code == StorageErrc::kTruncated);
+  WriteFile(path, "");
+  WriteFile(path + "-wal", "the log of what was stored");
+  CHECK(FailureToOpen(directory).code == StorageErrc::kTruncated);
+  CHECK(ReadFile(path + "-wal") == "the log of what was stored");
+}
+
+TEST_CASE("A file that is no database is corrupt and stays as it is") {
+  const TemporaryDirectory directory;
+  const std::string path = directory.path() + "/control.db";
+  const std::string content(8192, 'x');
+  WriteFile(path, content);
+  CHECK(FailureToOpen(directory).code == StorageErrc::kCorrupt);
+  CHECK(ReadFile(path) == content);
+}
+
+TEST_CASE("A store that is open cannot be opened by another process") {
+  const TemporaryDirectory directory;
+  CreateFilled(directory);
+  Store holder;
+  REQUIRE(holder.Open(directory.path(), "disk/never used"));
+  CHECK(FailureToOpen(directory).code == StorageErrc::kLocked);
+}
+
+// As versions before left it when they ended between two tables.
+TEST_CASE("A file with some empty tables and no identity is a new store") {
+  const TemporaryDirectory directory;
+  Modify(directory,
+         "CREATE TABLE identity (format INTEGER NOT NULL, disk TEXT NOT NULL);"
+         "CREATE TABLE hard_state (shard INTEGER PRIMARY KEY, term INTEGER NOT NULL, vote TEXT NOT NULL);");
+  Store store;
+  REQUIRE(store.Open(directory.path(), "disk/a"));
+  CHECK(store.replica_id() == "disk/a");
+  CHECK(store.stored().empty());
+}
+
+TEST_CASE("A write is durable only once its sync has ended, however long the disk hangs") {
+  testing::FaultyDisk disk("/hanging");
+  Store store;
+  REQUIRE(store.Open(disk.directory(), "disk/a"));
+  std::mutex mutex;
+  std::condition_variable wake;
+  bool hangs = true;
+  bool syncing = false;
+  bool notified = false;
+  disk.on_sync = [&] {
+    std::unique_lock<std::mutex> lock(mutex);
+    syncing = true;
+    wake.notify_all();
+    wake.wait(lock, [&] { return !hangs; });
+  };
+  store.Start([&] {
+    const std::lock_guard<std::mutex> lock(mutex);
+    notified = true;
+    wake.notify_all();
+  });
+  store.Enqueue(Entries(1, 1, {Command(1, "x")}), 1);
+  std::unique_lock<std::mutex> lock(mutex);
+  REQUIRE(wake.wait_for(lock, std::chrono::seconds(20), [&] { return syncing; }));
+  CHECK(store.TakeDurable().empty());
+  hangs = false;
+  wake.notify_all();
+  REQUIRE(wake.wait_for(lock, std::chrono::seconds(20), [&] { return notified; }));
+  CHECK(store.TakeDurable() == std::vector<std::uint64_t>{1});
 }
 
 TEST_CASE("A store file that an earlier release has written (format 2) is opened and extended") {
   const TemporaryDirectory directory;
   const auto fixture = std::filesystem::path(VIOLETWING_STORE_FIXTURES) / "format_2.db";
   REQUIRE(std::filesystem::copy_file(fixture, directory.path() + "/control.db"));
-  std::string error_message;
   {
     Store store;
-    REQUIRE_FALSE(store.Open(directory.path(), "disk/never used", error_message));
+    REQUIRE(store.Open(directory.path(), "disk/never used"));
     CHECK(store.replica_id() == "founder/10.0.0.1:100");
     REQUIRE(store.stored().size() == 2);
     WriteAll(store, {Entries(0, 5, {Command(4, "new")})});
   }
   Store store;
-  REQUIRE_FALSE(store.Open(directory.path(), "disk/never used", error_message));
+  REQUIRE(store.Open(directory.path(), "disk/never used"));
   const consensus::StoredState& first = store.stored().at(0);
-  CHECK(first.hard == consensus::HardState{3, "founder/10.0.0.2:100"});
+  CHECK(first.hard_state == consensus::HardState{3, "founder/10.0.0.2:100"});
   CHECK(first.snapshot.index == 1);
   CHECK(first.snapshot.term == 1);
   CHECK(first.snapshot.members == consensus::Members{{"founder/10.0.0.1:100", "10.0.0.1:100"}});
@@ -218,7 +414,7 @@
   REQUIRE(services.entries.size() == 1);
   CHECK(services.entries[0].term == 2);
   const Envelope deregistration = DecodeEnvelope(services.entries[0].command).value();
-  CHECK(DecodeDeregistrationCommand(deregistration.command)->phase == Phase::kDeregistered);
+  CHECK(DecodeDeregistrationCommand(deregistration.command).value().phase == Phase::kDeregistered);
 }
 
 }  // namespace violetwing
--- a/tests/node/processes_test.cpp
+++ b/tests/node/processes_test.cpp
@@ -1,9 +1,11 @@
 // Real processes on loopback: three that hold the state, one sidecar, and a stand-in for a server.
 #include <unistd.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
 #include <nlohmann/json.hpp>
 
 #include "common/http_client.hpp"
@@ -138,6 +140,10 @@
     return answer.status == 200 ? json::parse(answer.body).at("version").get<std::int64_t>() : -1;
   }
 
+  fs::path StoreOf(int at) const {
+    return folder_ / ("control-" + std::to_string(at)) / "data" / "control.db";
+  }
+
   boost::asio::io_context io;
   std::vector<std::unique_ptr<NodeProcess>> processes;
   std::unique_ptr<NodeProcess> edge;
@@ -225,6 +231,22 @@
   for (const auto& process : system.processes) CHECK(process->Stop() == 0);
 }
 
+// It would vote without what it has promised.
+TEST_CASE("A control process whose store cannot be read ends with status 1 and one line; the others go on") {
+  System system;
+  REQUIRE(system.Configure(3, 0) == 200);
+  NodeProcess& damaged = *system.processes[0];
+  damaged.Kill();
+  constexpr std::size_t kBytes = 8192;
+  std::ofstream(system.StoreOf(0), std::ios::binary) << std::string(kBytes, 'x');
+  fs::remove(system.StoreOf(0).string() + "-wal");  // the pages in it would be read in place of the file's
+  const NodeProcess::Ended ended = damaged.StartAndAwaitEnd();
+  CHECK(ended.status == 1);
+  CHECK(std::count(ended.log.begin(), ended.log.end(), '\n') == 1);
+  CHECK(ended.log.find("control.db: stored data is corrupt") != std::string::npos);
+  CHECK(system.Configure(5, 3, /*except=*/0) == 200);
+}
+
 TEST_CASE("All control processes end at once and have all that was acknowledged when they are back") {
   System system;
   REQUIRE(system.Configure(3, 0) == 200);
--- a/tests/testing/cluster.hpp
+++ b/tests/testing/cluster.hpp
@@ -18,6 +18,7 @@
 #include "common/time.hpp"
 #include "control/consensus/membership.hpp"
 #include "control/consensus/replica.hpp"
+#include "testing/database_disk.hpp"
 #include "testing/virtual_disk.hpp"
 
 namespace violetwing::consensus {
@@ -40,18 +41,27 @@
     std::unique_ptr<Replica> replica;
     Micros frozen_until = 0;  // the process takes no step before then
     Micros disk_stalled_until = 0;
-    Micros max_write_duration = 20'000;  // exclusive upper bound of a sync's duration
-    std::vector<std::string> applied;    // commands in the state machine's state
-    bool removed = false;                // no longer asks to join
-    bool draining = false;               // has announced its shutdown to all
+    Micros max_write_duration = 20'000;               // exclusive upper bound of a sync's duration
+    std::vector<std::string> applied;                 // commands in the state machine's state
+    bool removed = false;                             // no longer asks to join
+    bool draining = false;                            // has announced its shutdown to all
+    bool database_is_open = false;                    // as it is new, and not read yet
+    std::unique_ptr<testing::DatabaseDisk> database;  // holds the same as `disk`; null: `disk` alone
+  };
+  /// What the machines' disks are.
+  enum class Disks {
+    kModel,     ///< a StoredState, of whose unsynced writes a prefix survives
+    kDatabase,  ///< the shipped database, on a disk that loses power at any operation and may fail to read
   };
 
   /// Starts `machines`, of which the first `bootstrap_count` form the group; the others are spares.
-  Cluster(std::size_t machines, std::size_t bootstrap_count, std::uint64_t seed) : random_(seed) {
+  Cluster(std::size_t machines, std::size_t bootstrap_count, std::uint64_t seed, Disks disks = Disks::kModel)
+      : disks_(disks), seed_(seed), random_(seed) {
     for (std::size_t i = 0; i < machines; ++i) {
       Machine machine;
       machine.address = "m" + std::to_string(i);
       machine.disk_id = i < bootstrap_count ? "founder/" + machine.address : NewDiskId();
+      if (disks_ == Disks::kDatabase) NewDatabase(machine);
       machines_.push_back(std::move(machine));
       if (i < bootstrap_count)
         bootstrap_members_.push_back({"founder/m" + std::to_string(i), "m" + std::to_string(i)});
@@ -70,9 +80,10 @@
 
   // ---- Faults ----
 
-  /// Starts the process of machine `i` from its disk.
+  /// Starts the process of machine `i` from its disk. One that cannot be read leaves the process ended.
   void Start(std::size_t i) {
     Machine& machine = machines_[i];
+    if (machine.database != nullptr && !ReadDatabase(machine)) return;
     const bool is_bootstrap = machine.disk_id.rfind("founder/", 0) == 0;
     machine.applied.clear();
     machine.replica =
@@ -88,6 +99,14 @@
     Machine& machine = machines_[i];
     machine.replica.reset();
     std::size_t surviving = random_.Below(machine.writes.size() + 1);
+    if (machine.database != nullptr) {
+      std::vector<ShardWrite> in_progress;
+      for (std::size_t write = 0; write < machine.writes_in_progress; ++write)
+        in_progress.push_back(WriteOf(machine.writes[write]));
+      machine.database->LosePower(in_progress);
+      machine.database_is_open = false;
+      surviving = 0;
+    }
     for (const Effects& write : machine.writes)
       if (surviving-- > 0)
         ApplyToDisk(machine, write);
@@ -104,6 +123,7 @@
     machine.writes_in_progress = 0;
     machine.disk = {};
     machine.disk_id = NewDiskId();
+    if (disks_ == Disks::kDatabase) NewDatabase(machine);
   }
   /// The process takes no step for `duration`; messages to it wait.
   void Freeze(std::size_t i, Micros duration) { machines_[i].frozen_until = now_ + duration; }
@@ -123,6 +143,8 @@
   Micros catch_up_time = 4'000'000;       // after its start a machine still counts as lost for this long
   /// Called for each message sent; may change it, or drop it by returning false.
   std::function<bool(Message&)> mutate;
+  /// Called with what a machine's disk has written with one sync.
+  std::function<void(std::size_t machine, const std::vector<ShardWrite>&)> on_commit;
 
   // ---- Work ----
 
@@ -206,9 +228,28 @@
 
   std::string NewDiskId() { return "disk/" + std::to_string(++disks_created_); }
 
+  void NewDatabase(Machine& machine) {
+    machine.database.reset();
+    machine.database = std::make_unique<testing::DatabaseDisk>("/" + machine.address, machine.disk_id, seed_);
+    machine.database_is_open = true;
+  }
+
+  // False where its disk fails to read.
+  bool ReadDatabase(Machine& machine) {
+    if (!std::exchange(machine.database_is_open, false)) {
+      const auto stored = machine.database->Reopen();
+      if (!stored) return false;
+      machine.disk = *stored;
+    }
+    return true;
+  }
+
+  static ShardWrite WriteOf(const Effects& effects) {
+    return {
+        0, effects.hard_state, effects.replaces_log, effects.first_index, effects.entries, effects.snapshot};
+  }
   static void ApplyToDisk(Machine& machine, const Effects& effects) {
-    testing::ApplyWrite(machine.disk, {0, effects.hard, effects.replaces_log, effects.first, effects.entries,
-                                       effects.snapshot});
+    testing::ApplyWrite(machine.disk, WriteOf(effects));
   }
 
   void ApplyEffects(std::size_t i) {
@@ -217,8 +258,9 @@
       Effects effects = machine.replica->TakeEffects();
       if (effects.Empty()) return;
       for (const Message& message : effects.messages) Send(i, message);
-      if (effects.load)
-        machine.applied = nlohmann::json::parse(effects.load->state).get<std::vector<std::string>>();
+      if (effects.snapshot_to_load)
+        machine.applied =
+            nlohmann::json::parse(effects.snapshot_to_load->state).get<std::vector<std::string>>();
       for (const auto& [index, entry] : effects.committed) ApplyEntry(machine, index, entry);
       if (effects.WritesAnything() || !machine.writes.empty()) {
         machine.writes.push_back(std::move(effects));
@@ -248,11 +290,16 @@
                                     std::make_move_iterator(last));
     machine.writes.erase(machine.writes.begin(), last);
     machine.writes_in_progress = 0;
+    std::vector<ShardWrite> writes;
+    for (const Effects& write : done) writes.push_back(WriteOf(write));
+    if (on_commit) on_commit(i, writes);
+    if (machine.database != nullptr) machine.database->Commit(writes);
     for (const Effects& write : done) {
       ApplyToDisk(machine, write);
       for (const Message& message : write.messages_after_write) Send(i, message);
       if (!write.entries.empty())
-        machine.replica->OnLogDurable(write.first + write.entries.size() - 1, write.entries.back().term);
+        machine.replica->OnLogDurable(write.first_index + write.entries.size() - 1,
+                                      write.entries.back().term);
     }
     StartWrites(machine);
     ApplyEffects(i);
@@ -330,8 +377,13 @@
     for (const Machine& machine : machines_)
       leases += machine.replica != nullptr && machine.frozen_until <= now_ && machine.replica->HasLease(now_);
     if (leases > 1) violations_.push_back("two leases at " + std::to_string(now_));
+    for (const Machine& machine : machines_)
+      if (machine.database != nullptr && !machine.database->violations().empty())
+        violations_.push_back(machine.database->violations().front());
   }
 
+  const Disks disks_;
+  const std::uint64_t seed_;
   Micros now_ = 1'000'000;
   Random random_;
   int disks_created_ = 0;
--- a/tests/testing/exploration.hpp
+++ b/tests/testing/exploration.hpp
@@ -178,11 +178,11 @@
     Machine& machine = state.machines[i];
     const Effects write = std::move(machine.writes.front());
     machine.writes.pop_front();
-    testing::ApplyWrite(machine.disk,
-                        {0, write.hard, write.replaces_log, write.first, write.entries, write.snapshot});
+    testing::ApplyWrite(machine.disk, {0, write.hard_state, write.replaces_log, write.first_index,
+                                       write.entries, write.snapshot});
     for (const Message& message : write.messages_after_write) Send(state, message);
     if (!write.entries.empty())
-      replica.OnLogDurable(write.first + write.entries.size() - 1, write.entries.back().term);
+      replica.OnLogDurable(write.first_index + write.entries.size() - 1, write.entries.back().term);
   }
 
   // Unsynced writes are lost; that some of them were durable is another order of events.
@@ -282,11 +282,11 @@
   // ---- States ----
 
   static std::uint64_t HashOf(const Machine& machine) {
-    std::string text = machine.replica->Fingerprint() + "|" + std::to_string(machine.disk.hard.term) +
-                       machine.disk.hard.vote;
+    std::string text = machine.replica->Fingerprint() + "|" + std::to_string(machine.disk.hard_state.term) +
+                       machine.disk.hard_state.vote;
     for (const Entry& entry : machine.disk.entries) text += Encode(entry);
     for (const Effects& write : machine.writes) {
-      text += "w" + std::to_string(write.first) + (write.hard ? write.hard->vote : "");
+      text += "w" + std::to_string(write.first_index) + (write.hard_state ? write.hard_state->vote : "");
       for (const Entry& entry : write.entries) text += Encode(entry);
       for (const Message& message : write.messages_after_write) text += Encode(message);
     }
--- a/tests/testing/node_process.hpp
+++ b/tests/testing/node_process.hpp
@@ -3,12 +3,15 @@
 #ifndef VIOLETWING_TESTS_TESTING_NODE_PROCESS_HPP_
 #define VIOLETWING_TESTS_TESTING_NODE_PROCESS_HPP_
 
+#include <fcntl.h>
 #include <signal.h>
 #include <spawn.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <system_error>
@@ -31,13 +34,23 @@
   NodeProcess(const NodeProcess&) = delete;
   NodeProcess& operator=(const NodeProcess&) = delete;
 
-  void Start() {
-    const std::string variable = "VIOLETWING_SETTINGS=" + settings_file_;
-    char* environment[] = {const_cast<char*>(variable.c_str()), nullptr};
-    const char* arguments[] = {VIOLETWING_NODE_PROGRAM, role_.c_str(), "--log-level", "warn", nullptr};
-    const int error = posix_spawn(&id_, VIOLETWING_NODE_PROGRAM, nullptr, nullptr,
-                                  const_cast<char**>(arguments), environment);
-    if (error != 0) throw std::system_error(error, std::generic_category(), VIOLETWING_NODE_PROGRAM);
+  void Start() { Spawn("warn", nullptr); }
+  // How a process ended by itself, and what it wrote to its standard error. Waits for its end.
+  struct Ended {
+    int status = -1;  // -1: by a signal
+    std::string log;
+  };
+  Ended StartAndAwaitEnd() {
+    const std::string log = settings_file_ + ".log";
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, 2, log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
+    Spawn("off", &actions);
+    posix_spawn_file_actions_destroy(&actions);
+    Ended ended{AwaitExit(), {}};
+    std::ifstream written(log);
+    ended.log.assign(std::istreambuf_iterator<char>(written), {});
+    return ended;
   }
   void Kill() {
     if (id_ == 0) return;
@@ -47,14 +60,31 @@
   // Its exit status after SIGTERM; -1 if it did not end by itself.
   int Stop() {
     kill(id_, SIGTERM);
-    int status = 0;
-    waitpid(std::exchange(id_, 0), &status, 0);
-    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    return AwaitExit();
   }
 
   pid_t id() const { return id_; }
 
  private:
+  void Spawn(const char* log_level, const posix_spawn_file_actions_t* actions) {
+    const std::string variable = "VIOLETWING_SETTINGS=" + settings_file_;
+    char* environment[] = {const_cast<char*>(variable.c_str()), nullptr};
+    const char* arguments[] = {VIOLETWING_NODE_PROGRAM, role_.c_str(), "--log-level", log_level, nullptr};
+    const int error = posix_spawn(&id_, VIOLETWING_NODE_PROGRAM, actions, nullptr,
+                                  const_cast<char**>(arguments), environment);
+    if (error != 0) throw std::system_error(error, std::generic_category(), VIOLETWING_NODE_PROGRAM);
+  }
+  int AwaitExit() {
+    constexpr unsigned kSecondsAtMost = 30;
+    int status = 0;
+    for (unsigned waited_ms = 0; waitpid(id_, &status, WNOHANG) == 0; waited_ms += 10) {
+      if (waited_ms >= kSecondsAtMost * 1000) return -1;  // killed when this object ends
+      usleep(10'000);
+    }
+    id_ = 0;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
+
   const std::string role_;
   const std::string settings_file_;
   pid_t id_ = 0;
--- a/tests/testing/virtual_disk.hpp
+++ b/tests/testing/virtual_disk.hpp
@@ -9,12 +9,12 @@
 namespace violetwing::testing {
 
 inline void ApplyWrite(consensus::StoredState& disk, const ShardWrite& write) {
-  if (write.hard) disk.hard = *write.hard;
+  if (write.hard_state) disk.hard_state = *write.hard_state;
   if (write.replaces_log) disk.entries.clear();
-  if (write.first > 0) {
+  if (write.first_index > 0) {
     const consensus::Index base = write.replaces_log ? write.snapshot->index : disk.snapshot.index;
-    if (write.first > base)
-      disk.entries.resize(std::min<std::size_t>(disk.entries.size(), write.first - base - 1));
+    if (write.first_index > base)
+      disk.entries.resize(std::min<std::size_t>(disk.entries.size(), write.first_index - base - 1));
     disk.entries.insert(disk.entries.end(), write.entries.begin(), write.entries.end());
   }
   if (!write.snapshot) return;
--- a/tests/testing/virtual_system.hpp
+++ b/tests/testing/virtual_system.hpp
@@ -131,6 +131,10 @@
     outputs.ask_report = [this, i](const PlacementCall& call) {
       if (on_report_request) on_report_request(i, call);
     };
+    outputs.failed = [this, i](int shard, std::error_code error) {
+      violations_.push_back("control " + std::to_string(i) + " shard " + std::to_string(shard) + ": " +
+                            error.message());
+    };
     ++control.incarnation;
     control.core = std::make_unique<ControlCore>(
         settings, settings.node_name + "/" + std::to_string(control.incarnation),
