Elect by turns, and let a leader that ends hand its place on

Need: another leader had a lease 0.75 s after the end of the one before in the median, up to 2.3 s where votes were split again and again, up to 3.0 s where a leader could send and not hear; a leader that was told to end kept its place for its grace.

Change: the members become candidates in turn, a slot of 100 ms after the other, in their order after the last leader, 600 ms after its last contact; a failed attempt is repeated a round of slots later, not a whole time-out. A leader that is told to end, or has lost its quorum, resigns: a heartbeat tells each follower its turn, no lease is held any more and votes are given at once. A heartbeat of that term that comes later is no contact (found by the tests). The host wakes at an election's deadline, not at the next tick.

--- a/src/control/consensus/election.cpp
+++ b/src/control/consensus/election.cpp
@@ -21,7 +21,7 @@
   now_ = now;
   if (leader()) {
     const bool grace_over = now - leader_since_ > timing_.min_election_timeout;
-    if (!IsQuorumActive(now) && grace_over) return BecomeFollower(hard_.term, {});
+    if (!IsQuorumActive(now) && grace_over) return Resign(now);
     RemoveUnresponsiveLearners(now);
     if (now >= next_heartbeat_at_) SendHeartbeats(now);
     for (auto& [id, follower] : followers_)
@@ -36,21 +36,45 @@
     election_deadline_ = NextStartupSlot(now);
     return;
   }
-  const auto spread = static_cast<std::uint64_t>(timing_.max_election_timeout - timing_.min_election_timeout);
-  election_deadline_ = now + timing_.min_election_timeout + static_cast<Micros>(random_.Below(spread + 1));
+  const auto turn = static_cast<Micros>(PositionAfter(last_leader_)) * timing_.election_slot_duration;
+  election_deadline_ = now + timing_.min_election_timeout + timing_.contact_skew + turn;
+}
+
+void Replica::ScheduleNextAttempt(Micros now) {
+  const auto round = static_cast<Micros>(members_.size()) * timing_.election_slot_duration;
+  election_deadline_ = InStartupPeriod(now) ? NextStartupSlot(now) : now + round + SlotJitter();
+}
+
+std::size_t Replica::PositionOf(const ReplicaId& id) const {
+  const auto it =
+      std::find_if(members_.begin(), members_.end(), [&](const Member& member) { return member.id == id; });
+  return static_cast<std::size_t>(it - members_.begin());
+}
+
+// The member after it is at 0, it itself comes last. Without a leader among the members, their own order.
+std::size_t Replica::PositionAfter(const ReplicaId& leader) const {
+  const std::size_t count = members_.size();
+  const std::size_t of_leader = PositionOf(leader);
+  const std::size_t own = PositionOf(id_);
+  return of_leader == count ? own : (own + count - of_leader - 1) % count;
+}
+
+// Members that differ in which leader was the last may have the same turn; their next ones differ.
+Micros Replica::SlotJitter() {
+  const auto most = static_cast<std::uint64_t>(timing_.election_slot_duration / 2);
+  return static_cast<Micros>(random_.Below(most + 1));
 }
 
 // Slots are counted from this replica's own start. Where the others started at other times two may coincide,
 // so each is moved a little at random, and slots come less often with each election that failed.
 Micros Replica::NextStartupSlot(Micros now) {
   const std::size_t count = std::max<std::size_t>(members_.size(), 1);
-  std::size_t position = 0;
-  while (position < members_.size() && members_[position].id != id_) ++position;
+  const std::size_t position = PositionOf(id_);
   const auto slot = static_cast<Micros>((position + count - timing_.startup_first_candidate % count) % count);
-  const Micros period = static_cast<Micros>(count) * timing_.startup_slot_duration * (1 + elections_started_);
-  const auto jitter =
-      static_cast<Micros>(random_.Below(static_cast<std::uint64_t>(timing_.startup_slot_duration) / 2));
-  Micros next = started_at_ + timing_.startup_election_delay + slot * timing_.startup_slot_duration + jitter;
+  const Micros period =
+      static_cast<Micros>(count) * timing_.election_slot_duration * (1 + elections_started_);
+  const Micros jitter = SlotJitter();
+  Micros next = started_at_ + timing_.startup_election_delay + slot * timing_.election_slot_duration + jitter;
   while (next <= now) next += period;
   return next;
 }
@@ -69,7 +93,7 @@
 }
 
 void Replica::StartPreVote(Micros now) {
-  ResetElectionTimer(now);
+  ScheduleNextAttempt(now);
   known_leader_.reset();
   role_ = Role::kPreCandidate;
   Message request = NewMessage(MessageKind::kPreVote, {});
@@ -79,7 +103,7 @@
 
 void Replica::StartElection(Micros now) {
   ++elections_started_;
-  ResetElectionTimer(now);
+  ScheduleNextAttempt(now);
   known_leader_.reset();
   role_ = Role::kCandidate;
   hard_ = {hard_.term + 1, id_};
@@ -113,6 +137,7 @@
 
 void Replica::BecomeLeader(Micros now) {
   role_ = Role::kLeader;
+  last_leader_ = id_;
   seen_leader_ = true;
   leader_since_ = now;
   durable_index_ = 0;  // counted from here on, by OnLogDurable
@@ -125,6 +150,49 @@
   SendAppends(now);
 }
 
+// ---- Succession ----
+
+void Replica::Resign(Micros now) {
+  now_ = now;
+  if (!leader()) return;
+  std::uint32_t rank = 0;
+  for (const FollowerProgress* successor : Successors(now)) {
+    Message message = HeartbeatFor(*successor);
+    message.sent_at = now;
+    message.succession_rank = rank++;
+    effects_.messages.push_back(std::move(message));
+  }
+  BecomeFollower(hard_.term, {});
+}
+
+std::vector<const FollowerProgress*> Replica::Successors(Micros now) const {
+  std::vector<const FollowerProgress*> successors;
+  for (const auto& [id, follower] : followers_)
+    if (IsMember(id)) successors.push_back(&follower);
+  const auto is_available = [&](const FollowerProgress& follower) {
+    return draining_.count(follower.member.id) == 0 &&
+           now - follower.last_contact_at < timing_.min_election_timeout;
+  };
+  std::stable_sort(successors.begin(), successors.end(),
+                   [&](const FollowerProgress* one, const FollowerProgress* other) {
+                     const bool one_available = is_available(*one);
+                     const bool other_available = is_available(*other);
+                     if (one_available != other_available) return one_available;
+                     return one->match_index > other->match_index;
+                   });
+  return successors;
+}
+
+// No lease of this term, or of one before it, can be held any more, so that nobody has to wait for its end:
+// the leader of this term has given its own up, and was elected by voters that had waited for the end of
+// those before. A later leader's lease is kept from harm as its voters have a later term (see OnHeartbeat).
+void Replica::OnLeaderResigned(std::uint32_t rank, Micros now) {
+  BecomeFollower(hard_.term, {});
+  resigned_term_ = hard_.term;
+  last_leader_contact_at_ = now - timing_.min_election_timeout;
+  election_deadline_ = now + static_cast<Micros>(rank) * timing_.election_slot_duration;
+}
+
 // ---- Votes ----
 
 bool Replica::IsLogUpToDate(const Message& candidate) const {
--- a/src/control/consensus/encoding.cpp
+++ b/src/control/consensus/encoding.cpp
@@ -157,6 +157,7 @@
       out.set_sent_at(message.sent_at);
       out.set_follower_sent_at(message.follower_sent_at);
       out.set_quorum_age(message.quorum_age);
+      if (message.succession_rank) out.set_succession_rank(*message.succession_rank);
       break;
     case MessageKind::kHeartbeatReply:
       out.set_sent_at(message.sent_at);
@@ -212,6 +213,7 @@
   message.sent_at = in.sent_at();
   message.follower_sent_at = in.follower_sent_at();
   message.quorum_age = in.has_quorum_age() ? in.quorum_age() : Micros{-1};
+  if (in.has_succession_rank()) message.succession_rank = in.succession_rank();
   message.offset = in.offset();
   message.size = in.size();
   if (in.has_snapshot()) message.snapshot = FromWire(in.snapshot());
--- a/src/control/consensus/fingerprint.cpp
+++ b/src/control/consensus/fingerprint.cpp
@@ -43,7 +43,8 @@
   for (const Entry& entry : log_.entries())
     text << entry.term << static_cast<std::uint64_t>(entry.kind) << entry.command << entry.members;
   text << commit_ << applied_ << durable_index_ << static_cast<std::uint64_t>(role_)
-       << std::uint64_t{seen_leader_} << (known_leader_ ? known_leader_->id : std::string("-"));
+       << std::uint64_t{seen_leader_} << resigned_term_
+       << (known_leader_ ? known_leader_->id : std::string("-"));
   text << votes_granted_ << leaderless_voters_ << draining_;
   for (const auto& [id, follower] : followers_) {
     text << id << follower.next_index << follower.match_index << std::uint64_t{follower.append_sent_at > 0};
--- a/src/control/consensus/follower.cpp
+++ b/src/control/consensus/follower.cpp
@@ -7,6 +7,8 @@
 namespace violetwing::consensus {
 
 void Replica::OnLeaderContact(const Message& message, Micros now) {
+  // Sent before it resigned, and overtaken: its entries count, but it leads no more.
+  if (message.term == resigned_term_) return;
   Member leader{message.from, {}};
   for (const Member& member : members_)
     if (member.id == message.from) leader = member;
@@ -14,6 +16,7 @@
     BecomeFollower(message.term, leader);
   else
     known_leader_ = leader;
+  last_leader_ = message.from;
   seen_leader_ = true;
   last_leader_contact_at_ = now;
   ResetElectionTimer(now);
@@ -29,6 +32,7 @@
   AddReadProof(message);
   CommitUpTo(std::min(message.commit, last()));
   ApplyReadProofs();
+  if (message.succession_rank) return OnLeaderResigned(*message.succession_rank, now);
   Message reply = NewMessage(MessageKind::kHeartbeatReply, message.from);
   reply.sent_at = message.sent_at;
   reply.follower_sent_at = now;
--- a/src/control/consensus/replica.hpp
+++ b/src/control/consensus/replica.hpp
@@ -63,6 +63,11 @@
   void Step(const Message& message, Micros now);
   /// Acts on timers. To be called several times per heartbeat interval.
   void Tick(Micros now);
+  /// When Tick has to be called at the latest, for an election that is due then: a time that may have passed;
+  /// empty while this replica leads or has no vote.
+  std::optional<Micros> NextElectionAt() const {
+    return leader() || !IsMember(id_) ? std::nullopt : std::optional(election_deadline_);
+  }
   /// Appends a command to the leader's log and sends it. Fails with kNotLeader.
   ProposeResult Propose(std::string command);
   /// Appends a membership change, which must add or remove one member. Fails with any ProposeError.
@@ -71,6 +76,10 @@
   void AddLearner(const Member& learner, Micros now);
   /// The host's disk holds the log up to `index`, whose entry is of `term`.
   void OnLogDurable(Index index, Term term);
+  /// Gives up leadership and the lease at once and tells the followers to elect another leader, those first
+  /// that are there and store most of the log (after Ongaro 2014, 3.10: a voter may vote at once, and if the
+  /// first successor fails the next has its turn). Ignored unless this replica leads.
+  void Resign(Micros now);
   /// The process of replica `id` has announced its shutdown, or is back.
   void SetDraining(const ReplicaId& id, bool draining);
   /// Replaces the entries up to applied() by a snapshot whose state is `state`.
@@ -155,6 +164,12 @@
   // ---- election.cpp ----
 
   void ResetElectionTimer(Micros now);
+  /// The next turn after an attempt at an election.
+  void ScheduleNextAttempt(Micros now);
+  /// Index in the members; their number if it is none of them.
+  std::size_t PositionOf(const ReplicaId& id) const;
+  std::size_t PositionAfter(const ReplicaId& leader) const;
+  Micros SlotJitter();
   Micros NextStartupSlot(Micros now);
   bool InStartupPeriod(Micros now) const {
     return !seen_leader_ && now - started_at_ < timing_.startup_period;
@@ -165,6 +180,9 @@
   void StartElection(Micros now);
   void RequestVotes(Message request, Micros now);
   void CountVotes(Micros now);
+  /// The other voters, in the order in which they should become candidates.
+  std::vector<const FollowerProgress*> Successors(Micros now) const;
+  void OnLeaderResigned(std::uint32_t rank, Micros now);
   bool IsLogUpToDate(const Message& candidate) const;
   /// Whether no lease can depend on this replica.
   bool IsLeaderless(Micros now) const;
@@ -204,6 +222,8 @@
   void SendAppend(FollowerProgress& follower, Micros now);
   void SendSnapshotChunk(FollowerProgress& follower);
   void SendHeartbeats(Micros now);
+  /// A heartbeat without the time at which it is sent, and without the lease.
+  Message HeartbeatFor(const FollowerProgress& follower) const;
   void OnHeartbeatReply(const Message& message, Micros now);
   void OnAppendReply(const Message& message, Micros now);
   void OnSnapshotReply(const Message& message, Micros now);
@@ -235,6 +255,8 @@
 
   Role role_ = Role::kFollower;
   std::optional<Member> known_leader_;
+  Term resigned_term_ = 0;  // whose leader has resigned, as this replica knows
+  ReplicaId last_leader_;   // also while no leader is known; empty if there was none in this process
   Micros now_ = 0;
   Micros started_at_ = 0;
   Micros last_leader_contact_at_ = 0;
--- a/src/control/consensus/replication.cpp
+++ b/src/control/consensus/replication.cpp
@@ -55,7 +55,7 @@
   if (!leader()) return statuses;
   for (const auto& [id, follower] : followers_) {
     const bool caught_up_lately =
-        follower.caught_up_at > 0 && now_ - follower.caught_up_at < timing_.max_election_timeout;
+        follower.caught_up_at > 0 && now_ - follower.caught_up_at < timing_.caught_up_validity;
     const bool caught_up = follower.match_index > 0 && (follower.match_index >= commit_ || caught_up_lately);
     statuses.push_back(
         {follower.member, IsMember(id), follower.last_contact_at, caught_up, draining_.count(id) > 0});
@@ -174,16 +174,21 @@
   const Micros lease_start = members_.size() > 1 ? LeaseStart() : now;
   const Micros quorum_age = Ready() && HasLease(now) ? now - lease_start : Micros{-1};
   for (auto& [id, follower] : followers_) {
-    Message message = NewMessage(MessageKind::kHeartbeat, id);
-    message.commit = std::min(commit_, follower.match_index);
-    message.leader_commit = commit_;
+    Message message = HeartbeatFor(follower);
     message.sent_at = now;
-    message.follower_sent_at = follower.last_reply_sent_at;
     message.quorum_age = quorum_age;
     effects_.messages.push_back(std::move(message));
   }
 }
 
+Message Replica::HeartbeatFor(const FollowerProgress& follower) const {
+  Message message = NewMessage(MessageKind::kHeartbeat, follower.member.id);
+  message.commit = std::min(commit_, follower.match_index);
+  message.leader_commit = commit_;
+  message.follower_sent_at = follower.last_reply_sent_at;
+  return message;
+}
+
 void Replica::OnHeartbeatReply(const Message& message, Micros now) {
   FollowerProgress* const follower = FindReplyingFollower(message);
   if (follower == nullptr) return;
--- a/src/control/consensus/types.hpp
+++ b/src/control/consensus/types.hpp
@@ -106,6 +106,9 @@
   /// kHeartbeat: how long ago the leader sent the heartbeats that a quorum has acknowledged since; negative
   /// without a lease.
   Micros quorum_age = -1;
+  /// kHeartbeat: the leader has given up its term and its lease for good. The receiver's turn among the
+  /// candidates, from 0.
+  std::optional<std::uint32_t> succession_rank;
   std::vector<Entry> entries;        ///< kAppend.
   std::optional<Snapshot> snapshot;  ///< kSnapshot: its `state` is the chunk at `offset`.
   /// In bytes of the snapshot's state. kSnapshot: where the chunk begins. kSnapshotReply: how much has been
@@ -120,8 +123,15 @@
   Micros heartbeat_interval = 120'000;
   /// No replica votes within this time of its last contact with a leader.
   Micros min_election_timeout = 600'000;
-  /// Each election timeout is drawn between the minimum and this.
-  Micros max_election_timeout = 1'000'000;
+  /// The members become candidates in turn, in the order of the group's members after the leader before, one
+  /// such slot after the other, so that votes are not split. Longer than the host's tick interval and a round
+  /// of votes.
+  Micros election_slot_duration = 100'000;
+  /// By how much later than the first member another may have had its last contact with a leader. The first
+  /// candidate waits for so long, as those others would refuse it until then.
+  Micros contact_skew = 5'000;
+  /// A follower that has caught up counts as such for so long.
+  Micros caught_up_validity = 1'000'000;
   /// Of the leader lease, from the sending of heartbeats that a quorum has acknowledged (Ongaro 2014, 6.4.1).
   Micros lease_duration = 450'000;
   /// How old a follower's quorum confirmation may be, by its own clock. It bounds the staleness of a read
@@ -137,10 +147,7 @@
   /// The earliest election after the start: a replica without a vote may trust the old leader for
   /// `lease_duration`.
   Micros startup_election_delay = 200'000;
-  /// Then the members have one slot each, in the order of the group's members, so that votes are not split.
-  /// Longer than the host's tick interval and a round of votes.
-  Micros startup_slot_duration = 100'000;
-  /// Which member has the first slot, modulo their number. Groups differ, so that their leaders do.
+  /// Which member has the first slot then, modulo their number. Groups differ, so that their leaders do.
   std::size_t startup_first_candidate = 0;
   /// Time after the start from which on elections use the ordinary timeouts.
   Micros startup_period = 5'000'000;
--- a/src/control/core/control_core.cpp
+++ b/src/control/core/control_core.cpp
@@ -104,6 +104,7 @@
 void ControlCore::Stop() {
   stopping_ = true;
   watches_.Cancel();
+  shards_.Resign(now_);
   gossip_.AnnounceShutdown(now_);
 }
 
@@ -121,6 +122,12 @@
   Flush();
 }
 
+void ControlCore::OnElectionDue(Micros now) {
+  now_ = now;
+  shards_.Tick(now);
+  Flush();
+}
+
 void ControlCore::OnWriteDurable(std::uint64_t token, Micros now) {
   now_ = now;
   shards_.OnWriteDurable(token);
--- a/src/control/core/control_core.hpp
+++ b/src/control/core/control_core.hpp
@@ -67,9 +67,13 @@
   void SetSeeds(const std::vector<std::string>& seeds, Micros now);
   /// To be called at short intervals.
   void Tick(Micros now);
+  /// When an election is due, for a call of `OnElectionDue` then; empty if none is.
+  std::optional<Micros> NextElectionAt() const { return shards_.NextElectionAt(); }
+  void OnElectionDue(Micros now);
   /// The write with this token is on stable storage.
   void OnWriteDurable(std::uint64_t token, Micros now);
-  /// The process is about to end: cancels the pending watches and announces the shutdown to the peers.
+  /// The process is about to end: cancels the pending watches, gives up leadership and announces the shutdown
+  /// to the peers.
   void Stop();
 
   // Calls of servers and of the operator. `done` is called once, possibly before the call returns.
--- a/src/control/replication/replicated_state_machine.cpp
+++ b/src/control/replication/replicated_state_machine.cpp
@@ -102,6 +102,11 @@
   Flush();
 }
 
+void ReplicatedStateMachine::Resign(Micros now) {
+  replica_.Resign(now);
+  Flush();
+}
+
 void ReplicatedStateMachine::Tick(Micros now) {
   replica_.Tick(now);
   std::vector<SubmitCallback> expired;
--- a/src/control/replication/replicated_state_machine.hpp
+++ b/src/control/replication/replicated_state_machine.hpp
@@ -61,6 +61,8 @@
   void OnMessage(const consensus::Message& message, Micros now);
   /// Advances timers: elections, heartbeats, retries and timeouts of pending commands.
   void Tick(Micros now);
+  /// Gives up leadership, see Replica::Resign.
+  void Resign(Micros now);
   /// Proposes a command, in its envelope, that another process has forwarded. Ignored unless this replica
   /// leads: the other process forwards it again.
   void OnForwardedProposal(const std::string& command);
--- a/src/control/replication/shards.cpp
+++ b/src/control/replication/shards.cpp
@@ -140,6 +140,19 @@
   for (const auto& shard : shards_) shard->replica().SetDraining(id, leaving);
 }
 
+std::optional<Micros> Shards::NextElectionAt() const {
+  std::optional<Micros> next;
+  for (const auto& shard : shards_) {
+    const std::optional<Micros> at = shard->replica().NextElectionAt();
+    if (at && (!next || *at < *next)) next = at;
+  }
+  return next;
+}
+
+void Shards::Resign(Micros now) {
+  for (const auto& shard : shards_) shard->Resign(now);
+}
+
 std::vector<std::string> Shards::ReviewMembers(const consensus::MembershipPolicy& policy, Micros now) {
   std::vector<std::string> addresses;
   for (const auto& shard : shards_) {
--- a/src/control/replication/shards.hpp
+++ b/src/control/replication/shards.hpp
@@ -76,6 +76,10 @@
   void AddLearner(int shard, const consensus::Member& learner, Micros now);
   /// Whether the process of this replica id has announced its shutdown.
   void SetLeaving(const consensus::ReplicaId& id, bool leaving);
+  /// When Tick has to be called at the latest, for an election in one of the shards; empty if none is due.
+  std::optional<Micros> NextElectionAt() const;
+  /// Gives up leadership of all shards that this process leads: it is about to end.
+  void Resign(Micros now);
   /// Proposes membership changes that are due in the shards that this process leads. Returns the addresses of
   /// all members of all shards; some may occur more than once.
   std::vector<std::string> ReviewMembers(const consensus::MembershipPolicy& policy, Micros now);
--- a/src/control/service/control_service.cpp
+++ b/src/control/service/control_service.cpp
@@ -93,6 +93,10 @@
       base_, -1, 0,
       [](evutil_socket_t, short, void* service) { static_cast<ControlService*>(service)->OnOrdersDue(); },
       this));
+  election_event_.reset(event_new(
+      base_, -1, 0,
+      [](evutil_socket_t, short, void* service) { static_cast<ControlService*>(service)->OnElectionDue(); },
+      this));
 }
 
 Fallible<void> ControlService::OpenDisk() {
@@ -157,17 +161,25 @@
   core_->Tick(SteadyMicros());
   client_.CloseIdle(kIdleConnectionTimeout);
   ScheduleOrders();
+  ScheduleElection();
 }
 
-void ControlService::ScheduleOrders() {
-  const auto due = core_->NextOrderAt();
+void ControlService::ScheduleBeforeTick(event* one, std::optional<std::int64_t> due) {
   if (!due) return;
   const std::int64_t wait = std::max<std::int64_t>(*due - SteadyMicros(), 0);
   if (wait >= kTickInterval.tv_usec) return;
   const timeval after{0, static_cast<suseconds_t>(wait)};
-  event_add(orders_event_.get(), &after);
+  event_add(one, &after);
+}
+
+void ControlService::ScheduleOrders() { ScheduleBeforeTick(orders_event_.get(), core_->NextOrderAt()); }
+
+void ControlService::ScheduleElection() {
+  ScheduleBeforeTick(election_event_.get(), core_->NextElectionAt());
 }
 
+void ControlService::OnElectionDue() { core_->OnElectionDue(SteadyMicros()); }
+
 void ControlService::OnOrdersDue() {
   core_->OnOrdersDue(SteadyMicros());
   ScheduleOrders();
--- a/src/control/service/control_service.hpp
+++ b/src/control/service/control_service.hpp
@@ -6,6 +6,7 @@
 
 #include <event2/event.h>
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -59,6 +60,11 @@
   // Orders that are due before the next tick are sent on time: requests wait for the models that they load.
   void ScheduleOrders();
   void OnOrdersDue();
+  // Elections that are due before the next tick begin on time.
+  void ScheduleElection();
+  void OnElectionDue();
+  // Adds the event to be called at `due`, if that comes before the next tick.
+  static void ScheduleBeforeTick(event* one, std::optional<std::int64_t> due);
   void OnWritesDurable();
   void BeginExchange(const std::string& address, const ExchangeRequest& request);
   void SendOrder(const PlacementCall& order, consensus::Term fencing_token);
@@ -75,6 +81,7 @@
   std::unique_ptr<ControlCore> core_;  // once the disk has been read
   EventPtr tick_event_;
   EventPtr orders_event_;
+  EventPtr election_event_;
   EventPtr writes_event_;  // reads `writes_pipe_`
   bool stopping_ = false;
   std::optional<Failure> failure_;
--- a/tests/control/consensus/election_test.cpp
+++ b/tests/control/consensus/election_test.cpp
@@ -62,7 +62,7 @@
 
 void TickUntilCandidate(Replica& replica) {
   Micros now = kElectionDelayOver;
-  for (int i = 0; i < 10; ++i) replica.Tick(now += Timing{}.startup_slot_duration);
+  for (int i = 0; i < 10; ++i) replica.Tick(now += Timing{}.election_slot_duration);
   for (const ReplicaId id : {"b", "c"}) {
     Message reply = From(id, MessageKind::kPreVoteReply, kTerm + 1);
     reply.leaderless = true;
@@ -117,7 +117,7 @@
 
 TEST_CASE("A startup election before lease expiry needs every voter to be leaderless, not a quorum") {
   Replica replica = RestartedReplica();
-  replica.Tick(kElectionDelayOver + Timing{}.startup_slot_duration);
+  replica.Tick(kElectionDelayOver + Timing{}.election_slot_duration);
   Message reply = From("b", MessageKind::kPreVoteReply, kTerm + 1);
   reply.leaderless = true;
   replica.Step(reply, kElectionDelayOver);
--- a/tests/control/consensus/exploration_test.cpp
+++ b/tests/control/consensus/exploration_test.cpp
@@ -39,6 +39,13 @@
   Explore("two changes", bounds, 2, 1, 85345);
 }
 
+TEST_CASE("Exhaustive exploration: two elections, the first leader resigns", "[.large]") {
+  Bounds bounds;
+  bounds.elections = 2;
+  bounds.resignations = 1;
+  Explore("resignation", bounds, 2, 2);
+}
+
 // Of the large ones the states are too many for each run of the tests; some were explored in part only
 // (docs/consensus.md).
 TEST_CASE("Exhaustive exploration: two elections", "[.large]") {
--- a/tests/control/digest_test.cpp
+++ b/tests/control/digest_test.cpp
@@ -32,8 +32,8 @@
 constexpr std::uint64_t kSystemSeeds = 200;
 constexpr std::uint64_t kClusterSeeds = 200;
 constexpr std::uint64_t kRoutingSeeds = 50;
-constexpr std::uint64_t kSystemDigest = 0x065dcd85f37e78f2U;
-constexpr std::uint64_t kClusterDigest = 0xab279e698b31957dU;
+constexpr std::uint64_t kSystemDigest = 0xef6bc0fbf6957da7U;
+constexpr std::uint64_t kClusterDigest = 0x057457ce0836144eU;
 constexpr std::uint64_t kRoutingDigest = 0x8561f8245c6b3449U;
 
 // A running XXH64 over everything that is added, in order.
--- a/tests/control/worst_days_test.cpp
+++ b/tests/control/worst_days_test.cpp
@@ -199,6 +199,24 @@
   CHECK(day.system.violations().empty());
 }
 
+TEST_CASE("A change is acknowledged within half a second of the moment at which the leader is told to end") {
+  constexpr Micros kAcknowledgedWithin = kSecond / 2;
+  constexpr Micros kShutdownGrace = 300'000;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    INFO("seed " << seed);
+    Day day(seed % 2 == 0 ? 3 : 5, seed);
+    day.Configure(0, Document(1));
+    day.system.Run(6 * kSecond + static_cast<Micros>(seed) * kSecond / 7);
+    const std::size_t leader = day.Leader();
+    const Micros from = day.system.now();
+    day.system.BeginShutdown(leader);
+    day.system.After(kShutdownGrace, [&day, leader] { day.system.PowerOff(leader); });
+    day.Configure(1, Document(2), leader + 1);
+    CHECK(day.system.now() - from < kAcknowledgedWithin);
+    CHECK(day.system.violations().empty());
+  }
+}
+
 // Each document is hundreds of kB at the larger deployments, to a hundred sidecars.
 TEST_CASE("Day 4: of changes in quick succession a sidecar is sent the last, four a second at most") {
   constexpr int kChanges = 36;
--- a/tests/testing/cluster.hpp
+++ b/tests/testing/cluster.hpp
@@ -125,6 +125,17 @@
     machine.disk_id = NewDiskId();
     if (disks_ == Disks::kDatabase) NewDatabase(machine);
   }
+  /// The process announces its shutdown, as one does that was told to end. It runs until PowerOff.
+  void BeginShutdown(std::size_t i) {
+    machines_[i].draining = true;
+    Resign(i);
+  }
+  /// Machine `i` gives up leadership, if it leads.
+  void Resign(std::size_t i) {
+    if (!IsRunning(i) || machines_[i].frozen_until > now_) return;
+    machines_[i].replica->Resign(now_);
+    ApplyEffects(i);
+  }
   /// The process takes no step for `duration`; messages to it wait.
   void Freeze(std::size_t i, Micros duration) { machines_[i].frozen_until = now_ + duration; }
   /// No write completes for `duration`.
@@ -138,6 +149,7 @@
   double drop_probability = 0;
   double duplicate_probability = 0;
   Micros max_delay = 3'000;
+  Micros time_step = kTimeStep;           // messages and writes take effect at the end of one
   Micros tick_interval = kTimeStep;       // the same phase on all machines
   std::size_t compaction_threshold = 24;  // entries since the snapshot
   Micros catch_up_time = 4'000'000;       // after its start a machine still counts as lost for this long
@@ -172,11 +184,13 @@
   void Run(Micros duration) {
     const Micros until = now_ + duration;
     while (now_ < until) {
-      now_ += kTimeStep;
+      now_ += time_step;
       for (std::size_t i = 0; i < machines_.size(); ++i) {
         if (!IsRunning(i) || machines_[i].frozen_until > now_) continue;
         FinishWrites(i);
-        if (now_ % tick_interval == 0) machines_[i].replica->Tick(now_);
+        Replica& replica = *machines_[i].replica;
+        const bool election_is_due = replica.NextElectionAt().value_or(now_ + 1) <= now_;
+        if (now_ % tick_interval == 0 || election_is_due) replica.Tick(now_);
         ApplyEffects(i);
       }
       Deliver();
--- a/tests/testing/exploration.hpp
+++ b/tests/testing/exploration.hpp
@@ -37,6 +37,7 @@
   int restarts = 0;
   int lost_disks = 0;
   int leader_ticks = 0;  // they send again what was lost
+  int resignations = 0;
   std::size_t states = 0;
 };
 
@@ -47,8 +48,9 @@
   static constexpr Micros kNow = 1'000'000;
 
   explicit Exploration(Bounds bounds) : bounds_(bounds) {
-    timing_.heartbeat_interval = timing_.min_election_timeout = timing_.max_election_timeout = 0;
-    timing_.lease_duration = timing_.startup_election_delay = timing_.startup_slot_duration =
+    timing_.heartbeat_interval = timing_.min_election_timeout = timing_.contact_skew =
+        timing_.caught_up_validity = 0;
+    timing_.lease_duration = timing_.startup_election_delay = timing_.election_slot_duration =
         timing_.startup_period = 0;
     timing_.append_retry_interval = 0;
     for (std::size_t i = 0; i < kMachines; ++i)
@@ -136,6 +138,11 @@
         --next.remaining.leader_ticks;
         replica.Tick(kNow);
       });
+    if (state.remaining.resignations > 0)
+      Transition(state, i, [](State& next, Replica& replica) {
+        --next.remaining.resignations;
+        replica.Resign(kNow);
+      });
     if (state.lost_replica.empty()) return;
     const Members members = state.machines[i].replica->members();
     if (state.machines[i].replica->IsMember(state.lost_replica))
@@ -248,7 +255,8 @@
   }
 
   void Send(State& state, const Message& message) {
-    if (message.kind == MessageKind::kHeartbeat || message.kind == MessageKind::kHeartbeatReply) return;
+    const bool heartbeat = message.kind == MessageKind::kHeartbeat && !message.succession_rank;
+    if (heartbeat || message.kind == MessageKind::kHeartbeatReply) return;
     const std::string text = Encode(message);
     state.network[{message.from, message.to, message.kind}] = {message,
                                                                XXH3_64bits(text.data(), text.size())};
@@ -299,7 +307,7 @@
     for (const auto& [link, sent] : state.network) all.push_back(sent.hash);
     const Bounds& remaining = state.remaining;
     for (const int one : {remaining.proposals, remaining.elections, remaining.restarts, remaining.lost_disks,
-                          remaining.leader_ticks})
+                          remaining.leader_ticks, remaining.resignations})
       all.push_back(static_cast<std::uint64_t>(one));
     for (const auto& [index, entry] : state.committed) {
       all.push_back(index);
--- a/tests/testing/virtual_system.hpp
+++ b/tests/testing/virtual_system.hpp
@@ -146,6 +146,8 @@
     for (const auto& write : controls_[i].writes) Store(controls_[i], write.second.first);
     PowerOff(i);
   }
+  /// The process is told to end: it gives up leadership and announces its end. It runs until PowerOff.
+  void BeginShutdown(std::size_t i) { controls_[i].core->Stop(); }
   void PowerOff(std::size_t i) {
     controls_[i].core.reset();
     controls_[i].writes.clear();
@@ -284,7 +286,10 @@
     for (std::size_t i = 0; i < controls_.size(); ++i) {
       if (!Up(i) || controls_[i].frozen_until > now_) continue;
       FinishWrites(controls_[i]);
-      if (now_ % kTick == 0) controls_[i].core->Tick(now_);
+      if (now_ % kTick == 0)
+        controls_[i].core->Tick(now_);
+      else if (controls_[i].core->NextElectionAt().value_or(now_ + 1) <= now_)
+        controls_[i].core->OnElectionDue(now_);
     }
     for (std::size_t i = 0; i < sidecars_.size(); ++i)
       if (!sidecars_[i].watch_in_flight && now_ >= sidecars_[i].next_watch_at) Watch(i);
