Answer reads by heartbeats where the disks are slower

Need: a read was answered by an entry of the log alone, so that with slow disks a tenth of a second became a second, and with a quorum of hanging or full disks reads were refused, although a quorum of processes could confirm the state.

--- a/src/control/consensus/lease.cpp
+++ b/src/control/consensus/lease.cpp
@@ -48,6 +48,12 @@
          now - quorum_confirmed_at_ < timing_.follower_read_validity;
 }
 
+Micros Replica::StateConfirmedAt() const {
+  if (!leader()) return quorum_confirmed_at_;
+  if (!Ready()) return 0;
+  return members_.size() == 1 ? now_ : LeaseStart();
+}
+
 // The leader had this replica's reply before it sent the heartbeat, and what a quorum had confirmed by then
 // was sent no longer ago than it says: both are measured back from this replica's own reading of its clock.
 void Replica::AddReadProof(const Message& heartbeat) {
--- a/src/control/consensus/replica.hpp
+++ b/src/control/consensus/replica.hpp
@@ -107,6 +107,12 @@
   /// while the process stood still, prove nothing later than the reply of this replica that they return.
   bool HasQuorumContact(Micros now) const;
 
+  /// A moment, on this replica's clock, such that all that was committed anywhere before it has been applied
+  /// here; 0 if none is known. A read that was asked for before it may be answered from the state of now
+  /// (read index, Ongaro 2014, 6.4): a quorum has answered heartbeats that the leader sent after it, so that
+  /// no other leader had been elected by then.
+  Micros StateConfirmedAt() const;
+
   // ---- Group ----
 
   /// The id of this replica.
--- a/src/control/replication/shards.cpp
+++ b/src/control/replication/shards.cpp
@@ -105,6 +105,7 @@
 
 void Shards::Tick(Micros now) {
   for (const auto& shard : shards_) shard->Tick(now);
+  CompleteConfirmedReads();
 }
 
 void Shards::OnWriteDurable(std::uint64_t token) {
@@ -117,6 +118,7 @@
 
 void Shards::OnMessage(const ShardMessage& message, Micros now) {
   if (ReplicatedStateMachine* shard = Find(message.shard)) shard->OnMessage(message.message, now);
+  if (message.shard == kConfigurationShard) CompleteConfirmedReads();
 }
 
 void Shards::OnForwardedProposal(const ShardProposal& proposal) {
@@ -177,8 +179,26 @@
 }
 
 void Shards::AwaitReadBarrier(Micros now, const DoneCallback& done) {
-  shards_.front()->Submit(Encode(ConfigurationCommand(ReadCommand{})), now, kSubmitTimeout,
-                          [done](const Result<std::string>& answer) { done(WithoutValue(answer)); });
+  const auto read = std::make_shared<PendingRead>(PendingRead{now, done});
+  pending_reads_.push_back(read);
+  shards_.front()->Submit(
+      Encode(ConfigurationCommand(ReadCommand{})), now, kSubmitTimeout,
+      [read](const Result<std::string>& answer) { Complete(*read, WithoutValue(answer)); });
+}
+
+void Shards::Complete(PendingRead& read, const Result<void>& result) {
+  if (const DoneCallback done = std::exchange(read.done, nullptr)) done(result);
+}
+
+void Shards::CompleteConfirmedReads() {
+  const Micros confirmed_at = configuration_replica().StateConfirmedAt();
+  std::vector<PendingReadPtr> confirmed;
+  std::erase_if(pending_reads_, [&](const PendingReadPtr& read) {
+    const bool is_confirmed = read->requested_at < confirmed_at;
+    if (is_confirmed) confirmed.push_back(read);
+    return is_confirmed || read->done == nullptr;
+  });
+  for (const PendingReadPtr& read : confirmed) Complete(*read, Ok());
 }
 
 void Shards::Deregister(const std::string& service, const std::string& server_id, Phase phase, Micros now,
--- a/src/control/replication/shards.hpp
+++ b/src/control/replication/shards.hpp
@@ -89,7 +89,8 @@
   /// Commits a configuration change (PROTOCOL.md, the operator's API). Changes that are equal are one command
   /// while they are pending. Error: kCommitStatusUnknown.
   void SubmitChange(const configuration::Change& change, Micros now, const ChangeCallback& done);
-  /// Linearizable read barrier: succeeds once every change acknowledged before is applied here. Error:
+  /// Linearizable read barrier: succeeds once every change acknowledged before is applied here, by an entry
+  /// of the log or by heartbeats, whichever comes first: an entry is quicker, heartbeats need no disk. Error:
   /// kCommitStatusUnknown.
   void AwaitReadBarrier(Micros now, const DoneCallback& done);
   /// Commits that a server drains or is deregistered. Error: kCommitStatusUnknown.
@@ -107,6 +108,16 @@
   const consensus::ReplicaId& replica_id() const { return replica_id_; }
 
  private:
+  // A read barrier that waits; `done` is empty once it was called.
+  struct PendingRead {
+    Micros requested_at = 0;
+    DoneCallback done;
+  };
+  using PendingReadPtr = std::shared_ptr<PendingRead>;
+
+  static void Complete(PendingRead& read, const Result<void>& result);
+  // Completes the reads that heartbeats have confirmed.
+  void CompleteConfirmedReads();
   void AddShard(int shard, const std::string& incarnation, StateMachine& machine, consensus::Replica replica);
   ReplicatedStateMachine::Outputs ShardOutputs();
   ReplicatedStateMachine* Find(int shard) const;  // null if there is none
@@ -122,6 +133,7 @@
   std::map<consensus::ReplicaId, std::string> addresses_;
   std::uint64_t last_write_token_ = 0;
   std::map<std::uint64_t, ReplicatedStateMachine*> pending_writes_;  // by token
+  std::vector<PendingReadPtr> pending_reads_;                        // in the order of their requests
 };
 
 }  // namespace violetwing
--- a/tests/control/consensus/election_test.cpp
+++ b/tests/control/consensus/election_test.cpp
@@ -174,6 +174,25 @@
   CHECK(replica.HasQuorumContact(now));
 }
 
+TEST_CASE(
+    "A leader confirms its state as of the sending of heartbeats that a quorum has answered, not later") {
+  const Micros now = kElectionDelayOver + kStart;
+  Replica replica = ElectedReplica(now);
+  CHECK(replica.StateConfirmedAt() == 0);  // it has yet to apply what was committed before its term
+  Message held = From("b", MessageKind::kAppendReply, kTerm + 1);
+  held.granted = true;
+  held.index = replica.last();
+  replica.Step(held, now);
+  replica.OnLogDurable(replica.last(), kTerm + 1);
+  Message answered = From("b", MessageKind::kHeartbeatReply, kTerm + 1);
+  answered.sent_at = now;
+  replica.Step(answered, now + 50'000);  // a read that was asked for in the meantime waits for the next one
+  CHECK(replica.StateConfirmedAt() == now);
+  Message of_later_term = From("c", MessageKind::kAppendReply, kTerm + 2);
+  replica.Step(of_later_term, now + 60'000);  // another leader has replaced it
+  CHECK(replica.StateConfirmedAt() <= now);
+}
+
 namespace {
 
 constexpr Micros kReplySentAt = kElectionDelayOver + 100'000;
