--- a/src/control/replication/replicated_state_machine.cpp
+++ b/src/control/replication/replicated_state_machine.cpp
@@ -158,7 +158,7 @@
 bool ReplicatedStateMachine::LoadSnapshot(const consensus::Snapshot& snapshot) {
   const std::error_code error = machine_.Load(snapshot.state);
   if (!error) return true;
-  spdlog::error("snapshot not loaded shard={} index={}: {}", shard_, snapshot.index, error.message());
+  spdlog::error("snapshot not loaded shard={} index={} error={}", shard_, snapshot.index, error.message());
   failed_ = true;
   outputs_.failed(shard_, error);
   return false;
@@ -193,7 +193,7 @@
   log_bytes_since_snapshot_ += entry.command.size();
   const Result<Envelope> decoded = DecodeEnvelope(entry.command);
   if (!decoded) {
-    spdlog::error("entry without effect shard={}: {}", shard_, decoded.error().message());
+    spdlog::error("log entry without effect shard={} error={}", shard_, decoded.error().message());
     return;
   }
   const Envelope& envelope = decoded.value();
--- a/src/control/replication/shard_state_machines.cpp
+++ b/src/control/replication/shard_state_machines.cpp
@@ -17,7 +17,9 @@
 
 // A committed command has the same outcome on every replica of a version, so this one has no effect on any.
 // Not an end of the process: it would be that of all of them, at each start again.
-void LogUndecodable(std::error_code error) { spdlog::error("command without effect: {}", error.message()); }
+void LogUndecodable(std::error_code error) {
+  spdlog::error("command without effect error={}", error.message());
+}
 
 }  // namespace
 
--- a/src/control/storage/store.cpp
+++ b/src/control/storage/store.cpp
@@ -62,12 +62,11 @@
   std::error_code logged;
   while (const std::error_code error = database_.Commit(writes)) {
     if (std::exchange(logged, error) != error)
-      spdlog::error("commit to the store failed, retried each {} ms: {}", kRetryDelay.count(),
-                    error.message());
+      spdlog::error("store commit failed retry_ms={} error={}", kRetryDelay.count(), error.message());
     std::this_thread::sleep_for(kRetryDelay);
     if (IsStopped()) return false;
   }
-  if (logged) spdlog::info("commit to the store succeeded after retries");
+  if (logged) spdlog::info("store commit succeeded after retries");
   return true;
 }
 
--- a/tests/control/consensus/succession_test.cpp
+++ b/tests/control/consensus/succession_test.cpp
@@ -143,6 +143,30 @@
   }
 }
 
+// They take it for a heartbeat.
+TEST_CASE(
+    "A group of which some members do not know resignations elects within the time of a silent leader") {
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+    INFO("seed " << seed);
+    const std::size_t voters = seed % 2 == 0 ? 3 : 5;
+    Cluster cluster(voters, voters, seed);
+    const std::size_t old = AwaitLeader(cluster);
+    cluster.Run(6 * kSecond);
+    cluster.mutate = [&](Message& message) {
+      if (message.to != cluster.machine((old + 1 + seed % (voters - 1)) % voters).disk_id) return true;
+      message.succession_rank.reset();
+      return true;
+    };
+    cluster.BeginShutdown(old);
+    const Micros from = cluster.now();
+    cluster.Run(3 * kSecond / 10);
+    cluster.PowerOff(old);
+    while (!cluster.Leader() && cluster.now() - from < 5 * kSecond) cluster.Run(Cluster::kTimeStep);
+    CHECK(cluster.now() - from <= 3 * kSecond / 2);
+    CHECK(cluster.violations().empty());
+  }
+}
+
 // Its messages may be late, doubled and overtaken by those of the next terms, whose leaders freeze and resign
 // in turn.
 TEST_CASE("Leaders that resign at any moment never cause two leases or lose an entry") {
