Draw the order of elections for each group and term

Need: with one order after the last leader all groups that a machine led went to the same next machine when it failed, and would have gathered at one for good, where drawn time-outs spread them.

Change: the order of the turns follows a hash of group, term and member; among successors with the same log too.

--- a/src/control/consensus/election.cpp
+++ b/src/control/consensus/election.cpp
@@ -36,7 +36,7 @@
     election_deadline_ = NextStartupSlot(now);
     return;
   }
-  const auto turn = static_cast<Micros>(PositionAfter(last_leader_)) * timing_.election_slot_duration;
+  const auto turn = static_cast<Micros>(ElectionRank()) * timing_.election_slot_duration;
   election_deadline_ = now + timing_.min_election_timeout + timing_.contact_skew + turn;
 }
 
@@ -51,12 +51,21 @@
   return static_cast<std::size_t>(it - members_.begin());
 }
 
-// The member after it is at 0, it itself comes last. Without a leader among the members, their own order.
-std::size_t Replica::PositionAfter(const ReplicaId& leader) const {
-  const std::size_t count = members_.size();
-  const std::size_t of_leader = PositionOf(leader);
-  const std::size_t own = PositionOf(id_);
-  return of_leader == count ? own : (own + count - of_leader - 1) % count;
+// Another order for each term and group: the groups that a machine led go to different ones when it fails,
+// and do not gather at one for good. The members know the same term from the leader's heartbeats.
+std::uint64_t Replica::ElectionKey(const ReplicaId& id) const {
+  const std::uint64_t group = Hash(timing_.startup_first_candidate, "election order");
+  return Hash(group + hard_.term, id);
+}
+
+// The last leader comes last.
+std::size_t Replica::ElectionRank() const {
+  if (id_ == last_leader_) return members_.size() - 1;
+  const std::uint64_t own_key = ElectionKey(id_);
+  std::size_t rank = 0;
+  for (const Member& member : members_)
+    rank += member.id != last_leader_ && ElectionKey(member.id) < own_key ? 1U : 0U;
+  return rank;
 }
 
 // Members that differ in which leader was the last may have the same turn; their next ones differ.
@@ -173,13 +182,14 @@
     return draining_.count(follower.member.id) == 0 &&
            now - follower.last_contact_at < timing_.min_election_timeout;
   };
-  std::stable_sort(successors.begin(), successors.end(),
-                   [&](const FollowerProgress* one, const FollowerProgress* other) {
-                     const bool one_available = is_available(*one);
-                     const bool other_available = is_available(*other);
-                     if (one_available != other_available) return one_available;
-                     return one->match_index > other->match_index;
-                   });
+  std::sort(successors.begin(), successors.end(),
+            [&](const FollowerProgress* one, const FollowerProgress* other) {
+              const bool one_available = is_available(*one);
+              const bool other_available = is_available(*other);
+              if (one_available != other_available) return one_available;
+              if (one->match_index != other->match_index) return one->match_index > other->match_index;
+              return ElectionKey(one->member.id) < ElectionKey(other->member.id);
+            });
   return successors;
 }
 
--- a/src/control/consensus/replica.hpp
+++ b/src/control/consensus/replica.hpp
@@ -174,7 +174,9 @@
   void ScheduleNextAttempt(Micros now);
   /// Index in the members; their number if it is none of them.
   std::size_t PositionOf(const ReplicaId& id) const;
-  std::size_t PositionAfter(const ReplicaId& leader) const;
+  std::uint64_t ElectionKey(const ReplicaId& id) const;
+  /// This member's turn in the elections of this term, from 0.
+  std::size_t ElectionRank() const;
   Micros SlotJitter();
   Micros NextStartupSlot(Micros now);
   bool InStartupPeriod(Micros now) const {
--- a/src/control/consensus/types.hpp
+++ b/src/control/consensus/types.hpp
@@ -123,8 +123,8 @@
   Micros heartbeat_interval = 120'000;
   /// No replica votes within this time of its last contact with a leader.
   Micros min_election_timeout = 600'000;
-  /// The members become candidates in turn, in the order of the group's members after the leader before, one
-  /// such slot after the other, so that votes are not split. Longer than the host's tick interval and a round
+  /// The members become candidates in turn, in an order drawn for the term, one such slot after the other, so
+  /// that votes are not split. Longer than the host's tick interval and a round
   /// of votes.
   Micros election_slot_duration = 100'000;
   /// By how much later than the first member another may have had its last contact with a leader. The first
@@ -147,7 +147,8 @@
   /// The earliest election after the start: a replica without a vote may trust the old leader for
   /// `lease_duration`.
   Micros startup_election_delay = 200'000;
-  /// Which member has the first slot then, modulo their number. Groups differ, so that their leaders do.
+  /// Which member has the first slot then, modulo their number. Groups differ, so that their leaders do, then
+  /// and in the order of later elections.
   std::size_t startup_first_candidate = 0;
   /// Time after the start from which on elections use the ordinary timeouts.
   Micros startup_period = 5'000'000;
