Recognize tenants by their keys, and keep the keys from servers

Cause: the programs read neither `tenants` nor `public`. Members of a configuration that no field stands for are ignored, and nothing said so: a contract that was never built, in a reader that is silent about it.

Change: tenants, keys and public routes are read, checked and patched item by item; a sidecar finds the tenant by the key in constant time, answers 401 only while a control process in contact with a quorum has answered within a second (503 otherwise, for an unknown route too), leaves the key out and sets X-Violetwing-Tenant itself; fields of a trailer are no fields of the head. Where `revoked_keys` is set, a sidecar out of touch for `revoke_ms` trusts no key. Accepted documents with members that are not read are logged with their names.

The tenant's priority still has no effect, as the route's has none.

--- a/src/common/node_settings.cpp
+++ b/src/common/node_settings.cpp
@@ -1,5 +1,6 @@
 #include "common/node_settings.hpp"
 
+#include <algorithm>
 #include <fstream>
 #include <iterator>
 #include <nlohmann/json.hpp>
@@ -47,18 +48,33 @@
   return it != in.end() && it->is_object() ? *it : json::object();
 }
 
+// A time that the file gives in seconds; `out_ms` is in milliseconds and stays as it is without one.
+void ReadSeconds(const Fields& fields, const char* name, std::int64_t& out_ms) {
+  double seconds = static_cast<double>(out_ms) / 1000;
+  fields.ReadPositive(name, seconds);
+  out_ms = static_cast<std::int64_t>(seconds * 1000);
+}
+
 void ReadTimeouts(const json& in, NodeSettings& out, SettingsError& error) {
   const Fields fields(in, "timeouts.", error);
-  double grace_s = 8;
-  fields.ReadPositive("grace_s", grace_s);
-  out.grace_ms = static_cast<std::int64_t>(grace_s * 1000);
+  ReadSeconds(fields, "grace_s", out.grace_ms);
   fields.Read("retry_ratio", out.retry_ratio);
   fields.ReadPositive("retry_window_s", out.retry_window_s);
   fields.Read("retry_slack", out.retry_slack);
   fields.Read("lease_ms", out.lease_ms);
-  double catch_up_s = 4;
-  fields.ReadPositive("catch_up_s", catch_up_s);
-  out.catch_up_ms = static_cast<std::int64_t>(catch_up_s * 1000);
+  ReadSeconds(fields, "catch_up_s", out.catch_up_ms);
+  fields.Read("revoked_keys", out.revoked_keys);
+  fields.Read("revoke_ms", out.revoke_ms);
+  ReadSeconds(fields, "report_window_s", out.report_window_ms);
+  ReadSeconds(fields, "usage_delay_s", out.usage_delay_ms);
+}
+
+void ReadPlatform(const json& in, NodeSettings& out, SettingsError& error) {
+  const Fields fields(in, "cloud_api.", error);
+  std::vector<std::string> duties;
+  fields.Read("address", out.platform_address);
+  fields.Read("leases", duties);
+  out.reports_usage = std::find(duties.begin(), duties.end(), "metering") != duties.end();
 }
 
 void ReadNode(const json& in, NodeSettings& out, SettingsError& error) {
@@ -120,6 +136,7 @@
   const Fields tolerance(Member(in, "fault_tolerance"), "fault_tolerance.", error);
   tolerance.Read("nodes", out.tolerated_nodes);
   ReadTimeouts(Member(in, "timeouts"), out, error);
+  ReadPlatform(Member(in, "cloud_api"), out, error);
   if (!error.findings.empty()) return error;
   return out;
 }
--- a/src/common/node_settings.hpp
+++ b/src/common/node_settings.hpp
@@ -29,9 +29,17 @@
   double retry_ratio = 0.2;      ///< retries allowed for each request, within the window
   double retry_window_s = 10;
   double retry_slack = 10;          ///< further retries allowed within the window, over all edges
-  std::int64_t lease_ms = 3000;     ///< the shortest time between orders of two placers
+  std::int64_t lease_ms = 3000;     ///< holders A, B and A of a duty must not act within this time
   std::int64_t catch_up_ms = 4000;  ///< a machine that has started counts as lost for this time
 
+  bool revoked_keys = false;             ///< a revoked key must stop within `revoke_ms` on every machine
+  std::int64_t revoke_ms = 5000;         ///< likewise
+  std::int64_t report_window_ms = 5000;  ///< length of a window of usage
+  std::int64_t usage_delay_ms = 10000;   ///< from a window's end until its usage report is due
+
+  std::string platform_address;  ///< host:port of the platform's API; empty where it has none
+  bool reports_usage = false;    ///< the platform takes usage reports
+
   /// Where this process takes internal calls.
   std::string InternalAddress() const { return ip + ":" + std::to_string(internal_port); }
   /// Where the control process at this seed takes internal calls: ports are alike on all machines.
--- a/src/control/configuration/configuration.hpp
+++ b/src/control/configuration/configuration.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,7 +37,8 @@
   int max_attempts = 1;       // at least 1
   bool session_affinity = false;
   bool resumable = false;
-  double gap_aim_ms = 0;  // latency target between two events of a stream
+  double gap_aim_ms = 0;   // latency target between two events of a stream
+  bool is_public = false;  // `public` of the document: requests need no key
 
   /// Whether a request may be executed more than once.
   bool Repeatable() const {
@@ -63,12 +65,27 @@
   double loads_per_s = 0;  // rate limit of the weight store over all servers
 };
 
+/// Bounds on the number of servers in each zone, and how long a new one takes until it serves.
+struct Autoscaling {
+  int min_replicas = 0;
+  int max_replicas = 0;  // at least `min_replicas`
+  double startup_s = 0;
+};
+
 /// A service: a group of servers that are alike.
 struct Backend {
   std::string name;          // unique
   std::string health_check;  // path
   int max_connections = 0;
-  std::shared_ptr<const Runtime> runtime;  // null for plain services
+  std::shared_ptr<const Runtime> runtime;                 // null for plain services
+  std::optional<Autoscaling> autoscaling = std::nullopt;  // empty where the number of servers is fixed
+};
+
+/// A customer, recognized by its API keys. The keys are secrets: they appear in no log, message or finding.
+struct Tenant {
+  std::string name;                   // unique
+  std::vector<std::string> api_keys;  // not empty strings; no other tenant has them
+  std::optional<int> priority;        // goes before the priority of the route
 };
 
 /// Limits on requests at the ingress.
@@ -85,6 +102,7 @@
   std::vector<Route> routes;
   std::vector<Backend> backends;
   Limits limits;
+  std::vector<Tenant> tenants;  // empty where requests need no keys
 };
 
 }  // namespace violetwing::configuration
--- a/src/control/configuration/message_patch.cpp
+++ b/src/control/configuration/message_patch.cpp
@@ -16,12 +16,13 @@
 
 constexpr const char* kRoutes = "routes";
 constexpr const char* kBackends = "backends";
+constexpr const char* kTenants = "tenants";
 constexpr const char* kLimits = "limits";
 
 // Whether a patch holds only what can be merged into the message item by item.
 bool IsMergeable(const Json& upsert) {
   for (const auto& [key, items] : upsert.items()) {
-    const bool is_list = key == kRoutes || key == kBackends;
+    const bool is_list = key == kRoutes || key == kBackends || key == kTenants;
     if (is_list ? !items.is_array() : key != kLimits || !items.is_object()) return false;
   }
   return true;
@@ -68,8 +69,10 @@
   message.set_version(changed.version());
   Remove(*message.mutable_routes(), remove.value(kRoutes, Json::array()));
   Remove(*message.mutable_backends(), remove.value(kBackends, Json::array()));
+  Remove(*message.mutable_tenants(), remove.value(kTenants, Json::array()));
   Upsert(*message.mutable_routes(), changed.routes());
   Upsert(*message.mutable_backends(), changed.backends());
+  Upsert(*message.mutable_tenants(), changed.tenants());
   if (changed.has_limits()) *message.mutable_limits() = changed.limits();
   return true;
 }
--- a/src/control/configuration/state.cpp
+++ b/src/control/configuration/state.cpp
@@ -77,15 +77,18 @@
   message_ = std::move(read.message);
 }
 
-std::string State::Save() const {
-  return nlohmann::json{
-      {"document", document_}, {"taken", accepted_.Save()}, {"horizon", accepted_.horizon()}}
-      .dump();
+nlohmann::json State::SaveObject() const {
+  return {{"document", document_}, {"taken", accepted_.Save()}, {"horizon", accepted_.horizon()}};
 }
 
 bool State::Load(const std::string& saved) {
+  const nlohmann::json object = nlohmann::json::parse(saved, nullptr, /*allow_exceptions=*/false);
+  return !object.is_discarded() && LoadObject(object);
+}
+
+bool State::LoadObject(const nlohmann::json& saved) {
   try {
-    return LoadDecoded(nlohmann::json::parse(saved));
+    return LoadDecoded(saved);
   } catch (const nlohmann::json::exception&) {
     return false;
   }
--- a/src/control/configuration/state.hpp
+++ b/src/control/configuration/state.hpp
@@ -29,6 +29,8 @@
   std::int64_t version() const { return version_; }
   /// The document as the operator sent it, with later patches applied; empty before the first.
   const std::string& document() const { return document_; }
+  /// The same, parsed; an empty object before the first.
+  const nlohmann::ordered_json& document_object() const { return json_; }
   /// The configuration in force; null before the first.
   std::shared_ptr<const Configuration> current() const { return current_; }
 
@@ -39,10 +41,13 @@
   /// Total size of the documents that `Apply` has processed.
   std::size_t processed_bytes() const { return processed_bytes_; }
 
-  /// The snapshot, as JSON.
-  std::string Save() const;
-  /// Restores a snapshot, also of earlier versions of this program. False if it cannot be read, or if its
+  /// The state, for a snapshot: an object, to which other members may be added.
+  nlohmann::json SaveObject() const;
+  /// Restores a saved state, also of earlier versions of this program. False if it cannot be read, or if its
   /// document is one that this version refuses; the state is then unspecified.
+  [[nodiscard]] bool LoadObject(const nlohmann::json& saved);
+  /// The same as text.
+  std::string Save() const { return SaveObject().dump(); }
   [[nodiscard]] bool Load(const std::string& saved);
 
  private:
--- a/src/control/configuration/validator.cpp
+++ b/src/control/configuration/validator.cpp
@@ -1,5 +1,7 @@
 #include "control/configuration/validator.hpp"
 
+#include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -22,6 +24,7 @@
     if (in_.version() <= 0) Report(FindingCode::kOutOfRange, "version", "must be above 0");
     for (int i = 0; i < in_.backends_size(); ++i) AddBackend(i);
     for (int i = 0; i < in_.routes_size(); ++i) AddRoute(i);
+    for (int i = 0; i < in_.tenants_size(); ++i) AddTenant(i);
     SetLimits();
     if (!findings_.empty()) return {nullptr, std::move(findings_)};
     out_.version = in_.version();
@@ -40,11 +43,19 @@
       Report(FindingCode::kDuplicate, At("backends", index, "name"), "stands twice: " + in.name());
     if (in.max_connections() < 0)
       Report(FindingCode::kOutOfRange, At("backends", index, "max_connections"), "must not be negative");
-    Backend out{in.name(), in.health_check(), in.max_connections(), nullptr};
+    Backend out{in.name(), in.health_check(), in.max_connections(), nullptr, std::nullopt};
+    if (in.has_autoscaling()) out.autoscaling = MakeAutoscaling(in.autoscaling(), index);
     if (in.has_runtime()) out.runtime = MakeRuntime(in.runtime(), index);
     out_.backends.push_back(std::move(out));
   }
 
+  Autoscaling MakeAutoscaling(const proto::Autoscaling& in, int index) {
+    if (in.min_replicas() < 0 || in.max_replicas() < in.min_replicas() || !(in.startup_s() >= 0))
+      Report(FindingCode::kOutOfRange, At("backends", index, "autoscaling"),
+             "must have 0 <= min_replicas <= max_replicas and a startup_s that is not negative");
+    return {in.min_replicas(), in.max_replicas(), in.startup_s()};
+  }
+
   std::shared_ptr<const Runtime> MakeRuntime(const proto::Runtime& in, int index) {
     auto out = std::make_shared<Runtime>();
     out->capacity = in.capacity() > 0 ? in.capacity() : 1;
@@ -103,6 +114,7 @@
     out.session_affinity = in.session_affinity();
     out.resumable = in.resumable();
     out.gap_aim_ms = in.gap_aim_ms();
+    out.is_public = in.public_();
     return out;
   }
 
@@ -139,6 +151,28 @@
       Report(FindingCode::kOutOfRange, At("routes", index, "traffic_split"), "the weights add up to 0");
   }
 
+  // Findings name the place of a key, never the key.
+  void AddTenant(int index) {
+    const proto::Tenant& in = in_.tenants(index);
+    if (in.name().empty()) Report(FindingCode::kMissing, At("tenants", index, "name"), "is missing");
+    if (!tenant_names_.insert(in.name()).second)
+      Report(FindingCode::kDuplicate, At("tenants", index, "name"), "stands twice: " + in.name());
+    for (int i = 0; i < in.api_keys_size(); ++i) CheckKey(in, index, i);
+    Tenant out{in.name(), {in.api_keys().begin(), in.api_keys().end()}, std::nullopt};
+    if (in.has_priority()) out.priority = in.priority();
+    out_.tenants.push_back(std::move(out));
+  }
+
+  void CheckKey(const proto::Tenant& tenant, int tenant_index, int key_index) {
+    const std::string& key = tenant.api_keys(key_index);
+    const std::string path = At("tenants", tenant_index, "api_keys") + "[" + std::to_string(key_index) + "]";
+    if (key.empty()) Report(FindingCode::kMissing, path, "is empty");
+    const auto [owner, inserted] = key_owners_.emplace(key, tenant_index);
+    if (!inserted && owner->second != tenant_index)
+      Report(FindingCode::kDuplicate, path,
+             "is also a key of the tenant " + in_.tenants(owner->second).name());
+  }
+
   void SetLimits() {
     if (!in_.has_limits()) return;
     const proto::Limits& in = in_.limits();
@@ -156,6 +190,8 @@
   std::vector<Finding> findings_;
   std::set<std::string> backend_names_;
   std::set<std::string> route_names_;
+  std::set<std::string> tenant_names_;
+  std::map<std::string, int> key_owners_;                        // index of the tenant, by key
   std::set<std::pair<std::string, std::string>> path_prefixes_;  // with their hostnames
 };
 
--- a/src/control/replication/shard_state_machines.cpp
+++ b/src/control/replication/shard_state_machines.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <variant>
 
+#include "control/configuration/ignored_members.hpp"
 #include "control/control_error.hpp"
 #include "control/replication/commands.hpp"
 
@@ -21,6 +22,15 @@
   spdlog::error("command without effect error={}", error.message());
 }
 
+// What an operator asks for and the system does not do should not go unnoticed.
+void LogIgnoredMembers(const configuration::State& state) {
+  std::string names;
+  for (const std::string& name : configuration::IgnoredMembers(state.document_object()))
+    names += (names.empty() ? "" : ",") + name;
+  if (!names.empty())
+    spdlog::warn("configuration members ignored version={} members={}", state.version(), names);
+}
+
 }  // namespace
 
 std::string ConfigurationStateMachine::Apply(const std::string& command) {
@@ -28,7 +38,9 @@
   if (!decoded) LogUndecodable(decoded.error());
   const auto* change = decoded ? std::get_if<configuration::Change>(&decoded.value()) : nullptr;
   if (change == nullptr) return {};
+  const std::int64_t version_before = state_.version();
   const configuration::ChangeOutcome outcome = state_.Apply(*change);
+  if (!change->patch && state_.version() != version_before) LogIgnoredMembers(state_);
   return json{{"outcome", outcome.status}, {"version", outcome.version}, {"problem", outcome.message}}.dump();
 }
 
--- a/src/dataplane/control_client/control_link.cpp
+++ b/src/dataplane/control_client/control_link.cpp
@@ -22,6 +22,12 @@
 constexpr milliseconds kRetryDelay{100};
 // Immediate demand waits a little, so that one report includes what comes right after it.
 constexpr milliseconds kDemandReportDelay{3};
+constexpr Micros kMicrosPerMs = 1000;
+
+std::optional<Micros> KeyLifetime(const NodeSettings& settings) {
+  if (!settings.revoked_keys) return std::nullopt;
+  return settings.revoke_ms * kMicrosPerMs;
+}
 
 }  // namespace
 
@@ -33,6 +39,7 @@
       demand_timer_(io),
       watch_channel_(io, kProgressTimeout),
       demand_channel_(io, kProgressTimeout),
+      key_lifetime_(KeyLifetime(settings)),
       view_(settings.node_name, settings.InternalAddress()),
       selector_(settings.zone, settings.node_name) {
   Reload(settings);
@@ -65,7 +72,8 @@
 void ControlLink::OnWatched(int status, const std::string& body) {
   if (stopped_) return;
   if (status == 200 && ApplyReply(body)) {
-    selector_.OnAnswered(view_.controls(), SteadyMicros());
+    last_answer_at_ = SteadyMicros();
+    selector_.OnAnswered(view_.controls(), last_answer_at_);
     boost::asio::post(io_, [this] { Watch(); });
     return;
   }
--- a/src/dataplane/control_client/control_link.hpp
+++ b/src/dataplane/control_client/control_link.hpp
@@ -9,10 +9,12 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "common/node_settings.hpp"
+#include "common/time.hpp"
 #include "dataplane/control_client/control_channel.hpp"
 #include "dataplane/control_client/control_process_selector.hpp"
 #include "dataplane/control_client/system_view.hpp"
@@ -41,6 +43,14 @@
   /// Takes the seeds of new settings; nothing else may change.
   void Reload(const NodeSettings& settings);
 
+  /// Whether a control process that is in contact with a quorum has answered so lately that this sidecar may
+  /// refuse what its configuration does not allow.
+  bool IsInTouch(Micros now) const { return now - last_answer_at_ < kInTouchFor; }
+
+  /// Whether a key that the configuration holds may still be used: where revoked keys must stop in time on
+  /// every machine, one that is out of touch may miss a revocation.
+  bool MayTrustKeys(Micros now) const { return !key_lifetime_ || now - last_answer_at_ < *key_lifetime_; }
+
   /// Adds to the demand that is reported next.
   void CountDemand(const ModelDemand& demand, DemandUrgency urgency);
 
@@ -48,6 +58,9 @@
   const std::vector<std::string>& neighbors() const { return view_.neighbors(); }
 
  private:
+  // Longer than a watch that waits for an update, shorter than a configuration may take to be in force.
+  static constexpr Micros kInTouchFor = 1'000'000;
+
   void Watch();
   void OnWatched(int status, const std::string& body);
   bool ApplyReply(const std::string& body);
@@ -63,6 +76,8 @@
   ControlChannel watch_channel_;
   ControlChannel demand_channel_;  // of its own, as a watch request may be waiting for an update
   bool stopped_ = false;
+  const std::optional<Micros> key_lifetime_;  // without an answer; empty if keys need not stop in time
+  Micros last_answer_at_ = -kInTouchFor;      // of a watch
 
   SystemView view_;
   ControlProcessSelector selector_;
--- a/src/dataplane/control_client/system_view.cpp
+++ b/src/dataplane/control_client/system_view.cpp
@@ -48,7 +48,8 @@
   configuration_message_ = std::move(read->message);
   base_directory_ =
       std::make_shared<const Directory>(configuration_, std::map<std::string, Instance>(), 0, 1);
-  spdlog::info("configuration applied version={}", version());
+  spdlog::info("configuration applied version={} routes={} tenants={}", version(),
+               configuration_->routes.size(), configuration_->tenants.size());
   return true;
 }
 
--- a/src/dataplane/directory/directory.cpp
+++ b/src/dataplane/directory/directory.cpp
@@ -14,18 +14,21 @@
   return false;
 }
 
-std::shared_ptr<const RouteTable> MakeRouteTable(const configuration::Configuration* configuration) {
-  return configuration == nullptr ? std::make_shared<const RouteTable>()
-                                  : std::make_shared<const RouteTable>(*configuration);
+// An index of the configuration, empty without one.
+template <class Index>
+std::shared_ptr<const Index> MakeIndex(const configuration::Configuration* configuration) {
+  return configuration == nullptr ? std::make_shared<const Index>()
+                                  : std::make_shared<const Index>(*configuration);
 }
 
 }  // namespace
 
 Directory::Directory(std::shared_ptr<const configuration::Configuration> configuration,
-                     std::shared_ptr<const RouteTable> routes,
+                     std::shared_ptr<const RouteTable> routes, std::shared_ptr<const ApiKeyIndex> api_keys,
                      const std::map<std::string, Instance>& instances, int number, int sidecars)
     : configuration_(std::move(configuration)),
       routes_(std::move(routes)),
+      api_keys_(std::move(api_keys)),
       instances_(instances),
       number_(number),
       sidecars_(std::max(sidecars, 1)) {
@@ -35,11 +38,12 @@
 
 Directory::Directory(const std::shared_ptr<const configuration::Configuration>& configuration,
                      const std::map<std::string, Instance>& instances, int number, int sidecars)
-    : Directory(configuration, MakeRouteTable(configuration.get()), instances, number, sidecars) {}
+    : Directory(configuration, MakeIndex<RouteTable>(configuration.get()),
+                MakeIndex<ApiKeyIndex>(configuration.get()), instances, number, sidecars) {}
 
 Directory::Directory(const Directory& previous, const std::map<std::string, Instance>& instances, int number,
                      int sidecars)
-    : Directory(previous.configuration_, previous.routes_, instances, number, sidecars) {}
+    : Directory(previous.configuration_, previous.routes_, previous.api_keys_, instances, number, sidecars) {}
 
 const configuration::Limits& Directory::limits() const {
   static const configuration::Limits kDefaults;
--- a/src/dataplane/directory/directory.hpp
+++ b/src/dataplane/directory/directory.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "control/configuration/reader.hpp"
+#include "dataplane/directory/api_key_index.hpp"
 #include "dataplane/directory/route_table.hpp"
 #include "messages/instances.hpp"
 
@@ -36,6 +37,8 @@
   const configuration::Limits& limits() const;
   /// Routes of the configuration; empty without one.
   const RouteTable& routes() const { return *routes_; }
+  /// API keys of the configuration; none are required without one.
+  const ApiKeyIndex& api_keys() const { return *api_keys_; }
   /// Null for an unknown name.
   const configuration::Backend* FindBackend(const std::string& name) const;
 
@@ -54,11 +57,12 @@
 
  private:
   Directory(std::shared_ptr<const configuration::Configuration> configuration,
-            std::shared_ptr<const RouteTable> routes, const std::map<std::string, Instance>& instances,
-            int number, int sidecars);
+            std::shared_ptr<const RouteTable> routes, std::shared_ptr<const ApiKeyIndex> api_keys,
+            const std::map<std::string, Instance>& instances, int number, int sidecars);
 
   std::shared_ptr<const configuration::Configuration> configuration_;
   std::shared_ptr<const RouteTable> routes_ = std::make_shared<const RouteTable>();
+  std::shared_ptr<const ApiKeyIndex> api_keys_ = std::make_shared<const ApiKeyIndex>();
   std::map<std::string, Instance> instances_;
   std::map<std::string, std::vector<const Instance*>> servers_;  // by backend
   int number_ = 0;
--- a/src/dataplane/http/http_text.hpp
+++ b/src/dataplane/http/http_text.hpp
@@ -44,6 +44,8 @@
 inline constexpr std::string_view kPromptPrefix = "X-Violetwing-Prompt-Prefix";
 inline constexpr std::string_view kLastEventId = "Last-Event-Id";
 inline constexpr std::string_view kPriority = "Priority";
+inline constexpr std::string_view kAuthorization = "Authorization";
+inline constexpr std::string_view kTenant = "X-Violetwing-Tenant";
 }  // namespace field
 
 }  // namespace violetwing
--- a/src/dataplane/ingress/client_connection.cpp
+++ b/src/dataplane/ingress/client_connection.cpp
@@ -74,6 +74,7 @@
 
 void ClientConnection::ReadBody() {
   phase_ = Phase::kBody;
+  fields_ = EndToEnd(parser_->get());
   ArmTimeout(kBodyTimeout);
   if (beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
     pending_output_ += "HTTP/1.1 100 Continue\r\n\r\n";
@@ -112,7 +113,7 @@
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
   request.host = std::string(message[http::field::host]);
-  request.fields = EndToEnd(message);
+  request.fields = std::exchange(fields_, {});
   request.has_length = message.has_content_length() || message.chunked();
   request.body = std::move(message.body());
   request.arrived = steady_clock::now();
--- a/src/dataplane/ingress/client_connection.hpp
+++ b/src/dataplane/ingress/client_connection.hpp
@@ -88,6 +88,7 @@
   boost::asio::steady_timer timeout_timer_;
   boost::beast::flat_buffer buffer_;
   std::unique_ptr<Parser> parser_;
+  FieldList fields_;  // end-to-end fields of the request's head: those of a trailer are not among them
   Phase phase_ = Phase::kIdle;
   std::string pending_output_;
   std::string output_in_flight_;
--- a/src/dataplane/routing/end_reason.cpp
+++ b/src/dataplane/routing/end_reason.cpp
@@ -16,6 +16,10 @@
       return {"no_configuration", "no configuration yet"};
     case EndReason::kNoRoute:
       return {"no_route", "no route"};
+    case EndReason::kUnknownKey:
+      return {"unknown_key", "unknown key"};
+    case EndReason::kOutOfTouch:
+      return {"out_of_touch", "not sure of the configuration"};
     case EndReason::kNoBackend:
       return {"no_backend", "no service"};
     case EndReason::kNoServer:
--- a/src/dataplane/routing/end_reason.hpp
+++ b/src/dataplane/routing/end_reason.hpp
@@ -11,6 +11,8 @@
   kServed,                  ///< complete response of a server
   kNoConfiguration,         ///< the sidecar has not received a configuration yet
   kNoRoute,                 ///< no route matches host and path
+  kUnknownKey,              ///< no tenant of the configuration holds the request's key
+  kOutOfTouch,              ///< the configuration may be outdated, and does not allow the request
   kNoBackend,               ///< the route has no backend with a positive weight, or it is not configured
   kNoServer,                ///< the backend has no server that may be attempted
   kUnknownModel,            ///< the backend does not offer the model
--- a/src/dataplane/routing/request_router.cpp
+++ b/src/dataplane/routing/request_router.cpp
@@ -66,7 +66,8 @@
 void RequestRouter::Start() {
   client_->on_gone = [self = shared_from_this()] { self->OnClientDisconnected(); };
   if (!directory_->HasConfiguration()) return Reject(EndReason::kNoConfiguration, kStartupS);
-  if (!FindRoute()) return Fail(kNotFound, EndReason::kNoRoute);
+  if (!FindRoute()) return RefuseByConfiguration(kNotFound, EndReason::kNoRoute);
+  if (!Authorize()) return;
   StartDeadline();
   backend_ = PickBackend();
   if (backend_ == nullptr) return Reject(EndReason::kNoBackend);
@@ -80,6 +81,25 @@
   return route_ != nullptr;
 }
 
+bool RequestRouter::Authorize() {
+  const Authentication result = Authenticate(directory_->api_keys(), *route_, request_.fields);
+  tenant_ = result.tenant;
+  if (result.status == Authentication::Status::kUnknownKey) {
+    RefuseByConfiguration(kUnauthorized, EndReason::kUnknownKey);
+    return false;
+  }
+  const bool trusted =
+      tenant_ == nullptr || plane_.link == nullptr || plane_.link->MayTrustKeys(SteadyMicros());
+  if (!trusted) Reject(EndReason::kOutOfTouch);
+  return trusted;
+}
+
+void RequestRouter::RefuseByConfiguration(const Status& status, EndReason reason) {
+  if (plane_.link != nullptr && !plane_.link->IsInTouch(SteadyMicros()))
+    return Reject(EndReason::kOutOfTouch);
+  Fail(status, reason);
+}
+
 void RequestRouter::StartDeadline() {
   deadline_ = RequestDeadline(request_, *route_);
   deadline_timer_.expires_at(deadline_);
@@ -194,7 +214,9 @@
   request.instance = instance.id;
   request.address = instance.address;
   request.request_id = request_id_;
-  request.text = BuildUpstreamRequest(request_, instance.id, RemainingMs());
+  const UpstreamIdentity identity{directory_->api_keys().IsRequired(),
+                                  tenant_ == nullptr ? std::string() : tenant_->name};
+  request.text = BuildUpstreamRequest(request_, instance.id, RemainingMs(), identity);
   request.head_only = request_.method == "HEAD";
   UpstreamExchange::Events events;
   events.on_head = [self = shared_from_this()](const ResponseHead& head) { self->OnHead(head); };
@@ -326,7 +348,9 @@
 }
 
 void RequestRouter::Fail(const Status& status, EndReason reason) {
-  client_->Answer(status.code, status.phrase, {}, std::string(ResponseText(reason)) + "\n");
+  FieldList fields;
+  if (status.code == kUnauthorized.code) fields.push_back({"WWW-Authenticate", "Bearer"});
+  client_->Answer(status.code, status.phrase, fields, std::string(ResponseText(reason)) + "\n");
   Finish(reason);
 }
 
@@ -366,13 +390,14 @@
     return at == Clock::time_point() ? -1 : duration_cast<milliseconds>(at - request_.arrived).count();
   };
   spdlog::debug(
-      "request finished id={} route={} model={} upstream={} attempts={} sent_ms={} first_byte_ms={} "
+      "request finished id={} route={} tenant={} model={} upstream={} attempts={} sent_ms={} "
+      "first_byte_ms={} "
       "end_ms={} "
       "reason={} queued_prefill_ms={:.0f} uncached_prefill_ms={:.0f}",
-      request_id_, route_ == nullptr ? "-" : route_->name, attributes_.WeightsKey(), attempt_.server,
-      attempt_counter_.sent(), since_arrival_ms(attempt_.sent_at), since_arrival_ms(attempt_.first_byte_at),
-      since_arrival_ms(Clock::now()), Name(reason), attributes_.queued_prefill_ms,
-      attributes_.uncached_prefill_ms);
+      request_id_, route_ == nullptr ? "-" : route_->name, tenant_ == nullptr ? "-" : tenant_->name,
+      attributes_.WeightsKey(), attempt_.server, attempt_counter_.sent(), since_arrival_ms(attempt_.sent_at),
+      since_arrival_ms(attempt_.first_byte_at), since_arrival_ms(Clock::now()), Name(reason),
+      attributes_.queued_prefill_ms, attributes_.uncached_prefill_ms);
 }
 
 }  // namespace violetwing
--- a/src/dataplane/routing/request_router.hpp
+++ b/src/dataplane/routing/request_router.hpp
@@ -13,6 +13,7 @@
 #include "dataplane/ingress/client_connection.hpp"
 #include "dataplane/load_balancing/request_attributes.hpp"
 #include "dataplane/routing/attempt.hpp"
+#include "dataplane/routing/authentication.hpp"
 #include "dataplane/routing/data_plane.hpp"
 #include "dataplane/routing/end_reason.hpp"
 
@@ -42,6 +43,7 @@
     int code;
     const char* phrase;
   };
+  static constexpr Status kUnauthorized{401, "Unauthorized"};
   static constexpr Status kNotFound{404, "Not Found"};
   static constexpr Status kBadGateway{502, "Bad Gateway"};
   static constexpr Status kServiceUnavailable{503, "Service Unavailable"};
@@ -49,6 +51,10 @@
   static constexpr double kDefaultRetryAfterS = 0.05;
 
   bool FindRoute();
+  // Identifies the tenant. False if the request may not be executed: it has then ended.
+  bool Authorize();
+  // Ends a request that the configuration of this sidecar does not allow: a newer one might.
+  void RefuseByConfiguration(const Status& status, EndReason reason);
   void StartDeadline();
   const configuration::Backend* PickBackend();
   void ReadAttributes();
@@ -91,6 +97,7 @@
   DirectoryPtr directory_;  // of the request's start: owns the route
   const configuration::Route* route_ = nullptr;
   const configuration::Backend* backend_ = nullptr;
+  const configuration::Tenant* tenant_ = nullptr;  // null on public routes, and without tenants
   std::string request_id_;
   std::vector<PromptPart> prompt_parts_;
   RequestAttributes attributes_;
--- a/src/dataplane/routing/upstream_request.cpp
+++ b/src/dataplane/routing/upstream_request.cpp
@@ -14,18 +14,21 @@
 // Set by the sidecar itself, or settled before the request is sent.
 bool IsReplaced(const Field& header) {
   return SameName(header.name, field::kDeadline) || SameName(header.name, field::kExpectedInstance) ||
-         SameName(header.name, "Expect");
+         SameName(header.name, field::kTenant) || SameName(header.name, "Expect");
 }
 
 }  // namespace
 
 std::string BuildUpstreamRequest(const ClientRequest& request, const std::string& instance_id,
-                                 std::int64_t remaining_ms) {
+                                 std::int64_t remaining_ms, const UpstreamIdentity& identity) {
   std::string text;
   text.reserve(request.body.size() + kExpectedHeadBytes);
   text += request.method + " " + request.target + " HTTP/1.1\r\n";
-  for (const Field& header : request.fields)
-    if (!IsReplaced(header)) AppendField(text, header.name, header.value);
+  for (const Field& header : request.fields) {
+    const bool withheld = identity.withholds_credentials && SameName(header.name, field::kAuthorization);
+    if (!withheld && !IsReplaced(header)) AppendField(text, header.name, header.value);
+  }
+  if (!identity.tenant.empty()) AppendField(text, field::kTenant, identity.tenant);
   AppendField(text, field::kDeadline, std::to_string(std::max<std::int64_t>(remaining_ms, 1)));
   AppendField(text, field::kExpectedInstance, instance_id);
   if (request.has_length || !request.body.empty())
--- a/src/dataplane/routing/upstream_request.hpp
+++ b/src/dataplane/routing/upstream_request.hpp
@@ -10,10 +10,17 @@
 
 namespace violetwing {
 
+/// What a server is told of the client's identity.
+struct UpstreamIdentity {
+  bool withholds_credentials = false;  ///< the key is for the system alone: Authorization is left out
+  std::string tenant;                  ///< empty for none
+};
+
 /// Head and body of the request as it is sent to an instance: the client's, with the deadline set to
-/// `remaining_ms` (at least 1) and the expected instance named.
+/// `remaining_ms` (at least 1), the expected instance named, and the tenant that the system has found in
+/// place of any that the client names.
 std::string BuildUpstreamRequest(const ClientRequest& request, const std::string& instance_id,
-                                 std::int64_t remaining_ms);
+                                 std::int64_t remaining_ms, const UpstreamIdentity& identity);
 
 /// Parses X-Violetwing-Server-Load, "running,waiting,slots"; what is missing or malformed stays 0.
 ServerLoad ParseServerLoad(const std::string& text);
--- a/tests/common/node_settings_test.cpp
+++ b/tests/common/node_settings_test.cpp
@@ -36,4 +36,24 @@
   }
 }
 
+TEST_CASE("Settings of the platform and its duties are read, and are optional") {
+  const std::string base = R"({"node_name": "n", "ip": "10.0.0.1", "seed_nodes": ["10.0.0.1:99"],
+                               "ephemeral_ports": [100, 110])";
+  const SettingsResult without = ParseNodeSettings(base + "}");
+  REQUIRE(std::holds_alternative<NodeSettings>(without));
+  CHECK_FALSE(std::get<NodeSettings>(without).reports_usage);
+  const SettingsResult with = ParseNodeSettings(
+      base +
+      R"(, "cloud_api": {"address": "10.2.0.1:80", "leases": ["metering", "autoscale"], "lease_per_s": 50.0},
+                "timeouts": {"report_window_s": 2.5, "usage_delay_s": 7, "revoked_keys": true, "revoke_ms": 900}})");
+  REQUIRE(std::holds_alternative<NodeSettings>(with));
+  const auto& settings = std::get<NodeSettings>(with);
+  CHECK(settings.platform_address == "10.2.0.1:80");
+  CHECK(settings.reports_usage);
+  CHECK(settings.report_window_ms == 2500);
+  CHECK(settings.usage_delay_ms == 7000);
+  CHECK(settings.revoked_keys);
+  CHECK(settings.revoke_ms == 900);
+}
+
 }  // namespace violetwing
--- a/tests/control/configuration/configuration_test.cpp
+++ b/tests/control/configuration/configuration_test.cpp
@@ -4,6 +4,7 @@
 
 #include "common/random.hpp"
 #include "control/configuration/accepted_changes.hpp"
+#include "control/configuration/ignored_members.hpp"
 #include "control/configuration/reader.hpp"
 #include "control/configuration/state.hpp"
 
@@ -319,4 +320,40 @@
   CHECK(invalid > 200);
 }
 
+TEST_CASE("CONFIG: a configuration in which two tenants share a key is refused, with the key's place alone") {
+  json document = Document(3);
+  document["tenants"] = {{{"name", "alice"}, {"api_keys", {"key-a", "key-s"}}},
+                         {{"name", "bob"}, {"api_keys", {"key-s"}}}};
+  State state;
+  const ChangeOutcome outcome = Put(state, 0, document);
+  CHECK(outcome.status == ChangeStatus::kInvalid);
+  CHECK(outcome.message.find("tenants[1].api_keys[0]") != std::string::npos);
+  CHECK(outcome.message.find("key-s") == std::string::npos);
+}
+
+TEST_CASE(
+    "CONFIG: a patch of tenants adds and takes away keys, and leads to the same as the whole document") {
+  json document = Document(3);
+  document["tenants"] = {{{"name", "alice"}, {"api_keys", {"key-a"}}},
+                         {{"name", "bob"}, {"api_keys", {"key-b"}}}};
+  State state;
+  REQUIRE(Put(state, 0, document).status == ChangeStatus::kAccepted);
+  const json patch{{"version", 5},
+                   {"upsert", {{"tenants", {{{"name", "alice"}, {"api_keys", {"key-c"}}, {"priority", 1}}}}}},
+                   {"delete", {{"tenants", {"bob"}}}}};
+  REQUIRE(PatchWith(state, 3, patch).status == ChangeStatus::kAccepted);
+  REQUIRE(state.current()->tenants.size() == 1);
+  CHECK(state.current()->tenants[0].api_keys == std::vector<std::string>{"key-c"});
+  CHECK(state.current()->tenants[0].priority == 1);
+  CHECK(state.PatchesSince(3));
+  CHECK(Read(state.document()).configuration->tenants[0].api_keys == state.current()->tenants[0].api_keys);
+}
+
+TEST_CASE("Members of a document that are not read are named, without their values") {
+  nlohmann::ordered_json document = nlohmann::ordered_json::parse(Document(3).dump());
+  document["quotas"] = {{"secret", 1}};
+  document["tenants"] = {{{"name", "alice"}, {"api_keys", {"key-a"}}, {"color", "red"}}};
+  CHECK(IgnoredMembers(document) == std::set<std::string>{"quotas", "routes.new_field", "tenants.color"});
+}
+
 }  // namespace violetwing::configuration
--- a/tests/dataplane/dataplane_test.cpp
+++ b/tests/dataplane/dataplane_test.cpp
@@ -36,6 +36,18 @@
    "models": [{"name": "m", "weights_mb": 10, "load_time_s": 1.5}, {"name": "slow", "weights_mb": 10, "load_time_s": 1.8}],
    "weights_mb": 100, "loads_per_s": 1}}]})";
 
+// A tenant with one key, and the same with another one in its place.
+constexpr const char* kTenantConfiguration = R"({"version": 1, "routes": [
+  {"name": "once", "hostname": "a.example", "path_prefix": "/once/", "type": "non_idempotent", "timeout_ms": 5000,
+   "target_latency_ms": 300, "backend": "s", "max_attempts": 1},
+  {"name": "open", "hostname": "a.example", "path_prefix": "/open/", "type": "non_idempotent", "timeout_ms": 5000,
+   "backend": "s", "max_attempts": 1, "public": true}],
+  "backends": [{"name": "s"}], "tenants": [{"name": "alice", "api_keys": ["key-a"]}]})";
+constexpr const char* kRevokedConfiguration = R"({"version": 2, "routes": [
+  {"name": "once", "hostname": "a.example", "path_prefix": "/once/", "type": "non_idempotent", "timeout_ms": 5000,
+   "target_latency_ms": 300, "backend": "s", "max_attempts": 1}],
+  "backends": [{"name": "s"}], "tenants": [{"name": "alice", "api_keys": ["key-b"]}]})";
+
 const std::string kNotExecuted = "X-Violetwing-Not-Executed: 1\r\n";
 const std::string kSigned = "X-Violetwing-Response-Signature: sig\r\nX-Violetwing-Request-Id: r1\r\n";
 
@@ -73,7 +85,8 @@
     io.restart();
     io.poll();  // what the closing has left to do
   }
-  void SetServers(const std::vector<const ScriptedServer*>& servers) {
+  void SetServers(const std::vector<const ScriptedServer*>& servers,
+                  const char* configuration = kConfiguration) {
     std::map<std::string, Instance> instances;
     for (std::size_t i = 0; i < servers.size(); ++i) {
       Instance instance;
@@ -84,7 +97,7 @@
       instances[instance.id] = instance;
     }
     plane.directory =
-        std::make_shared<const Directory>(configuration::Read(kConfiguration).configuration, instances, 0, 1);
+        std::make_shared<const Directory>(configuration::Read(configuration).configuration, instances, 0, 1);
   }
   // The client's side of a new connection on which `text` is sent.
   std::shared_ptr<Peer> SendRequest(const std::string& text) {
@@ -158,6 +171,61 @@
   CHECK(Received(lost, "HTTP/1.1 404"));
 }
 
+TEST_CASE("UNASKED: a server gets the tenant of the client's key, never the key or the client's own claim") {
+  Sidecar sidecar;
+  ScriptedServer server(sidecar.io, AlwaysRespond(Reply("200 OK", "bytes", kSigned)));
+  sidecar.SetServers({&server}, kTenantConfiguration);
+  const auto client = sidecar.SendRequest(
+      RequestTo("/once/", "Authorization: Bearer key-a\r\nX-Violetwing-Tenant: mallory\r\n"));
+  REQUIRE(sidecar.Until([&] { return Received(client, "bytes"); }));
+  const std::string& sent = server.peers[0]->received;
+  CHECK(sent.find("X-Violetwing-Tenant: alice\r\n") != std::string::npos);
+  CHECK(sent.find("mallory") == std::string::npos);
+  CHECK(sent.find("key-a") == std::string::npos);
+}
+
+TEST_CASE("ROUTE: a request whose key no configuration holds is answered 401 and reaches no server") {
+  Sidecar sidecar;
+  ScriptedServer server(sidecar.io, AlwaysRespond(Reply("200 OK", "bytes", kSigned)));
+  sidecar.SetServers({&server}, kTenantConfiguration);
+  for (const std::string credentials : {"", "Authorization: Bearer nobody's\r\n",
+                                        "Authorization: Bearer key-a\r\nAuthorization: Bearer key-a\r\n"}) {
+    const auto client = sidecar.SendRequest(RequestTo("/once/", credentials));
+    REQUIRE(sidecar.Until([&] { return Received(client, "\r\n\r\n"); }));
+    CHECK(Received(client, "HTTP/1.1 401"));
+  }
+  CHECK(server.requests() == 0);
+  const auto open = sidecar.SendRequest(RequestTo("/open/"));
+  REQUIRE(sidecar.Until([&] { return Received(open, "bytes"); }));
+}
+
+TEST_CASE("ROUTE: a key in a trailer is no key") {
+  Sidecar sidecar;
+  ScriptedServer server(sidecar.io, AlwaysRespond(Reply("200 OK", "bytes", kSigned)));
+  sidecar.SetServers({&server}, kTenantConfiguration);
+  const auto client = sidecar.SendRequest(
+      "POST /once/ HTTP/1.1\r\nHost: a.example\r\nX-Violetwing-Request-Id: r1\r\n"
+      "Transfer-Encoding: chunked\r\nTrailer: Authorization\r\n\r\n"
+      "5\r\nhello\r\n0\r\nAuthorization: Bearer key-a\r\n\r\n");
+  REQUIRE(sidecar.Until([&] { return Received(client, "\r\n\r\n"); }));
+  CHECK(Received(client, "HTTP/1.1 401"));
+  CHECK(server.requests() == 0);
+}
+
+TEST_CASE("CONFIG: the second of two pipelined requests is refused once its key was revoked in between") {
+  Sidecar sidecar;
+  ScriptedServer server(sidecar.io, [](Peer&) {});  // answers when the test says so
+  sidecar.SetServers({&server}, kTenantConfiguration);
+  const std::string request = RequestTo("/once/", "Authorization: Bearer key-a\r\n");
+  const auto client = sidecar.SendRequest(request + request);
+  REQUIRE(sidecar.Until([&] { return server.requests() == 1; }));
+  sidecar.SetServers({&server}, kRevokedConfiguration);
+  server.peers[0]->Write(Reply("200 OK", "bytes", kSigned));
+  REQUIRE(sidecar.Until([&] { return Received(client, "HTTP/1.1 401"); }));
+  CHECK(Received(client, "bytes"));
+  CHECK(server.requests() == 1);
+}
+
 TEST_CASE("A rejected request is retried at another server if the route allows two attempts") {
   Sidecar sidecar;
   ScriptedServer full(sidecar.io,
