Grant duties by leases in the log, and report usage under one

Cause: the placer's right to order was the leader's term and a wait that began with the election. Nothing in the log said who had held the duty, so that it could not be told whose last call might still arrive; and the duty of usage was not there.

The configuration's shard grants one lease a duty, to the process that leads it, under a token that rises with each holder and is at least the term, which earlier versions used. A new holder waits until the last call of the one before can have arrived (2.1 s, the calls' time limits), and, having acted before, until its own last call is lease_ms old; the lease is looked at again right before each call leaves. Sidecars count requests that begin to run by tenant and window of the true time (the median of the control processes' clocks), as counters that only rise and that all control processes hold; the counts of a window are decided in the log before they are sent, so that every holder sends the same.

The digest of the control processes is new, as leases are commands of the log. The exchange's two new fields may be missing, as in earlier versions: the test that names those names them too.

--- a/src/control/core/control_core.cpp
+++ b/src/control/core/control_core.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "common/random.hpp"
 #include "control/control_error.hpp"
 #include "control/replication/bootstrap.hpp"
 
@@ -20,6 +21,9 @@
 constexpr Micros kLastSeenWindow = 600'000;
 // The least replication factor of a shard.
 constexpr int kMinReplicas = 3;
+// From the decision on an order or a call to the platform until it can no longer arrive: the calls' time
+// limits for the connection and for the response (control_service.cpp), and some slack.
+constexpr Micros kCallTimeLimit = 2'100'000;
 // Without contact with a quorum for longer, calls that need one are rejected at once. An election takes less,
 // and calls wait for its end.
 constexpr Micros kElectionGrace = 1'500'000;
@@ -44,7 +48,11 @@
       outputs_(std::move(outputs)),
       now_(now),
       table_(incarnation_, kMissedHeartbeats * settings.heartbeat_ms * kMicrosPerMs),
-      placer_(settings.lease_ms * kMicrosPerMs, {outputs_.order, outputs_.ask_report}),
+      placer_({[this](const PlacementCall& order, duties::FencingToken token) {
+                 leases_.OnCall(duties::Duty::kPlacement, now_);
+                 outputs_.order(order, token);
+               },
+               outputs_.ask_report}),
       gossip_({settings.node_name, settings.zone, settings.InternalAddress(), settings.control_plane},
               GossipOutputs()),
       shards_(stored, BootstrapVoters(settings, stored.replica_id), incarnation_, ShardOutputs(), now),
@@ -52,7 +60,11 @@
           static_cast<std::size_t>(std::max(kMinReplicas, 2 * settings.tolerated_nodes + 1)),
           settings.catch_up_ms * kMicrosPerMs)),
       quorum_contact_(now),
-      watches_(incarnation_, {shards_.configuration(), table_, sidecars_, gossip_}) {
+      leases_({settings.node_name, settings.lease_ms * kMicrosPerMs, kCallTimeLimit}, now,
+              [this](const duties::AcquireLease& command) { SubmitDutyCommand(command); }),
+      usage_reporter_({settings.report_window_ms * kMicrosPerMs, settings.usage_delay_ms * kMicrosPerMs},
+                      Hash(0, incarnation_), UsageOutputs()),
+      watches_(incarnation_, {shards_.configuration(), table_, sidecars_, gossip_, true_time_}) {
   SetSeeds(settings.seeds, now);
 }
 
@@ -63,12 +75,24 @@
     request.disk = shards_.replica_id();
     request.version_vector = table_.version_vector();
     request.shards_to_join = shards_.ShardsToJoin(now_);
+    request.wants_usage = !usage_synchronized_;
     if (peer_versions != nullptr) request.changed_instances = table_.ChangedSince(*peer_versions);
   };
   outputs.exchange = outputs_.exchange;
   return outputs;
 }
 
+duties::UsageReporter::Outputs ControlCore::UsageOutputs() {
+  duties::UsageReporter::Outputs outputs;
+  outputs.record = [this](const duties::RecordUsage& command) { SubmitDutyCommand(command); };
+  outputs.delivered = [this](const duties::UsageDelivered& command) { SubmitDutyCommand(command); };
+  outputs.call = [this](const duties::PlatformCall& call) {
+    leases_.OnCall(call.duty, now_);
+    outputs_.call_platform(call);
+  };
+  return outputs;
+}
+
 Shards::Outputs ControlCore::ShardOutputs() {
   Shards::Outputs outputs;
   outputs.send = [this](const std::string& address, ShardMessage message) {
@@ -116,7 +140,7 @@
   table_.Expire(now, has_quorum_contact);
   watches_.Tick(now);
   gossip_.SetMembers(shards_.ReviewMembers(membership_policy_, now));
-  PlanPlacements();
+  PerformDuties();
   gossip_.Tick(now);
   AnswerWatches(WatchRegistry::Urgency::kRateLimited);
   Flush();
@@ -196,6 +220,7 @@
   shards_.SetLeaving(request.disk, request.sender.leaving);
   for (const int shard : request.shards_to_join)
     shards_.AddLearner(shard, {request.disk, request.sender.address}, now);
+  for (const UsageReport& report : request.usage) usage_counts_.Merge(report);
   for (const ShardMessage& message : request.messages) shards_.OnMessage(message, now);
   for (const ShardProposal& proposal : request.proposals) shards_.OnForwardedProposal(proposal);
   RouteDemand(request.demand);
@@ -203,6 +228,8 @@
   reply.incarnation = incarnation_;
   reply.changed_instances = table_.ChangedSince(request.version_vector);
   reply.version_vector = table_.version_vector();
+  reply.time_of_day = true_time_.OwnClockAt(now_);
+  if (request.wants_usage) reply.usage = usage_counts_.Reports();
   if (request.wants_last_seen) {
     reply.last_seen_instances = table_.LastSeenSince(now - kLastSeenWindow, now);
     reply.last_seen_sidecars = sidecars_.LastSeenSince(now - kLastSeenWindow, now);
@@ -219,6 +246,8 @@
   gossip_.OnExchangeEnded(address, reply.has_value(), now);
   if (reply) {
     gossip_.OnPeerVersions(address, reply->incarnation, reply->version_vector);
+    if (reply->time_of_day)
+      true_time_.OnPeerClock(address, *reply->time_of_day, gossip_.LastExchangeAt(address), now);
     MergeReply(*reply);
     PublishInstanceChanges();
   }
@@ -235,6 +264,8 @@
 
 void ControlCore::MergeReply(const ExchangeReply& reply) {
   MergeInstances(reply.changed_instances);
+  usage_synchronized_ = usage_synchronized_ || reply.time_of_day.has_value();
+  for (const UsageReport& report : reply.usage) usage_counts_.Merge(report);
   for (const LastSeen& seen : reply.last_seen_instances) table_.MergeLastSeen(seen, now_);
   for (const SidecarLastSeen& sidecar : reply.last_seen_sidecars) sidecars_.MergeLastSeen(sidecar, now_);
   for (const ControlNode& node : reply.control_nodes) gossip_.OnPeerSeen(node, now_);
@@ -246,6 +277,7 @@
   now_ = now;
   sidecars_.OnWatch(request.node, request.load_report_address, now);
   RouteDemand(request.demand);
+  if (!request.usage.reporter.empty()) TakeUsage(request.usage);
   watches_.Add(std::move(request), done, WatchReadiness(), now);
   Flush();
 }
@@ -259,6 +291,37 @@
   watches_.AnswerPending(urgency, WatchReadiness(), now_);
 }
 
+// The report goes to all peers: any of them may have to report to the platform next.
+void ControlCore::TakeUsage(const UsageReport& report) {
+  if (!HasQuorumContact()) return;  // the watch is answered by an error, and the sidecar reports elsewhere
+  usage_counts_.Merge(report);
+  gossip_.BroadcastUsage(report);
+}
+
+// ---- Duties ----
+
+std::optional<duties::FencingToken> ControlCore::Grant(duties::Duty duty, Micros now) const {
+  if (stopping_) return std::nullopt;
+  return leases_.Grant(duty, shards_.configuration_replica(), shards_.duties(), now);
+}
+
+void ControlCore::PerformDuties() {
+  if (stopping_) return;
+  leases_.Tick(shards_.configuration_replica(), shards_.duties(), now_);
+  PlanPlacements();
+  const std::optional<Micros> true_time = true_time_.At(now_);
+  const auto usage_token = Grant(duties::Duty::kUsage, now_);
+  if (settings_.reports_usage && usage_token && true_time)
+    usage_reporter_.Tick(*usage_token, shards_.duties(), usage_counts_, *true_time, now_);
+}
+
+void ControlCore::OnPlatformAnswered(const duties::PlatformCall& call, int status, Micros now) {
+  now_ = now;
+  const duties::PlatformAnswer answer = duties::PlatformAnswerOf(status);
+  usage_reporter_.OnAnswered(std::stoll(call.subject), answer, now);
+  Flush();
+}
+
 // ---- Placement ----
 
 void ControlCore::OnDemand(const std::vector<ModelDemand>& demand, Micros now) {
@@ -283,8 +346,9 @@
 }
 
 void ControlCore::PlanPlacements() {
-  if (stopping_) return;
-  placer_.Tick(shards_.configuration_replica(), configuration(), table_, now_);
+  const auto token = Grant(duties::Duty::kPlacement, now_);
+  if (!token) return;
+  placer_.Tick(*token, configuration(), table_, now_);
   PublishInstanceChanges();
 }
 
--- a/src/control/core/control_core.hpp
+++ b/src/control/core/control_core.hpp
@@ -17,6 +17,11 @@
 #include "common/time.hpp"
 #include "control/core/quorum_contact.hpp"
 #include "control/core/watch_registry.hpp"
+#include "control/duties/lease_keeper.hpp"
+#include "control/duties/platform_call.hpp"
+#include "control/duties/true_time.hpp"
+#include "control/duties/usage_reporter.hpp"
+#include "control/duties/usage_table.hpp"
 #include "control/gossip/gossip.hpp"
 #include "control/gossip/sidecar_registry.hpp"
 #include "control/instances/instance_table.hpp"
@@ -36,9 +41,11 @@
     /// Begins an exchange with another control process. `OnExchangeReply` has to follow.
     std::function<void(const std::string& address, ExchangeRequest)> exchange;
     /// Sends a server an order to load or unload. `OnOrderResponse` has to follow.
-    std::function<void(const PlacementCall&, consensus::Term fencing_token)> order;
+    std::function<void(const PlacementCall&, duties::FencingToken)> order;
     /// Asks a server for its report. `OnServerReport` has to follow.
     std::function<void(const PlacementCall&)> ask_report;
+    /// Calls the platform. `OnPlatformAnswered` has to follow.
+    std::function<void(const duties::PlatformCall&)> call_platform;
     /// The state of a shard cannot be read: the process must end without answering anything more. May be
     /// called by the constructor.
     std::function<void(int shard, std::error_code)> failed;
@@ -65,6 +72,9 @@
 
   /// Replaces the public addresses of the control processes in the settings.
   void SetSeeds(const std::vector<std::string>& seeds, Micros now);
+  /// The machine's clock shows `time_of_day`, in microseconds since the start of 1970. To be called at short
+  /// intervals, before Tick.
+  void OnClock(Micros time_of_day, Micros now) { true_time_.OnOwnClock(time_of_day, now); }
   /// To be called at short intervals.
   void Tick(Micros now);
   /// When an election is due, for a call of `OnElectionDue` then; empty if none is.
@@ -105,6 +115,12 @@
   /// The end of a request for a report. Empty without a report that could be read.
   void OnServerReport(const std::string& instance, const std::optional<ServerReport>& report, Micros now);
 
+  /// The token for a call of this duty that leaves now; empty if this process must not make it. To be asked
+  /// right before each call: the decision on it may be older than the lease.
+  std::optional<duties::FencingToken> Grant(duties::Duty duty, Micros now) const;
+  /// The end of a call to the platform. `status`: the HTTP status, 0 without a response.
+  void OnPlatformAnswered(const duties::PlatformCall& call, int status, Micros now);
+
   /// The state that the other parts of the process and its tests may read.
   const configuration::State& configuration() const { return shards_.configuration(); }
   const InstanceTable& table() const { return table_; }
@@ -113,6 +129,10 @@
  private:
   Shards::Outputs ShardOutputs();
   Gossip::Outputs GossipOutputs();
+  duties::UsageReporter::Outputs UsageOutputs();
+  void SubmitDutyCommand(const ConfigurationCommand& command) { shards_.SubmitDutyCommand(command, now_); }
+  void PerformDuties();
+  void TakeUsage(const UsageReport& report);
   bool HasQuorumContact() const { return shards_.configuration_replica().HasQuorumContact(now_); }
   // Without contact for longer than an election takes: calls that need a quorum are rejected at once.
   bool IsIsolated() const;
@@ -141,6 +161,11 @@
   std::uint64_t broadcast_counter_ = 0;  // last change of this process that was broadcast
   const consensus::MembershipPolicy membership_policy_;
   QuorumContact quorum_contact_;
+  duties::LeaseKeeper leases_;
+  duties::TrueTime true_time_;
+  duties::UsageTable usage_counts_;
+  duties::UsageReporter usage_reporter_;
+  bool usage_synchronized_ = false;  // a peer has sent all the usage that it knew
   WatchRegistry watches_;
   bool stopping_ = false;
 };
--- a/src/control/core/watch_registry.cpp
+++ b/src/control/core/watch_registry.cpp
@@ -105,6 +105,7 @@
   reply.window_position = position.index;
   reply.sidecar_count = position.count;
   reply.neighbors = sources_.sidecars.NeighborsOf(request.node, now);
+  reply.true_time = sources_.true_time.At(now);
   if (reply.neighbors.hash == request.neighbors_hash) reply.neighbors.addresses.clear();
   return reply;
 }
--- a/src/control/core/watch_registry.hpp
+++ b/src/control/core/watch_registry.hpp
@@ -13,6 +13,7 @@
 
 #include "common/time.hpp"
 #include "control/configuration/state.hpp"
+#include "control/duties/true_time.hpp"
 #include "control/gossip/gossip.hpp"
 #include "control/gossip/sidecar_registry.hpp"
 #include "control/instances/instance_table.hpp"
@@ -33,6 +34,7 @@
     const InstanceTable& instances;
     const SidecarRegistry& sidecars;
     const Gossip& gossip;
+    const duties::TrueTime& true_time;
   };
 
   /// What this process may answer.
--- a/src/control/gossip/exchange_message.cpp
+++ b/src/control/gossip/exchange_message.cpp
@@ -44,6 +44,8 @@
   }
   ToWire(request.demand, *out.mutable_demand());
   out.set_wants_heard(request.wants_last_seen);
+  for (const UsageReport& report : request.usage) ToWire(report, *out.add_usage());
+  out.set_wants_usage(request.wants_usage);
   return out.SerializeAsString();
 }
 
@@ -64,6 +66,8 @@
     request.proposals.push_back({one.shard(), one.command()});
   request.demand = FromWire(in->demand());
   request.wants_last_seen = in->wants_heard();
+  for (const wire::UsageReport& report : in->usage()) request.usage.push_back(FromWire(report));
+  request.wants_usage = in->wants_usage();
   return request;
 }
 
@@ -87,6 +91,8 @@
     one.set_age_ms(seen.age_ms);
   }
   ToWire(reply.control_nodes, *out.mutable_controls());
+  if (reply.time_of_day) out.set_time_of_day(*reply.time_of_day);
+  for (const UsageReport& report : reply.usage) ToWire(report, *out.add_usage());
   return out.SerializeAsString();
 }
 
@@ -103,6 +109,8 @@
   for (const wire::HeardSidecar& one : in->edges().sidecars())
     reply.last_seen_sidecars.push_back({one.id(), one.address(), one.age_ms()});
   reply.control_nodes = FromWire(in->controls());
+  if (in->has_time_of_day()) reply.time_of_day = in->time_of_day();
+  for (const wire::UsageReport& report : in->usage()) reply.usage.push_back(FromWire(report));
   return reply;
 }
 
--- a/src/control/gossip/exchange_message.hpp
+++ b/src/control/gossip/exchange_message.hpp
@@ -14,6 +14,7 @@
 #include "messages/control_node.hpp"
 #include "messages/decode.hpp"
 #include "messages/instances.hpp"
+#include "messages/usage.hpp"
 
 namespace violetwing {
 
@@ -57,6 +58,8 @@
   /// Asks for the last-seen lists and the control nodes in the reply; without it they are empty. Most
   /// exchanges carry a heartbeat of a shard, which is due much more often than these lists.
   bool wants_last_seen = true;
+  std::vector<UsageReport> usage;  ///< that sidecars have sent to the sender
+  bool wants_usage = false;        ///< asks for all usage that the receiver knows
 };
 
 /// The reply to an exchange.
@@ -67,6 +70,10 @@
   std::vector<LastSeen> last_seen_instances;
   std::vector<SidecarLastSeen> last_seen_sidecars;
   std::vector<ControlNode> control_nodes;
+  /// The time of day by the replying machine's clock, in microseconds since the start of 1970; empty from
+  /// earlier versions.
+  std::optional<std::int64_t> time_of_day;
+  std::vector<UsageReport> usage;
 };
 
 /// Messages as bodies of internal calls (protocol buffers, internal.proto).
--- a/src/control/gossip/gossip.cpp
+++ b/src/control/gossip/gossip.cpp
@@ -79,6 +79,16 @@
   peer.has_queued_payload = true;
 }
 
+void Gossip::BroadcastUsage(const UsageReport& report) {
+  for (auto& [address, peer] : peers_)
+    if (peer.next_request.usage.size() < kMaxQueued) peer.next_request.usage.push_back(report);
+}
+
+Micros Gossip::LastExchangeAt(const std::string& address) const {
+  const auto peer = peers_.find(address);
+  return peer == peers_.end() ? 0 : peer->second.last_exchange_at;
+}
+
 void Gossip::AnnounceShutdown(Micros now) {
   self_.leaving = true;
   for (auto& [address, peer] : peers_) peer.has_queued_payload = true;
--- a/src/control/gossip/gossip.hpp
+++ b/src/control/gossip/gossip.hpp
@@ -47,6 +47,8 @@
   void SendMessage(const std::string& address, ShardMessage message);
   void SendProposal(const std::string& address, ShardProposal proposal);
   void SendDemand(const std::string& address, std::vector<ModelDemand> demand);
+  /// Adds a report to the next exchange with each peer.
+  void BroadcastUsage(const UsageReport& report);
 
   /// This process is about to end: begins an exchange with all peers that are free.
   void AnnounceShutdown(Micros now);
@@ -59,6 +61,8 @@
   /// An exchange has ended. `succeeded`: with a reply that could be decoded.
   void OnExchangeEnded(const std::string& address, bool succeeded, Micros now);
 
+  /// When the exchange with a peer began that is in flight, or was last.
+  Micros LastExchangeAt(const std::string& address) const;
   /// The control processes that were seen lately, this one included.
   std::vector<ControlNode> LiveNodes(Micros now) const;
 
--- a/src/control/replication/commands.cpp
+++ b/src/control/replication/commands.cpp
@@ -39,6 +39,41 @@
   return {object.value("id", std::string()), object.value("phase", Phase::kDraining)};
 }
 
+// Each sets the kind of `out` that its first argument stands for.
+void SetCommand(const ReadCommand&, wire::ConfigurationCommand& out) { out.set_read(true); }
+
+void SetCommand(const configuration::Change& change, wire::ConfigurationCommand& out) {
+  out.mutable_change()->set_patch(change.patch);
+  out.mutable_change()->set_base(change.base_version);
+  out.mutable_change()->set_body(change.body);
+}
+
+void SetCommand(const duties::AcquireLease& command, wire::ConfigurationCommand& out) {
+  out.mutable_acquire_lease()->set_duty(command.duty);
+  out.mutable_acquire_lease()->set_holder(command.holder);
+  out.mutable_acquire_lease()->set_expected_token(command.expected_token);
+  out.mutable_acquire_lease()->set_minimum_token(command.minimum_token);
+}
+
+void SetCommand(const duties::RecordUsage& command, wire::ConfigurationCommand& out) {
+  out.mutable_record_usage()->set_window(command.window);
+  for (const auto& [tenant, count] : command.counts) {
+    wire::TenantCount& one = *out.mutable_record_usage()->add_counts();
+    one.set_tenant(tenant);
+    one.set_count(count);
+  }
+}
+
+void SetCommand(const duties::UsageDelivered& command, wire::ConfigurationCommand& out) {
+  out.mutable_usage_delivered()->set_window(command.window);
+}
+
+duties::RecordUsage FromWire(const wire::RecordUsage& in) {
+  duties::RecordUsage command{in.window(), {}};
+  for (const wire::TenantCount& one : in.counts()) command.counts[one.tenant()] = one.count();
+  return command;
+}
+
 }  // namespace
 
 std::string Encode(const Envelope& envelope) {
@@ -57,13 +92,7 @@
 
 std::string Encode(const ConfigurationCommand& command) {
   wire::ConfigurationCommand message;
-  if (const auto* change = std::get_if<configuration::Change>(&command)) {
-    message.mutable_change()->set_patch(change->patch);
-    message.mutable_change()->set_base(change->base_version);
-    message.mutable_change()->set_body(change->body);
-  } else {
-    message.set_read(true);
-  }
+  std::visit([&message](const auto& one) { SetCommand(one, message); }, command);
   return message.SerializeAsString();
 }
 
@@ -71,10 +100,25 @@
   if (IsJsonForm(bytes)) return FromJson(bytes, ConfigurationFromJson);
   auto message = wire::Parse<wire::ConfigurationCommand>(bytes);
   if (!message) return DecodeErrc::kMalformed;
-  if (message->has_read()) return ReadCommand{};
-  if (!message->has_change()) return DecodeErrc::kUnknownKind;
-  wire::ConfigurationChange& change = *message->mutable_change();
-  return configuration::Change{change.patch(), change.base(), std::move(*change.mutable_body())};
+  switch (message->command_case()) {
+    case wire::ConfigurationCommand::kRead:
+      return ReadCommand{};
+    case wire::ConfigurationCommand::kChange: {
+      wire::ConfigurationChange& change = *message->mutable_change();
+      return configuration::Change{change.patch(), change.base(), std::move(*change.mutable_body())};
+    }
+    case wire::ConfigurationCommand::kAcquireLease: {
+      const wire::AcquireLease& in = message->acquire_lease();
+      return duties::AcquireLease{in.duty(), in.holder(), in.expected_token(), in.minimum_token()};
+    }
+    case wire::ConfigurationCommand::kRecordUsage:
+      return FromWire(message->record_usage());
+    case wire::ConfigurationCommand::kUsageDelivered:
+      return duties::UsageDelivered{message->usage_delivered().window()};
+    case wire::ConfigurationCommand::COMMAND_NOT_SET:
+      break;
+  }
+  return DecodeErrc::kUnknownKind;
 }
 
 std::string Encode(const DeregistrationCommand& command) {
--- a/src/control/replication/commands.hpp
+++ b/src/control/replication/commands.hpp
@@ -9,6 +9,7 @@
 
 #include "common/result.hpp"
 #include "control/configuration/change.hpp"
+#include "control/duties/duty_table.hpp"
 #include "messages/instances.hpp"
 
 namespace violetwing {
@@ -22,7 +23,8 @@
 /// Changes nothing: once it is applied, so is every command that was committed before it (a read barrier).
 struct ReadCommand {};
 /// A command of the configuration's shard.
-using ConfigurationCommand = std::variant<ReadCommand, configuration::Change>;
+using ConfigurationCommand = std::variant<ReadCommand, configuration::Change, duties::AcquireLease,
+                                          duties::RecordUsage, duties::UsageDelivered>;
 
 /// A command of a service shard: the server drains, or is deregistered.
 struct DeregistrationCommand {
--- a/src/control/replication/shard_state_machines.cpp
+++ b/src/control/replication/shard_state_machines.cpp
@@ -16,6 +16,8 @@
 
 namespace {
 
+constexpr const char* kDutiesMember = "duties";
+
 // A committed command has the same outcome on every replica of a version, so this one has no effect on any.
 // Not an end of the process: it would be that of all of them, at each start again.
 void LogUndecodable(std::error_code error) {
@@ -35,18 +37,40 @@
 
 std::string ConfigurationStateMachine::Apply(const std::string& command) {
   const Result<ConfigurationCommand> decoded = DecodeConfigurationCommand(command);
-  if (!decoded) LogUndecodable(decoded.error());
-  const auto* change = decoded ? std::get_if<configuration::Change>(&decoded.value()) : nullptr;
-  if (change == nullptr) return {};
+  if (!decoded) {
+    LogUndecodable(decoded.error());
+    return {};
+  }
+  return std::visit([this](const auto& one) { return ApplyDecoded(one); }, decoded.value());
+}
+
+std::string ConfigurationStateMachine::ApplyDecoded(const configuration::Change& change) {
   const std::int64_t version_before = state_.version();
-  const configuration::ChangeOutcome outcome = state_.Apply(*change);
-  if (!change->patch && state_.version() != version_before) LogIgnoredMembers(state_);
+  const configuration::ChangeOutcome outcome = state_.Apply(change);
+  if (!change.patch && state_.version() != version_before) LogIgnoredMembers(state_);
   return json{{"outcome", outcome.status}, {"version", outcome.version}, {"problem", outcome.message}}.dump();
 }
 
+std::string ConfigurationStateMachine::Save() const {
+  json saved = state_.SaveObject();
+  saved[kDutiesMember] = duties_.Save();
+  return saved.dump();
+}
+
 std::error_code ConfigurationStateMachine::Load(const std::string& saved) {
-  if (!state_.Load(saved)) return ControlErrc::kUnreadableState;
-  return {};
+  try {
+    if (LoadDecoded(json::parse(saved))) return {};
+  } catch (const json::exception&) {  // reported like any other state that cannot be read
+  }
+  return ControlErrc::kUnreadableState;
+}
+
+bool ConfigurationStateMachine::LoadDecoded(const json& saved) {
+  if (!state_.LoadObject(saved)) return false;
+  duties_ = {};
+  // Snapshots of earlier versions have none.
+  if (saved.contains(kDutiesMember)) duties_.Load(saved.at(kDutiesMember));
+  return true;
 }
 
 configuration::ChangeOutcome ConfigurationStateMachine::DecodeAnswer(const std::string& answer) {
--- a/src/control/replication/shard_state_machines.hpp
+++ b/src/control/replication/shard_state_machines.hpp
@@ -3,24 +3,29 @@
 #define VIOLETWING_CONTROL_REPLICATION_SHARD_STATE_MACHINES_HPP_
 
 #include <functional>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <system_error>
 
 #include "control/configuration/state.hpp"
+#include "control/duties/duty_table.hpp"
 #include "control/instances/deregistrations.hpp"
+#include "control/replication/commands.hpp"
 #include "control/replication/state_machine.hpp"
 
 namespace violetwing {
 
-/// Applies ConfigurationCommand: a change by the operator, or a read, which changes nothing.
+/// Applies ConfigurationCommand: a change by the operator, a command of the duties, or a read, which changes
+/// nothing.
 class ConfigurationStateMachine : public StateMachine {
  public:
-  /// `state` outlives this object.
-  explicit ConfigurationStateMachine(configuration::State& state) : state_(state) {}
+  /// Both outlive this object.
+  ConfigurationStateMachine(configuration::State& state, duties::DutyTable& duties)
+      : state_(state), duties_(duties) {}
 
-  /// The answer to a change is for DecodeAnswer; that to a read or to an unreadable command is empty.
+  /// The answer to a change is for DecodeAnswer; that to any other command is empty.
   std::string Apply(const std::string& command) override;
-  std::string Save() const override { return state_.Save(); }
+  std::string Save() const override;
   std::error_code Load(const std::string& saved) override;
   std::size_t worked() const override { return state_.processed_bytes(); }
 
@@ -28,7 +33,17 @@
   static configuration::ChangeOutcome DecodeAnswer(const std::string& answer);
 
  private:
+  std::string ApplyDecoded(const ReadCommand&) { return {}; }
+  std::string ApplyDecoded(const configuration::Change& change);
+  template <class DutyCommand>
+  std::string ApplyDecoded(const DutyCommand& command) {
+    duties_.Apply(command);
+    return {};
+  }
+  bool LoadDecoded(const nlohmann::json& saved);
+
   configuration::State& state_;
+  duties::DutyTable& duties_;
 };
 
 /// Applies DeregistrationCommand: a server drains or is deregistered. Its answers are empty.
--- a/src/control/replication/shards.cpp
+++ b/src/control/replication/shards.cpp
@@ -35,7 +35,7 @@
   for (int shard = 0; shard <= kServiceShards; ++shard) {
     const auto number = static_cast<std::size_t>(shard);
     if (shard == kConfigurationShard) {
-      machines_.push_back(std::make_unique<ConfigurationStateMachine>(configuration_));
+      machines_.push_back(std::make_unique<ConfigurationStateMachine>(configuration_, duties_));
     } else {
       machines_.push_back(
           std::make_unique<DeregistrationStateMachine>(deregistrations_[number], outputs_.deregistered));
@@ -178,6 +178,12 @@
       });
 }
 
+void Shards::SubmitDutyCommand(const ConfigurationCommand& command, Micros now) {
+  const std::string encoded = Encode(command);
+  shards_.front()->SubmitIdempotent("duty/" + encoded, encoded, now, {kSubmitTimeout, kSubmitTimeout},
+                                    [](const Result<std::string>&) {});
+}
+
 void Shards::AwaitReadBarrier(Micros now, const DoneCallback& done) {
   const auto read = std::make_shared<PendingRead>(PendingRead{now, done});
   pending_reads_.push_back(read);
--- a/src/control/replication/shards.hpp
+++ b/src/control/replication/shards.hpp
@@ -17,8 +17,10 @@
 #include "common/time.hpp"
 #include "control/configuration/state.hpp"
 #include "control/consensus/membership.hpp"
+#include "control/duties/duty_table.hpp"
 #include "control/gossip/exchange_message.hpp"
 #include "control/instances/deregistrations.hpp"
+#include "control/replication/commands.hpp"
 #include "control/replication/replicated_state_machine.hpp"
 #include "control/replication/state_machine.hpp"
 #include "control/storage/shard_write.hpp"
@@ -100,6 +102,10 @@
   /// kDraining or kDeregistered as applied here; empty if the server has done neither.
   std::optional<Phase> Deregistered(const std::string& server_id) const;
   const configuration::State& configuration() const { return configuration_; }
+  /// Leases and decisions of the duties, as applied here.
+  const duties::DutyTable& duties() const { return duties_; }
+  /// Submits a command of the duties to the configuration's shard. It may be lost, or be applied twice.
+  void SubmitDutyCommand(const ConfigurationCommand& command, Micros now);
   /// The replica of the configuration's shard; its leader is also the placer.
   const consensus::Replica& configuration_replica() const { return shards_.front()->replica(); }
   /// Internal address of the configuration shard's leader; empty if unknown.
@@ -127,6 +133,7 @@
   const consensus::ReplicaId replica_id_;
   const Outputs outputs_;
   configuration::State configuration_;
+  duties::DutyTable duties_;
   std::vector<Deregistrations> deregistrations_;  // by shard; the first is unused
   std::vector<std::unique_ptr<StateMachine>> machines_;
   std::vector<std::unique_ptr<ReplicatedStateMachine>> shards_;
--- a/src/control/service/control_service.cpp
+++ b/src/control/service/control_service.cpp
@@ -25,8 +25,11 @@
 // A call without progress for so long has failed: its peer may be suspended or partitioned away.
 constexpr std::chrono::milliseconds kExchangeTimeout{500};
 constexpr std::chrono::milliseconds kOrderTimeout{800};
+constexpr std::chrono::milliseconds kPlatformTimeout{1000};
 constexpr std::chrono::seconds kIdleConnectionTimeout{30};
 constexpr const char* kExpectedInstanceHeader = "X-Violetwing-Expected-Instance";
+constexpr const char* kLeaseHolderHeader = "X-Violetwing-Lease-Holder";
+constexpr const char* kFencingTokenHeader = "X-Violetwing-Fencing-Token";
 
 std::string RandomId() {
   std::random_device device;
@@ -135,8 +138,9 @@
   outputs.exchange = [this](const std::string& address, const ExchangeRequest& request) {
     BeginExchange(address, request);
   };
-  outputs.order = [this](const PlacementCall& order, consensus::Term token) { SendOrder(order, token); };
+  outputs.order = [this](const PlacementCall& order, duties::FencingToken token) { SendOrder(order, token); };
   outputs.ask_report = [this](const PlacementCall& call) { RequestReport(call); };
+  outputs.call_platform = [this](const duties::PlatformCall& call) { CallPlatform(call); };
   outputs.failed = [this](int shard, std::error_code error) { OnShardFailed(shard, error); };
   return outputs;
 }
@@ -158,6 +162,8 @@
 }
 
 void ControlService::Tick() {
+  const auto time_of_day = std::chrono::system_clock::now().time_since_epoch();
+  core_->OnClock(std::chrono::duration_cast<std::chrono::microseconds>(time_of_day).count(), SteadyMicros());
   core_->Tick(SteadyMicros());
   client_.CloseIdle(kIdleConnectionTimeout);
   ScheduleOrders();
@@ -200,12 +206,16 @@
                http::BodyType::kBinary);
 }
 
-void ControlService::SendOrder(const PlacementCall& order, consensus::Term fencing_token) {
+void ControlService::SendOrder(const PlacementCall& order, duties::FencingToken token) {
+  if (core_->Grant(duties::Duty::kPlacement, SteadyMicros()) != token) {
+    spdlog::info("order not sent, the lease has ended instance={} token={}", order.instance, token);
+    return;
+  }
   const bool load = order.kind == PlacementCall::Kind::kLoad;
   json body{{"operation", load ? "load_model" : "unload_model"},
             {"model", order.model},
             {"lease_holder", settings_.node_name},
-            {"fencing_token", fencing_token}};
+            {"fencing_token", token}};
   if (!order.adapter.empty()) body["adapter"] = order.adapter;
   if (order.if_revision) body["if_revision"] = *order.if_revision;
   client_.Call(order.address, "POST", "/api/order", body.dump(), kOrderTimeout,
@@ -218,6 +228,19 @@
                {{kExpectedInstanceHeader, order.instance}});
 }
 
+void ControlService::CallPlatform(const duties::PlatformCall& call) {
+  const auto done = [this, call](int status) {
+    spdlog::info("platform call path={} subject={} token={} status={}", call.path, call.subject, call.token,
+                 status);
+    core_->OnPlatformAnswered(call, status, SteadyMicros());
+  };
+  if (core_->Grant(call.duty, SteadyMicros()) != call.token) return done(0);
+  client_.Call(
+      settings_.platform_address, "POST", call.path, call.body, kPlatformTimeout,
+      [done](int status, const std::string&) { done(status); },
+      {{kLeaseHolderHeader, settings_.node_name}, {kFencingTokenHeader, std::to_string(call.token)}});
+}
+
 void ControlService::RequestReport(const PlacementCall& call) {
   client_.Call(call.address, "GET", "/api/report", {}, kOrderTimeout,
                [this, instance = call.instance](int status, const std::string& body) {
--- a/src/control/service/control_service.hpp
+++ b/src/control/service/control_service.hpp
@@ -67,7 +67,9 @@
   static void ScheduleBeforeTick(event* one, std::optional<std::int64_t> due);
   void OnWritesDurable();
   void BeginExchange(const std::string& address, const ExchangeRequest& request);
-  void SendOrder(const PlacementCall& order, consensus::Term fencing_token);
+  // Leaves out a call if the lease has ended since it was decided on.
+  void SendOrder(const PlacementCall& order, duties::FencingToken token);
+  void CallPlatform(const duties::PlatformCall& call);
   void RequestReport(const PlacementCall& call);
 
   event_base* const base_;
--- a/src/dataplane/control_client/control_link.cpp
+++ b/src/dataplane/control_client/control_link.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <chrono>
 #include <exception>
+#include <random>
 #include <utility>
 
 #include "common/http_client.hpp"
@@ -29,6 +30,12 @@
   return settings.revoke_ms * kMicrosPerMs;
 }
 
+// Unique to this run of the sidecar.
+std::string ReporterName(const std::string& node) {
+  std::random_device device;
+  return node + "/" + std::to_string(device()) + std::to_string(device());
+}
+
 }  // namespace
 
 ControlLink::ControlLink(boost::asio::io_context& io, const NodeSettings& settings,
@@ -41,7 +48,8 @@
       demand_channel_(io, kProgressTimeout),
       key_lifetime_(KeyLifetime(settings)),
       view_(settings.node_name, settings.InternalAddress()),
-      selector_(settings.zone, settings.node_name) {
+      selector_(settings.zone, settings.node_name),
+      usage_(ReporterName(settings.node_name), settings.report_window_ms * kMicrosPerMs) {
   Reload(settings);
 }
 
@@ -65,7 +73,10 @@
   if (stopped_) return;
   const auto endpoint = ParseEndpoint(selector_.Current(view_.controls()));
   if (!endpoint) return OnWatched(0, {});
-  watch_channel_.Post(*endpoint, kWatchPath, Encode(view_.NextWatchRequest(kLongPollMs, TakeDemand())),
+  WatchRequest request = view_.NextWatchRequest(kLongPollMs, TakeDemand());
+  usage_in_flight_ = usage_.TakeReport(SteadyMicros());
+  request.usage = usage_in_flight_;
+  watch_channel_.Post(*endpoint, kWatchPath, Encode(request),
                       [this](int status, const std::string& body) { OnWatched(status, body); });
 }
 
@@ -77,6 +88,7 @@
     boost::asio::post(io_, [this] { Watch(); });
     return;
   }
+  usage_.OnFailed(usage_in_flight_);
   selector_.OnFailed(view_.controls(), SteadyMicros());
   retry_timer_.expires_after(kRetryDelay);
   retry_timer_.async_wait([this](const boost::system::error_code& error) {
@@ -91,6 +103,7 @@
     return false;
   }
   try {
+    if (reply->true_time) usage_.OnTrueTime(*reply->true_time, SteadyMicros());
     if (view_.Apply(*reply)) on_directory_(view_.MakeDirectory());
     return true;
   } catch (const std::exception& error) {  // a configuration of another form than ours
--- a/src/dataplane/control_client/control_link.hpp
+++ b/src/dataplane/control_client/control_link.hpp
@@ -19,6 +19,7 @@
 #include "dataplane/control_client/control_process_selector.hpp"
 #include "dataplane/control_client/system_view.hpp"
 #include "dataplane/directory/directory.hpp"
+#include "dataplane/usage/usage_counter.hpp"
 #include "messages/watch.hpp"
 
 namespace violetwing {
@@ -54,6 +55,9 @@
   /// Adds to the demand that is reported next.
   void CountDemand(const ModelDemand& demand, DemandUrgency urgency);
 
+  /// A server has begun to run a request of this tenant.
+  void CountUsage(const std::string& tenant, Micros began_at) { usage_.Count(tenant, began_at); }
+
   /// Addresses of the sidecars to which this one sends its load reports.
   const std::vector<std::string>& neighbors() const { return view_.neighbors(); }
 
@@ -82,6 +86,8 @@
   SystemView view_;
   ControlProcessSelector selector_;
   std::map<std::pair<std::string, std::string>, ModelDemand> demand_;
+  UsageCounter usage_;
+  UsageReport usage_in_flight_;  // of the watch in flight
 };
 
 }  // namespace violetwing
--- a/src/dataplane/routing/request_router.cpp
+++ b/src/dataplane/routing/request_router.cpp
@@ -239,6 +239,7 @@
   // Retried only after the complete response, so that its connection can be reused.
   if (attempt_.IsRejected()) return;
   may_have_executed_ = true;
+  CountUsage();
   if (MayMeanNotExecuted(head.status) && !IsIdempotent()) {
     // The server does not say that it did not execute the request, but the status would say so to the client.
     attempt_.exchange->Cancel();
@@ -251,6 +252,14 @@
   client_->SendHead(head.status, head.reason, head.fields, head.length, head.bodiless);
 }
 
+// A stream begins to run with its first event, other requests as soon as a server has them.
+void RequestRouter::CountUsage() {
+  if (tenant_ == nullptr || plane_.link == nullptr) return;
+  const bool streaming = route_->type == configuration::RouteType::kStreaming;
+  const Clock::time_point began_at = streaming ? Clock::now() : attempt_.sent_at;
+  plane_.link->CountUsage(tenant_->name, duration_cast<microseconds>(began_at.time_since_epoch()).count());
+}
+
 void RequestRouter::OnData(std::string_view data) {
   if (attempt_.IsRejected() || finished_) return;
   client_->SendData(data);
--- a/src/dataplane/routing/request_router.hpp
+++ b/src/dataplane/routing/request_router.hpp
@@ -66,6 +66,7 @@
 
   // Events of the attempt in flight.
   void OnHead(const ResponseHead& head);
+  void CountUsage();
   void OnData(std::string_view data);
   void OnExchangeEnd(ExchangeEnd end);
   void OnComplete();
--- a/src/messages/watch.cpp
+++ b/src/messages/watch.cpp
@@ -17,6 +17,7 @@
   out.set_address(request.load_report_address);
   out.set_neighbors_hash(request.neighbors_hash);
   out.set_takes_patches(request.accepts_patches);
+  if (!request.usage.reporter.empty()) ToWire(request.usage, *out.mutable_usage());
   return out.SerializeAsString();
 }
 
@@ -34,6 +35,7 @@
   request.load_report_address = in->address();
   request.neighbors_hash = in->neighbors_hash();
   request.accepts_patches = in->takes_patches();
+  if (in->has_usage()) request.usage = FromWire(in->usage());
   return request;
 }
 
@@ -53,6 +55,7 @@
   out.mutable_neighbors()->set_hash(reply.neighbors.hash);
   for (const std::string& address : reply.neighbors.addresses)
     out.mutable_neighbors()->add_addresses(address);
+  if (reply.true_time) out.set_true_time(*reply.true_time);
   return out.SerializeAsString();
 }
 
@@ -73,6 +76,7 @@
   reply.sidecar_count = in->sidecars();
   reply.neighbors.hash = in->neighbors().hash();
   reply.neighbors.addresses.assign(in->neighbors().addresses().begin(), in->neighbors().addresses().end());
+  if (in->has_true_time()) reply.true_time = in->true_time();
   return reply;
 }
 
--- a/src/messages/watch.hpp
+++ b/src/messages/watch.hpp
@@ -12,6 +12,7 @@
 #include "messages/control_node.hpp"
 #include "messages/decode.hpp"
 #include "messages/instances.hpp"
+#include "messages/usage.hpp"
 
 namespace violetwing {
 
@@ -32,6 +33,7 @@
   std::uint64_t neighbors_hash = 0;  ///< of the neighbors that it knows
   /// It can apply patches in place of the complete configuration. Earlier versions of the sidecar can not.
   bool accepts_patches = false;
+  UsageReport usage;  ///< counts that have risen since the last report; without a reporter if there are none
 };
 
 /// The sidecars whose windows of servers are next to the caller's: they send to the same servers.
@@ -55,6 +57,9 @@
   int window_position = 0;  ///< of the caller among the sidecars, from 0
   int sidecar_count = 1;
   Neighbors neighbors;  ///< without addresses if the caller's hash is the same
+  /// The time of day by the clocks of several machines, in microseconds since the start of 1970; empty from
+  /// earlier versions.
+  std::optional<std::int64_t> true_time;
 };
 
 /// Messages as bodies of internal calls (protocol buffers, internal.proto).
--- a/src/messages/wire_conversion.cpp
+++ b/src/messages/wire_conversion.cpp
@@ -137,4 +137,21 @@
   return out;
 }
 
+void ToWire(const UsageReport& report, wire::UsageReport& out) {
+  out.set_reporter(report.reporter);
+  for (const UsageCount& one : report.counts) {
+    wire::UsageCount& count = *out.add_counts();
+    count.set_window(one.window);
+    count.set_tenant(one.tenant);
+    count.set_count(one.count);
+  }
+}
+
+UsageReport FromWire(const wire::UsageReport& in) {
+  UsageReport report{in.reporter(), {}};
+  for (const wire::UsageCount& one : in.counts())
+    report.counts.push_back({one.window(), one.tenant(), one.count()});
+  return report;
+}
+
 }  // namespace violetwing
--- a/src/messages/wire_conversion.hpp
+++ b/src/messages/wire_conversion.hpp
@@ -7,12 +7,14 @@
 
 #include "messages/control_node.hpp"
 #include "messages/instances.hpp"
+#include "messages/usage.hpp"
 
 namespace violetwing::wire {
 class ControlNode;
 class ControlNodes;
 class Demand;
 class Instances;
+class UsageReport;
 class VersionVector;
 }  // namespace violetwing::wire
 
@@ -25,6 +27,7 @@
 void ToWire(const std::vector<ModelDemand>& demand, wire::Demand& out);
 void ToWire(const ControlNode& node, wire::ControlNode& out);
 void ToWire(const std::vector<ControlNode>& nodes, wire::ControlNodes& out);
+void ToWire(const UsageReport& report, wire::UsageReport& out);
 
 /// The reverse of ToWire. All required fields are there: Parse has checked that.
 std::vector<Instance> FromWire(const wire::Instances& in);
@@ -32,6 +35,7 @@
 std::vector<ModelDemand> FromWire(const wire::Demand& in);
 ControlNode FromWire(const wire::ControlNode& in);
 std::vector<ControlNode> FromWire(const wire::ControlNodes& in);
+UsageReport FromWire(const wire::UsageReport& in);
 
 }  // namespace violetwing
 
--- a/tests/control/system_test.cpp
+++ b/tests/control/system_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -455,12 +456,12 @@
 }
 
 TEST_CASE(
-    "System: an exchange without one of its fields is rejected, except the incarnations that earlier "
-    "versions lack") {
+    "System: an exchange without one of its fields is rejected, except those that earlier versions lack") {
   const wire::ExchangeRequest form;
   for (const auto* field : testing::FieldsOf(form)) {
     INFO(field->name());
-    const bool optional = field->name() == "source" || field->name() == "changed_for";
+    const std::set<std::string> of_later_versions{"source", "changed_for", "usage", "wants_usage"};
+    const bool optional = of_later_versions.count(field->name()) > 0;
     const std::string part = testing::Without(form, field, Encode(ExchangeRequest()));
     CHECK(Decode<ExchangeRequest>(part).has_value() == optional);
   }
--- a/tests/testing/virtual_system.hpp
+++ b/tests/testing/virtual_system.hpp
@@ -62,7 +62,18 @@
     std::int64_t highest_version = 0;  ///< of the configurations that it has had
   };
 
-  VirtualSystem(std::size_t controls, std::size_t sidecars, std::uint64_t seed) : random_(seed) {
+  /// How the system departs from an ordinary one.
+  struct Options {
+    bool reports_usage = false;
+    std::int64_t lease_ms = 1000;
+    std::int64_t report_window_ms = 1000;
+    std::int64_t usage_delay_ms = 2000;
+  };
+
+  VirtualSystem(std::size_t controls, std::size_t sidecars, std::uint64_t seed)
+      : VirtualSystem(controls, sidecars, seed, Options()) {}
+  VirtualSystem(std::size_t controls, std::size_t sidecars, std::uint64_t seed, Options options)
+      : options_(options), random_(seed) {
     for (std::size_t i = 0; i < controls; ++i) {
       Control control;
       control.address = "10.0.0." + std::to_string(i + 1) + ":100";
@@ -98,6 +109,11 @@
   std::function<void(std::size_t control, const ShardWrite&)> on_write;
   std::function<void(std::size_t control, const PlacementCall&, consensus::Term fencing_token)> on_order;
   std::function<void(std::size_t control, const PlacementCall&)> on_report_request;
+  /// The platform; `done` may be called later, once.
+  std::function<void(std::size_t control, const duties::PlatformCall&, std::function<void(int status)> done)>
+      on_platform_call;
+  /// Error of a control process's clock of the time of day.
+  std::map<std::size_t, Micros> clock_errors;
 
   // ---- Faults ----
 
@@ -111,7 +127,10 @@
     settings.control_plane = control.public_address;
     for (const Control& one : controls_) settings.seeds.push_back(one.public_address);
     settings.heartbeat_ms = 500;
-    settings.lease_ms = 1000;
+    settings.lease_ms = options_.lease_ms;
+    settings.reports_usage = options_.reports_usage;
+    settings.report_window_ms = options_.report_window_ms;
+    settings.usage_delay_ms = options_.usage_delay_ms;
     ControlCore::Outputs outputs;
     outputs.write = [this, i](ShardWrite write, std::uint64_t token) {
       if (on_write) on_write(i, write);
@@ -132,6 +151,13 @@
     outputs.ask_report = [this, i](const PlacementCall& call) {
       if (on_report_request) on_report_request(i, call);
     };
+    outputs.call_platform = [this, i](const duties::PlatformCall& call) {
+      if (!on_platform_call) return;
+      on_platform_call(i, call, [this, i, call, incarnation = controls_[i].incarnation](int status) {
+        if (controls_[i].core != nullptr && controls_[i].incarnation == incarnation)
+          controls_[i].core->OnPlatformAnswered(call, status, now_);
+      });
+    };
     outputs.failed = [this, i](int shard, std::error_code error) {
       violations_.push_back("control " + std::to_string(i) + " shard " + std::to_string(shard) + ": " +
                             error.message());
@@ -168,10 +194,12 @@
   /// Calls `act` after a delay.
   void After(Micros delay, std::function<void()> act) { At(now_ + delay, std::move(act)); }
 
-  /// A watch with nothing known, as of a sidecar that has just started.
-  void CallWatch(std::size_t i, std::function<void(int status, const std::string&)> done) {
+  /// A watch with nothing known, as of a sidecar that has just started, with what it has counted.
+  void CallWatch(std::size_t i, std::function<void(int status, const std::string&)> done,
+                 UsageReport usage = {}) {
     WatchRequest request;
     request.node = "edge-new";
+    request.usage = std::move(usage);
     Carry("outside", i, {"POST", kWatchPath, Encode(request), {}}, /*internal=*/true, std::move(done));
   }
   /// `done` gets an HTTP status, 0 if there was no answer.
@@ -287,6 +315,7 @@
     for (std::size_t i = 0; i < controls_.size(); ++i) {
       if (!Up(i) || controls_[i].frozen_until > now_) continue;
       FinishWrites(controls_[i]);
+      controls_[i].core->OnClock(now_ + clock_errors[i], now_);
       if (now_ % kTick == 0)
         controls_[i].core->Tick(now_);
       else if (controls_[i].core->NextElectionAt().value_or(now_ + 1) <= now_)
@@ -332,6 +361,7 @@
     sidecar.highest_version = std::max(sidecar.highest_version, sidecar.view->version());
   }
 
+  const Options options_;
   Micros now_ = 1'000'000;
   Random random_;
   std::vector<Control> controls_;
