Send each order at once, on a connection that carries no other call

Cause, by reading and by a test: calls to one address stood in a queue of one connection. An order behind a report that timed out was sent later, by up to twice the call's limit, on a connection that was opened anew and on which a reset at close was not asked for: after its own time limit the kernel went on to deliver it. A successor may have ordered the same server by then. Class: a time limit that bounds a call from when it is sent, not from the decision on it.

Change: a connection carries one call at a time; another one is opened where none is idle.

--- a/src/control/api/http_client.cpp
+++ b/src/control/api/http_client.cpp
@@ -17,24 +17,28 @@
   for (auto& [address, connection] : connections_) evhttp_connection_free(connection->handle);
 }
 
+Client::ConnectionPtr Client::IdleConnection(const std::string& address) {
+  const auto [begin, end] = connections_.equal_range(address);
+  for (auto it = begin; it != end; ++it)
+    if (!it->second->busy) return it->second;
+  const std::optional<HostPort> parsed = ParseHostPort(address);
+  if (!parsed) return nullptr;
+  auto connection = std::make_shared<Connection>();
+  connection->handle = evhttp_connection_base_new(base_, nullptr, parsed->host.c_str(), parsed->port);
+  connections_.emplace(address, connection);
+  return connection;
+}
+
 void Client::Call(const std::string& address, const std::string& method, const std::string& path,
                   std::string body, std::chrono::milliseconds timeout, ResponseCallback done,
                   const Headers& extra, BodyType type) {
-  std::shared_ptr<Connection>& connection = connections_[address];
-  if (connection == nullptr) {
-    const std::optional<HostPort> parsed = ParseHostPort(address);
-    if (!parsed) {
-      connections_.erase(address);
-      return done(0, {});
-    }
-    connection = std::make_shared<Connection>();
-    connection->handle = evhttp_connection_base_new(base_, nullptr, parsed->host.c_str(), parsed->port);
-  }
+  const ConnectionPtr connection = IdleConnection(address);
+  if (connection == nullptr) return done(0, {});
   const timeval limit{static_cast<time_t>(timeout.count() / 1000),
                       static_cast<suseconds_t>(timeout.count() % 1000 * 1000)};
   evhttp_connection_set_timeout_tv(connection->handle, &limit);
   connection->last_used_at = std::chrono::steady_clock::now();
-  ++connection->pending_requests;
+  connection->busy = true;
   evhttp_request* request =
       evhttp_request_new(&Client::OnDone, new PendingRequest{connection, std::move(done)});
   evkeyvalq* headers = evhttp_request_get_output_headers(request);
@@ -58,7 +62,7 @@
 
 void Client::OnDone(evhttp_request* request, void* pending) {
   const std::unique_ptr<PendingRequest> call(static_cast<PendingRequest*>(pending));
-  if (const auto connection = call->connection.lock()) --connection->pending_requests;
+  if (const auto connection = call->connection.lock()) connection->busy = false;
   const int status = request == nullptr ? 0 : evhttp_request_get_response_code(request);
   call->done(status, status == 0 ? std::string() : TakeBody(request));
 }
@@ -66,7 +70,7 @@
 void Client::CloseIdle(std::chrono::seconds max_idle) {
   const auto now = std::chrono::steady_clock::now();
   for (auto it = connections_.begin(); it != connections_.end();) {
-    const bool idle = it->second->pending_requests == 0 && now - it->second->last_used_at > max_idle;
+    const bool idle = !it->second->busy && now - it->second->last_used_at > max_idle;
     if (idle) evhttp_connection_free(it->second->handle);
     it = idle ? connections_.erase(it) : std::next(it);
   }
--- a/src/control/api/http_client.hpp
+++ b/src/control/api/http_client.hpp
@@ -1,4 +1,4 @@
-// An HTTP client over libevent's evhttp that keeps one connection to each address.
+// An HTTP client over libevent's evhttp that keeps connections open between calls.
 #ifndef VIOLETWING_CONTROL_API_HTTP_CLIENT_HPP_
 #define VIOLETWING_CONTROL_API_HTTP_CLIENT_HPP_
 
@@ -28,9 +28,9 @@
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
 
-  /// Sends a request to an address host:port; requests to one address are sent one after the other.
-  /// `timeout` bounds each wait without progress: for the connection, and for the response. A request that
-  /// times out resets its connection, so that the peer does not receive it later.
+  /// Sends a request to an address host:port, at once: a connection carries one request at a time, so that
+  /// none waits for another. `timeout` bounds each wait without progress: for the connection, and for the
+  /// response. A request that times out resets its connection, so that the peer does not receive it later.
   void Call(const std::string& address, const std::string& method, const std::string& path, std::string body,
             std::chrono::milliseconds timeout, ResponseCallback done, const Headers& headers = {},
             BodyType type = BodyType::kJson);
@@ -40,18 +40,22 @@
  private:
   struct Connection {
     evhttp_connection* handle = nullptr;
-    std::size_t pending_requests = 0;
+    bool busy = false;
     std::chrono::steady_clock::time_point last_used_at;
   };
   struct PendingRequest {
     std::weak_ptr<Connection> connection;
     ResponseCallback done;
   };
+  using ConnectionPtr = std::shared_ptr<Connection>;
+
+  // A connection without a pending request; null if the address cannot be read.
+  ConnectionPtr IdleConnection(const std::string& address);
   static void OnDone(evhttp_request* request, void* pending);
   static void ResetOnClose(evhttp_connection* connection);
 
   event_base* base_;
-  std::map<std::string, std::shared_ptr<Connection>> connections_;
+  std::multimap<std::string, ConnectionPtr> connections_;  // by address
 };
 
 }  // namespace violetwing::http
--- a/tests/control/api/http_client_test.cpp
+++ b/tests/control/api/http_client_test.cpp
@@ -37,7 +37,7 @@
   SilentPeer& operator=(const SilentPeer&) = delete;
   const std::string& address() const { return address_; }
 
-  // The error with which the one connection ends, 0 for a plain end.
+  // The error with which the next connection ends, 0 for a plain end.
   int EndOfConnection() const {
     const int connection = accept(listener_, nullptr, nullptr);
     char bytes[4096];
@@ -74,4 +74,20 @@
   }
 }
 
+TEST_CASE("ONE: an order behind a call that times out does not outlive its own time limit") {
+  const std::unique_ptr<event_base, void (*)(event_base*)> base(event_base_new(), event_base_free);
+  const SilentPeer peer;
+  int ended = 0;
+  Client client(base.get());
+  for (int i = 0; i < 2; ++i)
+    client.Call(peer.address(), "POST", "/api/order", std::string(kLargeBody, 'x'), kTimeout,
+                [&](int status, const std::string&) {
+                  CHECK(status == 0);
+                  if (++ended == 2) event_base_loopbreak(base.get());
+                });
+  event_base_dispatch(base.get());
+  CHECK(peer.EndOfConnection() == ECONNRESET);
+  CHECK(peer.EndOfConnection() == ECONNRESET);
+}
+
 }  // namespace violetwing::http
