--- a/tests/control/duties/holders_test.cpp
+++ b/tests/control/duties/holders_test.cpp
@@ -28,9 +28,9 @@
 // Control processes whose holder reports usage to a stand-in of the platform.
 class DutyDay {
  public:
-  DutyDay(std::size_t controls, std::uint64_t seed)
-      : system(controls, 1, seed, {true, kLease / kMs, kWindow / kMs, kDelay / kMs}),
-        platform(kLease),
+  DutyDay(std::size_t controls, std::uint64_t seed, Micros lease = kLease)
+      : system(controls, 1, seed, {true, lease / kMs, kWindow / kMs, kDelay / kMs}),
+        platform(lease),
         random(seed, "duties") {
     system.on_platform_call = [this](std::size_t control, const duties::PlatformCall& call, auto done) {
       const Micros delay = random.Uniform() < late_share ? Drawn(kLongestCall) : kMs;
@@ -123,6 +123,20 @@
     if (!day.system.Up(i)) day.system.Start(i);
 }
 
+void PlayDrawnFaults(DutyDay& day) {
+  day.late_share = 0.1;
+  day.lost_share = 0.3;
+  day.system.Run(6 * kSecond);
+  for (int round = 0; round < 6; ++round) {
+    day.RunAndCount(day.Drawn(2 * kSecond));
+    Disturb(day);
+    day.RunAndCount(day.Drawn(3 * kSecond));
+    Recover(day);
+  }
+  day.lost_share = 0;
+  day.system.Run(15 * kSecond);
+}
+
 }  // namespace
 
 TEST_CASE("Duties: usage is reported once for each window, with all that was counted") {
@@ -195,17 +209,7 @@
   for (std::uint64_t seed = 1; seed <= Schedules(); ++seed) {
     INFO("seed " << seed);
     DutyDay day(seed % 2 == 0 ? 5 : 3, seed);
-    day.late_share = 0.1;
-    day.lost_share = 0.3;
-    day.system.Run(6 * kSecond);
-    for (int round = 0; round < 6; ++round) {
-      day.RunAndCount(day.Drawn(2 * kSecond));
-      Disturb(day);
-      day.RunAndCount(day.Drawn(3 * kSecond));
-      Recover(day);
-    }
-    day.lost_share = 0;
-    day.system.Run(15 * kSecond);
+    PlayDrawnFaults(day);
     INFO((day.platform.violations().empty() ? std::string() : day.platform.violations().front()));
     CHECK(day.platform.violations().empty());
     CHECK(day.system.violations().empty());
@@ -216,4 +220,18 @@
   WARN("calls to the platform " << calls << ", windows reported " << windows);
 }
 
+TEST_CASE("Drawn schedules of duties: a lease that is longer than a change of the holder keeps them apart") {
+  constexpr Micros kLongLease = 12 * kSecond;
+  for (std::uint64_t seed = 1; seed <= Schedules() / 2; ++seed) {
+    INFO("seed " << seed);
+    DutyDay day(3, seed, kLongLease);
+    day.platform.down = true;  // so that holders call as often as they may
+    day.system.Run(kLongLease);
+    PlayDrawnFaults(day);
+    INFO((day.platform.violations().empty() ? std::string() : day.platform.violations().front()));
+    CHECK(day.platform.violations().empty());
+    CHECK_FALSE(day.platform.arrivals(Duty::kUsage).empty());
+  }
+}
+
 }  // namespace violetwing
