Have no order due in a process that has lost the placement lease

What callers would see: a control process that was the placer once spends its share of the processor on nothing: the next order of its last plan stays due, and the event for it is scheduled again and again without a wait.

Cause: with the role keeps its token when the lease goes, and the time of the next call was given as long as there was a token.

Change: the time is given only while the process holds the lease.

--- a/src/control/core/control_core.hpp
+++ b/src/control/core/control_core.hpp
@@ -107,8 +107,11 @@
   /// The end of an exchange of this process. `reply` is empty without one that could be decoded.
   void OnExchangeReply(const std::string& address, const std::optional<ExchangeReply>& reply, Micros now);
 
-  /// When the next order to a server is due, for a call of `OnOrdersDue` then; empty if none is.
-  std::optional<Micros> NextOrderAt() const { return placer_.NextDueAt(); }
+  /// When the next order to a server is due, for a call of `OnOrdersDue` then; empty if none is, or if another
+  /// process has to make it.
+  std::optional<Micros> NextOrderAt() const {
+    return Grant(duties::Duty::kPlacement, now_) ? placer_.NextDueAt() : std::nullopt;
+  }
   void OnOrdersDue(Micros now);
   /// The end of an order. `status`: the HTTP status, 0 without a response.
   void OnOrderResponse(const PlacementCall& order, int status, Micros now);
--- a/src/control/placement/placer_role.hpp
+++ b/src/control/placement/placer_role.hpp
@@ -33,7 +33,7 @@
   /// Makes the calls that are due. To be called only while this process holds the lease under `token`.
   void Tick(duties::FencingToken token, const configuration::State& configuration, InstanceTable& table,
             Micros now);
-  /// When the next call is due; empty if none is, or if this process has not been the placer.
+  /// When the next call is due, as far as this process still holds the lease; empty if none is.
   std::optional<Micros> NextDueAt() const { return token_ == 0 ? std::nullopt : placer_.NextDueAt(); }
   /// Handles the answer to an order: its HTTP status, 0 for no answer.
   void OnOrderAnswered(const PlacementCall& call, int http_status, Micros now) {
--- a/tests/control/duties/holders_test.cpp
+++ b/tests/control/duties/holders_test.cpp
@@ -187,6 +187,43 @@
   CHECK(day.platform.violations().empty());
 }
 
+TEST_CASE("Duties: a process that has lost the placement lease has no order due") {
+  DutyDay day(3, 11);
+  std::size_t placer = 0;
+  // The server answers no request for its report, so that another one is always due.
+  day.system.on_report_request = [&](std::size_t control, const PlacementCall& call) {
+    placer = control;
+    day.system.After(kMs, [&day, control, id = call.instance] {
+      day.system.control(control).core->OnServerReport(id, std::nullopt, day.system.now());
+    });
+  };
+  const auto call = [&](const std::string& method, const std::string& path, const nlohmann::json& body) {
+    for (std::size_t i = 0; i < day.system.controls(); ++i)
+      day.system.CallPublic(i, method, path, body.dump(), 0, [](int, const std::string&) {});
+  };
+  day.system.Run(2 * kSecond);
+  const nlohmann::json model{{"name", "m"}, {"weights_mb", 1}, {"load_time_s", 1}};
+  const nlohmann::json runtime{{"weights_mb", 10}, {"models", {model}}};
+  call("PUT", "/api/configuration",
+       {{"version", 1},
+        {"routes", nlohmann::json::array()},
+        {"backends", {{{"name", "s"}, {"runtime", runtime}}}}});
+  nlohmann::json server{{"backend", "s"}, {"address", "10.1.0.1:80"}, {"sequence", 1}};
+  const auto holds = [&](std::size_t i) { return day.system.control(i).core->NextOrderAt().has_value(); };
+  REQUIRE(day.system.RunUntil(
+      [&] {
+        server["sequence"] = day.system.now();
+        call("PUT", "/api/instances/i-1", server);
+        return holds(placer);
+      },
+      10 * kSecond));
+  const std::size_t first = placer;
+  day.system.Freeze(first, 2 * kSecond);
+  day.system.Run(3 * kSecond);
+  CHECK_FALSE(day.system.control(first).core->Grant(Duty::kPlacement, day.system.now()));
+  CHECK_FALSE(holds(first));
+}
+
 TEST_CASE("Duties: windows follow the median of the clocks while one of them jumps") {
   DutyDay day(3, 9);
   day.system.Run(6 * kSecond);
