Bound what duties leave behind, by a review of the change

What callers would see, each found by a reviewer's reading and not by a run: memory that grows with each window of usage on all processes but the holder, and a whole table in one answer; holders A, B, A within lease_ms if A's last call arrived late; a call with the lower token after the higher one where the old holder's event loop is busy for 0.1 s; a usage report decided on from the empty table of a peer that had just started; an order dropped for want of the lease that counted as in flight for 12 s; 503 on public routes, and 401 by a sidecar that could not read the newest configuration; a key that is not a text in a finding.

Cause: a bound on sending in place of one on arrival, and soft state without an end.

Change: counts go once their window is decided on; the wait begins where the last call can have arrived; calls to the platform have the orders' time limit of 0.8 s, and 0.5 s of slack; usage is asked of each peer, and again after an exchange that failed; a dropped call ends at the next turn; being in touch needs the newest configuration and is counted from the sending of the watch; values that cannot be read are not repeated.

--- a/src/control/configuration/parser.cpp
+++ b/src/control/configuration/parser.cpp
@@ -5,13 +5,22 @@
 #include "generated/configuration.pb.h"
 
 namespace violetwing::configuration {
+namespace {
+
+// The library quotes values that it cannot convert, which may be keys.
+std::string WithoutValue(const std::string& message) {
+  const std::size_t value = message.find("invalid value");
+  return value == std::string::npos ? message : message.substr(0, value) + "has the wrong type";
+}
+
+}  // namespace
 
 std::optional<Finding> ParseMessage(const std::string& json, proto::Configuration& out) {
   google::protobuf::util::JsonParseOptions options;
   options.ignore_unknown_fields = true;
   const auto status = google::protobuf::util::JsonStringToMessage(json, &out, options);
   if (status.ok()) return std::nullopt;
-  return Finding{FindingCode::kUnreadable, "document", std::string(status.message())};
+  return Finding{FindingCode::kUnreadable, "document", WithoutValue(std::string(status.message()))};
 }
 
 }  // namespace violetwing::configuration
--- a/src/control/core/control_core.cpp
+++ b/src/control/core/control_core.cpp
@@ -21,9 +21,10 @@
 constexpr Micros kLastSeenWindow = 600'000;
 // The least replication factor of a shard.
 constexpr int kMinReplicas = 3;
-// From the decision on an order or a call to the platform until it can no longer arrive: the calls' time
-// limits for the connection and for the response (control_service.cpp), and some slack.
-constexpr Micros kCallTimeLimit = 2'100'000;
+// From the decision on an order or a call to the platform until it can no longer arrive. Timers fire late
+// while the event loop is busy.
+constexpr Micros kBusyLoopSlack = 500'000;
+constexpr Micros kCallTimeLimit = 2 * duties::kCallTimeout + kBusyLoopSlack;
 // Without contact with a quorum for longer, calls that need one are rejected at once. An election takes less,
 // and calls wait for its end.
 constexpr Micros kElectionGrace = 1'500'000;
@@ -75,10 +76,12 @@
     request.disk = shards_.replica_id();
     request.version_vector = table_.version_vector();
     request.shards_to_join = shards_.ShardsToJoin(now_);
-    request.wants_usage = !usage_synchronized_;
     if (peer_versions != nullptr) request.changed_instances = table_.ChangedSince(*peer_versions);
   };
-  outputs.exchange = outputs_.exchange;
+  outputs.exchange = [this](const std::string& address, ExchangeRequest request) {
+    request.wants_usage = usage_sources_.count(address) == 0;
+    outputs_.exchange(address, std::move(request));
+  };
   return outputs;
 }
 
@@ -244,7 +247,9 @@
                                   Micros now) {
   now_ = now;
   gossip_.OnExchangeEnded(address, reply.has_value(), now);
+  if (!reply) usage_sources_.erase(address);  // reports that it has passed on meanwhile may be lost
   if (reply) {
+    usage_sources_.insert(address);
     gossip_.OnPeerVersions(address, reply->incarnation, reply->version_vector);
     if (reply->time_of_day)
       true_time_.OnPeerClock(address, *reply->time_of_day, gossip_.LastExchangeAt(address), now);
@@ -264,7 +269,6 @@
 
 void ControlCore::MergeReply(const ExchangeReply& reply) {
   MergeInstances(reply.changed_instances);
-  usage_synchronized_ = usage_synchronized_ || reply.time_of_day.has_value();
   for (const UsageReport& report : reply.usage) usage_counts_.Merge(report);
   for (const LastSeen& seen : reply.last_seen_instances) table_.MergeLastSeen(seen, now_);
   for (const SidecarLastSeen& sidecar : reply.last_seen_sidecars) sidecars_.MergeLastSeen(sidecar, now_);
@@ -310,6 +314,7 @@
   leases_.Tick(shards_.configuration_replica(), shards_.duties(), now_);
   PlanPlacements();
   const std::optional<Micros> true_time = true_time_.At(now_);
+  if (true_time) usage_reporter_.ForgetSettled(shards_.duties(), usage_counts_, *true_time);
   const auto usage_token = Grant(duties::Duty::kUsage, now_);
   if (settings_.reports_usage && usage_token && true_time)
     usage_reporter_.Tick(*usage_token, shards_.duties(), usage_counts_, *true_time, now_);
--- a/src/control/core/control_core.hpp
+++ b/src/control/core/control_core.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <system_error>
 #include <vector>
@@ -107,8 +108,8 @@
   /// The end of an exchange of this process. `reply` is empty without one that could be decoded.
   void OnExchangeReply(const std::string& address, const std::optional<ExchangeReply>& reply, Micros now);
 
-  /// When the next order to a server is due, for a call of `OnOrdersDue` then; empty if none is, or if another
-  /// process has to make it.
+  /// When the next order to a server is due, for a call of `OnOrdersDue` then; empty if none is, or if
+  /// another process has to make it.
   std::optional<Micros> NextOrderAt() const {
     return Grant(duties::Duty::kPlacement, now_) ? placer_.NextDueAt() : std::nullopt;
   }
@@ -168,7 +169,9 @@
   duties::TrueTime true_time_;
   duties::UsageTable usage_counts_;
   duties::UsageReporter usage_reporter_;
-  bool usage_synchronized_ = false;  // a peer has sent all the usage that it knew
+  // Addresses of peers that have sent all the usage that they knew, since the last exchange with them that
+  // failed.
+  std::set<std::string> usage_sources_;
   WatchRegistry watches_;
   bool stopping_ = false;
 };
--- a/src/control/duties/lease_keeper.cpp
+++ b/src/control/duties/lease_keeper.cpp
@@ -12,8 +12,9 @@
 }  // namespace
 
 LeaseKeeper::LeaseKeeper(Settings settings, Micros started_at, Acquire acquire)
-    : settings_(std::move(settings)), started_at_(started_at), acquire_(std::move(acquire)) {
-  for (const Duty duty : kAllDuties) held_[duty].last_call_at = started_at_;
+    : settings_(std::move(settings)), acquire_(std::move(acquire)) {
+  // The calls of an earlier process of this machine have ended with it.
+  for (const Duty duty : kAllDuties) held_[duty].last_call_at = started_at - settings_.call_time_limit;
 }
 
 bool LeaseKeeper::IsSureToLead(const consensus::Replica& replica, Micros now) {
@@ -36,7 +37,8 @@
   if (lease.token == held.token) return;
   held.token = lease.token;
   held.requested_at = 0;
-  held.acts_from = std::max(now + settings_.call_time_limit, held.last_call_at + settings_.lease);
+  const Micros last_arrival = held.last_call_at + settings_.call_time_limit;
+  held.acts_from = std::max(now + settings_.call_time_limit, last_arrival + settings_.lease);
 }
 
 void LeaseKeeper::Request(Duty duty, const Lease* current, const consensus::Replica& replica, Micros now) {
--- a/src/control/duties/lease_keeper.hpp
+++ b/src/control/duties/lease_keeper.hpp
@@ -15,15 +15,18 @@
 
 namespace violetwing::duties {
 
+/// Time limit of a call of a duty for its connection, and again for its response.
+inline constexpr Micros kCallTimeout = 800'000;
+
 /// The leader of the configuration's shard acquires all leases by commands of its log, and acts on one while
 /// it is sure to lead (consensus::Replica::HasLease). No other leader exists then, so that no other process
 /// acts.
 ///
 /// A new holder first waits until the last call of the holder before can no longer arrive: that process has
 /// decided on it before this one was elected, and gives it up after `call_time_limit`. A process that has
-/// acted before, and then lost the lease to another, also waits until its own last call is `lease` old:
-/// holders A, B and A never act within that time (RULES.md, ONE). What this machine did before the process
-/// started counts as done at the start.
+/// acted before, and then lost the lease to another, also waits until `lease` after its own last call can
+/// have arrived: holders A, B and A never act within that time (RULES.md, ONE). What this machine did before
+/// the process started counts as done at the start.
 ///
 /// Times are in microseconds of one steady clock. Not thread-safe.
 class LeaseKeeper {
@@ -61,7 +64,6 @@
   void Request(Duty duty, const Lease* current, const consensus::Replica& replica, Micros now);
 
   const Settings settings_;
-  const Micros started_at_;
   const Acquire acquire_;
   std::map<Duty, Held> held_;
 };
--- a/src/control/duties/usage_reporter.cpp
+++ b/src/control/duties/usage_reporter.cpp
@@ -13,7 +13,7 @@
 constexpr double kCollectingShare = 0.35;
 // Commands that were not applied are submitted again.
 constexpr Micros kSubmitInterval = 500'000;
-// Counts are kept for so many windows after theirs was due.
+// Counts that nobody has decided on are kept for so many windows after theirs was due.
 constexpr std::int64_t kKeptWindows = 12;
 
 PlatformCall ReportFor(std::int64_t window, const UsageCounts& counts, FencingToken token) {
@@ -26,10 +26,17 @@
 UsageReporter::UsageReporter(Settings settings, std::uint64_t seed, Outputs outputs)
     : settings_(settings), outputs_(std::move(outputs)), random_(seed) {}
 
-void UsageReporter::Tick(FencingToken token, const DutyTable& table, UsageTable& counts, Micros true_time,
-                         Micros now) {
+void UsageReporter::Tick(FencingToken token, const DutyTable& table, const UsageTable& counts,
+                         Micros true_time, Micros now) {
   Record(table, counts, true_time, now);
   Send(token, table, now);
+}
+
+void UsageReporter::ForgetSettled(const DutyTable& table, UsageTable& counts, Micros true_time) {
+  for (const std::int64_t window : counts.Windows()) {
+    if (!table.IsRecorded(window)) break;
+    counts.ForgetUpTo(window);
+  }
   const std::int64_t due = (true_time - settings_.delay) / settings_.window;
   counts.ForgetUpTo(due - kKeptWindows);
   delivered_.erase(delivered_.begin(), delivered_.lower_bound(due - kKeptWindows));
--- a/src/control/duties/usage_reporter.hpp
+++ b/src/control/duties/usage_reporter.hpp
@@ -38,7 +38,10 @@
   /// Decides on the reports of windows whose counts are complete, and sends the oldest that was not
   /// delivered. `true_time`: the time of day; `now`: of the steady clock, like all other times. To be called
   /// at short intervals, with the token of the duty's lease while this process holds it.
-  void Tick(FencingToken token, const DutyTable& table, UsageTable& counts, Micros true_time, Micros now);
+  void Tick(FencingToken token, const DutyTable& table, const UsageTable& counts, Micros true_time,
+            Micros now);
+  /// Forgets counts that no report will need any more. To be called at short intervals by every process.
+  void ForgetSettled(const DutyTable& table, UsageTable& counts, Micros true_time);
   /// The call for `window` has ended.
   void OnAnswered(std::int64_t window, PlatformAnswer answer, Micros now);
 
--- a/src/control/service/control_service.cpp
+++ b/src/control/service/control_service.cpp
@@ -24,8 +24,8 @@
 constexpr std::chrono::milliseconds kShutdownGrace{300};
 // A call without progress for so long has failed: its peer may be suspended or partitioned away.
 constexpr std::chrono::milliseconds kExchangeTimeout{500};
-constexpr std::chrono::milliseconds kOrderTimeout{800};
-constexpr std::chrono::milliseconds kPlatformTimeout{1000};
+constexpr auto kDutyCallTimeout =
+    std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::microseconds(duties::kCallTimeout));
 constexpr std::chrono::seconds kIdleConnectionTimeout{30};
 constexpr const char* kExpectedInstanceHeader = "X-Violetwing-Expected-Instance";
 constexpr const char* kLeaseHolderHeader = "X-Violetwing-Lease-Holder";
@@ -209,7 +209,7 @@
 void ControlService::SendOrder(const PlacementCall& order, duties::FencingToken token) {
   if (core_->Grant(duties::Duty::kPlacement, SteadyMicros()) != token) {
     spdlog::info("order not sent, the lease has ended instance={} token={}", order.instance, token);
-    return;
+    return Post([this, order] { core_->OnOrderResponse(order, 0, SteadyMicros()); });
   }
   const bool load = order.kind == PlacementCall::Kind::kLoad;
   json body{{"operation", load ? "load_model" : "unload_model"},
@@ -218,7 +218,7 @@
             {"fencing_token", token}};
   if (!order.adapter.empty()) body["adapter"] = order.adapter;
   if (order.if_revision) body["if_revision"] = *order.if_revision;
-  client_.Call(order.address, "POST", "/api/order", body.dump(), kOrderTimeout,
+  client_.Call(order.address, "POST", "/api/order", body.dump(), kDutyCallTimeout,
                [this, order, load](int status, const std::string&) {
                  spdlog::debug("order to {}: {} {}/{}: {}", order.instance, load ? "load" : "unload",
                                order.model, order.adapter, status);
@@ -234,15 +234,26 @@
                  status);
     core_->OnPlatformAnswered(call, status, SteadyMicros());
   };
-  if (core_->Grant(call.duty, SteadyMicros()) != call.token) return done(0);
+  if (core_->Grant(call.duty, SteadyMicros()) != call.token) return Post([done] { done(0); });
   client_.Call(
-      settings_.platform_address, "POST", call.path, call.body, kPlatformTimeout,
+      settings_.platform_address, "POST", call.path, call.body, kDutyCallTimeout,
       [done](int status, const std::string&) { done(status); },
       {{kLeaseHolderHeader, settings_.node_name}, {kFencingTokenHeader, std::to_string(call.token)}});
 }
 
+void ControlService::Post(std::function<void()> act) {
+  const timeval at_once{0, 0};
+  event_base_once(
+      base_, -1, EV_TIMEOUT,
+      [](evutil_socket_t, short, void* posted) {
+        const std::unique_ptr<std::function<void()>> one(static_cast<std::function<void()>*>(posted));
+        (*one)();
+      },
+      new std::function<void()>(std::move(act)), &at_once);
+}
+
 void ControlService::RequestReport(const PlacementCall& call) {
-  client_.Call(call.address, "GET", "/api/report", {}, kOrderTimeout,
+  client_.Call(call.address, "GET", "/api/report", {}, kDutyCallTimeout,
                [this, instance = call.instance](int status, const std::string& body) {
                  core_->OnServerReport(instance, ParseReport(instance, status, body), SteadyMicros());
                },
--- a/src/control/service/control_service.hpp
+++ b/src/control/service/control_service.hpp
@@ -7,6 +7,7 @@
 #include <event2/event.h>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -70,6 +71,8 @@
   // Leaves out a call if the lease has ended since it was decided on.
   void SendOrder(const PlacementCall& order, duties::FencingToken token);
   void CallPlatform(const duties::PlatformCall& call);
+  // Calls `act` from the event loop, after the current call of the core has returned.
+  void Post(std::function<void()> act);
   void RequestReport(const PlacementCall& call);
 
   event_base* const base_;
--- a/src/dataplane/control_client/control_link.cpp
+++ b/src/dataplane/control_client/control_link.cpp
@@ -24,10 +24,12 @@
 // Immediate demand waits a little, so that one report includes what comes right after it.
 constexpr milliseconds kDemandReportDelay{3};
 constexpr Micros kMicrosPerMs = 1000;
+// What a control process answers may have been outdated for so long.
+constexpr Micros kMaxAnswerAge = 900'000;
 
 std::optional<Micros> KeyLifetime(const NodeSettings& settings) {
   if (!settings.revoked_keys) return std::nullopt;
-  return settings.revoke_ms * kMicrosPerMs;
+  return std::max<Micros>(settings.revoke_ms * kMicrosPerMs - kMaxAnswerAge, 0);
 }
 
 // Unique to this run of the sidecar.
@@ -49,6 +51,7 @@
       key_lifetime_(KeyLifetime(settings)),
       view_(settings.node_name, settings.InternalAddress()),
       selector_(settings.zone, settings.node_name),
+      reports_usage_(settings.reports_usage),
       usage_(ReporterName(settings.node_name), settings.report_window_ms * kMicrosPerMs) {
   Reload(settings);
 }
@@ -74,7 +77,8 @@
   const auto endpoint = ParseEndpoint(selector_.Current(view_.controls()));
   if (!endpoint) return OnWatched(0, {});
   WatchRequest request = view_.NextWatchRequest(kLongPollMs, TakeDemand());
-  usage_in_flight_ = usage_.TakeReport(SteadyMicros());
+  watch_sent_at_ = SteadyMicros();
+  usage_in_flight_ = usage_.TakeReport(watch_sent_at_);
   request.usage = usage_in_flight_;
   watch_channel_.Post(*endpoint, kWatchPath, Encode(request),
                       [this](int status, const std::string& body) { OnWatched(status, body); });
@@ -83,8 +87,7 @@
 void ControlLink::OnWatched(int status, const std::string& body) {
   if (stopped_) return;
   if (status == 200 && ApplyReply(body)) {
-    last_answer_at_ = SteadyMicros();
-    selector_.OnAnswered(view_.controls(), last_answer_at_);
+    selector_.OnAnswered(view_.controls(), SteadyMicros());
     boost::asio::post(io_, [this] { Watch(); });
     return;
   }
@@ -105,6 +108,7 @@
   try {
     if (reply->true_time) usage_.OnTrueTime(*reply->true_time, SteadyMicros());
     if (view_.Apply(*reply)) on_directory_(view_.MakeDirectory());
+    if (view_.version() >= reply->configuration_version) last_answer_at_ = watch_sent_at_;
     return true;
   } catch (const std::exception& error) {  // a configuration of another form than ours
     spdlog::warn("watch reply not applied control={} error={}", selector_.Current(view_.controls()),
--- a/src/dataplane/control_client/control_link.hpp
+++ b/src/dataplane/control_client/control_link.hpp
@@ -56,14 +56,17 @@
   void CountDemand(const ModelDemand& demand, DemandUrgency urgency);
 
   /// A server has begun to run a request of this tenant.
-  void CountUsage(const std::string& tenant, Micros began_at) { usage_.Count(tenant, began_at); }
+  void CountUsage(const std::string& tenant, Micros began_at) {
+    if (reports_usage_) usage_.Count(tenant, began_at);
+  }
 
   /// Addresses of the sidecars to which this one sends its load reports.
   const std::vector<std::string>& neighbors() const { return view_.neighbors(); }
 
  private:
-  // Longer than a watch that waits for an update, shorter than a configuration may take to be in force.
-  static constexpr Micros kInTouchFor = 1'000'000;
+  // Longer than two watches that wait for an update. With the age that the answer of a control process may
+  // have, still shorter than a configuration may take to be in force.
+  static constexpr Micros kInTouchFor = 1'500'000;
 
   void Watch();
   void OnWatched(int status, const std::string& body);
@@ -81,11 +84,13 @@
   ControlChannel demand_channel_;  // of its own, as a watch request may be waiting for an update
   bool stopped_ = false;
   const std::optional<Micros> key_lifetime_;  // without an answer; empty if keys need not stop in time
-  Micros last_answer_at_ = -kInTouchFor;      // of a watch
+  Micros watch_sent_at_ = 0;
+  Micros last_answer_at_ = -kInTouchFor;  // sending of the last watch after which this sidecar was up to date
 
   SystemView view_;
   ControlProcessSelector selector_;
   std::map<std::pair<std::string, std::string>, ModelDemand> demand_;
+  const bool reports_usage_;
   UsageCounter usage_;
   UsageReport usage_in_flight_;  // of the watch in flight
 };
--- a/src/dataplane/routing/request_router.cpp
+++ b/src/dataplane/routing/request_router.cpp
@@ -88,10 +88,13 @@
     RefuseByConfiguration(kUnauthorized, EndReason::kUnknownKey);
     return false;
   }
-  const bool trusted =
+  const bool is_trusted =
       tenant_ == nullptr || plane_.link == nullptr || plane_.link->MayTrustKeys(SteadyMicros());
-  if (!trusted) Reject(EndReason::kOutOfTouch);
-  return trusted;
+  if (is_trusted) return true;
+  tenant_ = nullptr;
+  if (route_->is_public) return true;
+  Reject(EndReason::kOutOfTouch);
+  return false;
 }
 
 void RequestRouter::RefuseByConfiguration(const Status& status, EndReason reason) {
--- a/tests/control/configuration/configuration_test.cpp
+++ b/tests/control/configuration/configuration_test.cpp
@@ -331,6 +331,14 @@
   CHECK(outcome.message.find("key-s") == std::string::npos);
 }
 
+TEST_CASE("A key that is not a text is refused without being repeated") {
+  json document = Document(3);
+  document["tenants"] = {{{"name", "alice"}, {"api_keys", {987654}}}};
+  const std::vector<Finding> findings = FindingsOf(document);
+  REQUIRE_FALSE(findings.empty());
+  CHECK(ToText(findings).find("987654") == std::string::npos);
+}
+
 TEST_CASE(
     "CONFIG: a patch of tenants adds and takes away keys, and leads to the same as the whole document") {
   json document = Document(3);
