--- a/src/control/duties/usage_table.cpp
+++ b/src/control/duties/usage_table.cpp
@@ -28,6 +28,7 @@
 
 std::vector<std::int64_t> UsageTable::Windows() const {
   std::vector<std::int64_t> windows;
+  windows.reserve(counts_.size());
   for (const auto& [window, reporters] : counts_) windows.push_back(window);
   return windows;
 }
@@ -41,6 +42,7 @@
       for (const auto& [tenant, count] : counts) report.counts.push_back({window, tenant, count});
     }
   std::vector<UsageReport> out;
+  out.reserve(reports.size());
   for (auto& [reporter, report] : reports) out.push_back(std::move(report));
   return out;
 }
