Log when a departure is acknowledged, applied and known to a sidecar

Need: no log told the hypotheses of the departures incident apart: when a server's announcement was acknowledged, after which wait, when each control process applied it and when each sidecar knew of it. Change: one line at each of these places, with the instance and its phase.

--- a/src/control/core/control_core.cpp
+++ b/src/control/core/control_core.cpp
@@ -1,11 +1,14 @@
 #include "control/core/control_core.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <utility>
 
 #include "common/random.hpp"
 #include "control/control_error.hpp"
 #include "control/replication/bootstrap.hpp"
+#include "messages/phase_name.hpp"
 
 namespace violetwing {
 namespace {
@@ -186,12 +189,21 @@
 void ControlCore::SubmitDeregistration(const std::string& service, const std::string& id, Phase phase,
                                        const AcceptanceCallback& done) {
   if (IsIsolated()) return done(Acceptance::kUnavailable);
-  shards_.Deregister(service, id, phase, now_, [done](const Result<void>& committed) {
+  const Micros announced_at = now_;
+  shards_.Deregister(service, id, phase, now_, [=, this](const Result<void>& committed) {
+    LogDeparture(id, phase, announced_at, committed);
     done(committed ? Acceptance::kAccepted : Acceptance::kUnavailable);
   });
   Flush();
 }
 
+void ControlCore::LogDeparture(const std::string& id, Phase phase, Micros announced_at,
+                               const Result<void>& committed) const {
+  const char* const outcome = committed ? "acknowledged" : "not acknowledged";
+  spdlog::info("departure {} instance={} phase={} waited_ms={}", outcome, id, Name(phase),
+               (now_ - announced_at) / kMicrosPerMs);
+}
+
 void ControlCore::Change(const configuration::Change& change, Micros now, const ChangeCallback& done) {
   now_ = now;
   if (IsIsolated()) return done(ControlErrc::kNoQuorum);
--- a/src/control/replication/shard_state_machines.cpp
+++ b/src/control/replication/shard_state_machines.cpp
@@ -9,6 +9,7 @@
 #include "control/configuration/ignored_members.hpp"
 #include "control/control_error.hpp"
 #include "control/replication/commands.hpp"
+#include "messages/phase_name.hpp"
 
 namespace violetwing {
 
@@ -87,6 +88,8 @@
   }
   const DeregistrationCommand& deregistration = decoded.value();
   state_.Apply(deregistration.server_id, deregistration.phase);
+  spdlog::info("departure applied instance={} phase={}", deregistration.server_id,
+               Name(deregistration.phase));
   on_deregistered_(deregistration.server_id, deregistration.phase);
   return {};
 }
--- a/src/dataplane/control_client/system_view.cpp
+++ b/src/dataplane/control_client/system_view.cpp
@@ -6,6 +6,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "messages/phase_name.hpp"
+
 namespace violetwing {
 WatchRequest SystemView::NextWatchRequest(int wait_ms, std::vector<ModelDemand> demand) const {
   WatchRequest request;
@@ -101,6 +103,8 @@
   Instance& known = it->second;
   if (instance.sequence < known.sequence && !IsLeaving(instance.phase)) return;
   const Phase phase = MergePhase(known.phase, instance.phase);
+  if (IsLeaving(phase) && !IsLeaving(known.phase))
+    spdlog::info("server leaves instance={} phase={}", instance.id, Name(phase));
   known = instance;
   known.phase = phase;
 }
