Look again whether a server leaves as a request's bytes leave

Callers: a request could reach a server that had announced to leave up to 0.7 s after its sidecar knew of that. Cause: a right that is looked at when it is decided on, and not where it takes effect. The server was picked, then the connection made (700 ms at most) or taken from the idle ones in a later turn of the loop; the directory was not looked at again. Change: an exchange asks once more right before its first byte; a request that may not be sent goes to another server, as one whose server could not be reached, at no cost to the retry budget. Measured: 'DRAIN: a request that waits for its connection...' fails with the look taken out, on a new and on a kept connection, and passes with it.

--- a/src/dataplane/routing/request_router.cpp
+++ b/src/dataplane/routing/request_router.cpp
@@ -221,6 +221,10 @@
                                   tenant_ == nullptr ? std::string() : tenant_->name};
   request.text = BuildUpstreamRequest(request_, instance.id, RemainingMs(), identity);
   request.head_only = request_.method == "HEAD";
+  request.may_send = [&plane = plane_, id = instance.id] {
+    const Instance* latest = plane.directory->Find(id);
+    return latest != nullptr && !IsLeaving(latest->phase);
+  };
   UpstreamExchange::Events events;
   events.on_head = [self = shared_from_this()](const ResponseHead& head) { self->OnHead(head); };
   events.on_data = [self = shared_from_this()](std::string_view data) { self->OnData(data); };
@@ -276,6 +280,11 @@
       EndAttempt(AttemptResult::kUnreachable);
       attempt_counter_.OnUnreachable();
       return RetryOrReject();
+    case ExchangeEnd::kNotAllowed:
+      spdlog::info("attempt withdrawn, its server leaves id={} upstream={}", request_id_, attempt_.server);
+      EndAttempt(AttemptResult::kCancelled);
+      attempt_counter_.OnUnreachable();
+      return RetryOrReject();
     case ExchangeEnd::kComplete:
       return OnComplete();
     case ExchangeEnd::kReset:
--- a/src/dataplane/upstream/upstream_exchange.cpp
+++ b/src/dataplane/upstream/upstream_exchange.cpp
@@ -85,6 +85,7 @@
 
 void UpstreamExchange::Write() {
   connect_timer_.cancel();
+  if (request_.may_send && !request_.may_send()) return Finish(ExchangeEnd::kNotAllowed);
   if (!reused_) SetOptions(*socket_);
   sent_ = true;
   asio::async_write(*socket_, asio::buffer(request_.text),
--- a/src/dataplane/upstream/upstream_exchange.hpp
+++ b/src/dataplane/upstream/upstream_exchange.hpp
@@ -32,6 +32,7 @@
 enum class ExchangeEnd {
   kComplete,     ///< the complete response arrived
   kUnreachable,  ///< no connection was established: nothing was sent
+  kNotAllowed,   ///< `may_send` refused once the connection stood: nothing was sent
   kReset,        ///< reset or closed, or no valid response to this request
 };
 
@@ -48,6 +49,8 @@
     std::string request_id;
     std::string text;        ///< head and body as they are sent
     bool head_only = false;  ///< of method HEAD: its response has no body
+    /// Asked once, right before the first byte is written; empty: always.
+    std::function<bool()> may_send;
   };
   /// Callbacks in the order on_head, on_data (any number), on_end (exactly once, unless cancelled).
   struct Events {
--- a/tests/dataplane/dataplane_test.cpp
+++ b/tests/dataplane/dataplane_test.cpp
@@ -85,8 +85,9 @@
     io.restart();
     io.poll();  // what the closing has left to do
   }
+  // `phases`: of the servers in their order; those without one are ready.
   void SetServers(const std::vector<const ScriptedServer*>& servers,
-                  const char* configuration = kConfiguration) {
+                  const char* configuration = kConfiguration, const std::vector<Phase>& phases = {}) {
     std::map<std::string, Instance> instances;
     for (std::size_t i = 0; i < servers.size(); ++i) {
       Instance instance;
@@ -94,6 +95,7 @@
       instance.backend = "s";
       instance.address = "127.0.0.1:" + std::to_string(servers[i]->address.port());
       instance.capacity = 8;
+      if (i < phases.size()) instance.phase = phases[i];
       instances[instance.id] = instance;
     }
     plane.directory =
@@ -449,6 +451,25 @@
   CHECK(client->received.find("bytes") < client->received.find("404"));
 }
 
+TEST_CASE(
+    "DRAIN: a request that waits for its connection is not sent once its server has announced to leave") {
+  const bool has_idle_connection = GENERATE(false, true);
+  Sidecar sidecar;
+  ScriptedServer leaves(sidecar.io, AlwaysRespond(Reply("200 OK", "leaves", kSigned)));
+  ScriptedServer stays(sidecar.io, AlwaysRespond(Reply("200 OK", "stays", kSigned)));
+  sidecar.SetServers({&leaves});
+  if (has_idle_connection) {
+    const auto first = sidecar.SendRequest(RequestTo("/once/"));
+    REQUIRE(sidecar.Until([&] { return sidecar.plane.pool.HasIdle("i-0"); }));
+  }
+  const int before = leaves.requests();
+  const auto client = sidecar.SendRequest(RequestTo("/once/"));
+  REQUIRE(sidecar.Until([&] { return sidecar.plane.load_balancer.InFlight("i-0") > 0; }));
+  sidecar.SetServers({&leaves, &stays}, kConfiguration, {Phase::kDraining, Phase::kReady});
+  REQUIRE(sidecar.Until([&] { return Received(client, "stays"); }));
+  CHECK(leaves.requests() == before);
+}
+
 TEST_CASE("A request waits for a model that can load in time, else it is rejected at once") {
   Sidecar sidecar;
   ScriptedServer server(sidecar.io, AlwaysRespond(Reply("200 OK", "bytes", kSigned)));
