Look at the lease as the bytes of an order leave, after its connection stands

The lease was looked at, then evhttp connected and wrote when the connection stood. A process that stood still in between sent what it had been allowed to send seconds before. Change: calls under a lease go through GuardedClient, which asks in the turn in which it writes, and writes the whole request in that turn. Orders and calls to the platform use it. Measured: two tests 'ONE: an order...' fail with the question moved to where it was and pass here.

--- a/src/control/service/control_service.cpp
+++ b/src/control/service/control_service.cpp
@@ -27,6 +27,7 @@
 constexpr auto kDutyCallTimeout =
     std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::microseconds(duties::kCallTimeout));
 constexpr std::chrono::seconds kIdleConnectionTimeout{30};
+constexpr const char* kOrderPath = "/api/order";
 constexpr const char* kExpectedInstanceHeader = "X-Violetwing-Expected-Instance";
 constexpr const char* kLeaseHolderHeader = "X-Violetwing-Lease-Holder";
 constexpr const char* kFencingTokenHeader = "X-Violetwing-Fencing-Token";
@@ -71,7 +72,8 @@
                     [this](const http::Request& request, const http::Answer& answer) {
                       HandleInternal(*core_, request, SteadyMicros(), answer);
                     }),
-      client_(base) {}
+      client_(base),
+      duty_client_(base) {}
 
 Fallible<void> ControlService::Start() {
   if (auto opened = OpenDisk(); !opened) return opened;
@@ -166,6 +168,7 @@
   core_->OnClock(std::chrono::duration_cast<std::chrono::microseconds>(time_of_day).count(), SteadyMicros());
   core_->Tick(SteadyMicros());
   client_.CloseIdle(kIdleConnectionTimeout);
+  duty_client_.CloseIdle(kIdleConnectionTimeout);
   ScheduleOrders();
   ScheduleElection();
 }
@@ -206,11 +209,16 @@
                http::BodyType::kBinary);
 }
 
+http::GuardedClient::Guard ControlService::HoldsLease(duties::Duty duty, duties::FencingToken token) const {
+  return [this, duty, token] {
+    const bool holds = core_->Grant(duty, SteadyMicros()) == token;
+    if (!holds)
+      spdlog::info("call not sent, the lease has ended duty={} token={}", duties::Name(duty), token);
+    return holds;
+  };
+}
+
 void ControlService::SendOrder(const PlacementCall& order, duties::FencingToken token) {
-  if (core_->Grant(duties::Duty::kPlacement, SteadyMicros()) != token) {
-    spdlog::info("order not sent, the lease has ended instance={} token={}", order.instance, token);
-    return Post([this, order] { core_->OnOrderResponse(order, 0, SteadyMicros()); });
-  }
   const bool load = order.kind == PlacementCall::Kind::kLoad;
   json body{{"operation", load ? "load_model" : "unload_model"},
             {"model", order.model},
@@ -218,38 +226,35 @@
             {"fencing_token", token}};
   if (!order.adapter.empty()) body["adapter"] = order.adapter;
   if (order.if_revision) body["if_revision"] = *order.if_revision;
-  client_.Call(order.address, "POST", "/api/order", body.dump(), kDutyCallTimeout,
-               [this, order, load](int status, const std::string&) {
-                 spdlog::debug("order to {}: {} {}/{}: {}", order.instance, load ? "load" : "unload",
-                               order.model, order.adapter, status);
-                 core_->OnOrderResponse(order, status, SteadyMicros());
-                 ScheduleOrders();
-               },
-               {{kExpectedInstanceHeader, order.instance}});
+  http::GuardedClient::Call call;
+  call.address = order.address;
+  call.path = kOrderPath;
+  call.headers = {{kExpectedInstanceHeader, order.instance}};
+  call.body = body.dump();
+  call.timeout = kDutyCallTimeout;
+  duty_client_.Start(std::move(call), HoldsLease(duties::Duty::kPlacement, token),
+                     [this, order, load](const http::GuardedResult& result) {
+                       spdlog::debug("order to {}: {} {}/{}: {}", order.instance, load ? "load" : "unload",
+                                     order.model, order.adapter, result.status);
+                       core_->OnOrderResponse(order, result.status, SteadyMicros());
+                       ScheduleOrders();
+                     });
 }
 
 void ControlService::CallPlatform(const duties::PlatformCall& call) {
-  const auto done = [this, call](int status) {
-    spdlog::info("platform call path={} subject={} token={} status={}", call.path, call.subject, call.token,
-                 status);
-    core_->OnPlatformAnswered(call, status, SteadyMicros());
-  };
-  if (core_->Grant(call.duty, SteadyMicros()) != call.token) return Post([done] { done(0); });
-  client_.Call(
-      settings_.platform_address, "POST", call.path, call.body, kDutyCallTimeout,
-      [done](int status, const std::string&) { done(status); },
-      {{kLeaseHolderHeader, settings_.node_name}, {kFencingTokenHeader, std::to_string(call.token)}});
-}
-
-void ControlService::Post(std::function<void()> act) {
-  const timeval at_once{0, 0};
-  event_base_once(
-      base_, -1, EV_TIMEOUT,
-      [](evutil_socket_t, short, void* posted) {
-        const std::unique_ptr<std::function<void()>> one(static_cast<std::function<void()>*>(posted));
-        (*one)();
-      },
-      new std::function<void()>(std::move(act)), &at_once);
+  http::GuardedClient::Call request;
+  request.address = settings_.platform_address;
+  request.path = call.path;
+  request.headers = {{kLeaseHolderHeader, settings_.node_name},
+                     {kFencingTokenHeader, std::to_string(call.token)}};
+  request.body = call.body;
+  request.timeout = kDutyCallTimeout;
+  duty_client_.Start(std::move(request), HoldsLease(call.duty, call.token),
+                     [this, call](const http::GuardedResult& result) {
+                       spdlog::info("platform call path={} subject={} token={} status={}", call.path,
+                                    call.subject, call.token, result.status);
+                       core_->OnPlatformAnswered(call, result.status, SteadyMicros());
+                     });
 }
 
 void ControlService::RequestReport(const PlacementCall& call) {
--- a/src/control/service/control_service.hpp
+++ b/src/control/service/control_service.hpp
@@ -15,6 +15,7 @@
 
 #include "common/failure.hpp"
 #include "common/node_settings.hpp"
+#include "control/api/guarded_client.hpp"
 #include "control/api/http_client.hpp"
 #include "control/api/http_server.hpp"
 #include "control/core/control_core.hpp"
@@ -68,11 +69,11 @@
   static void ScheduleBeforeTick(event* one, std::optional<std::int64_t> due);
   void OnWritesDurable();
   void BeginExchange(const std::string& address, const ExchangeRequest& request);
-  // Leaves out a call if the lease has ended since it was decided on.
+  // Both leave out a call if the lease ends before the first byte of its request is written.
   void SendOrder(const PlacementCall& order, duties::FencingToken token);
   void CallPlatform(const duties::PlatformCall& call);
-  // Calls `act` from the event loop, after the current call of the core has returned.
-  void Post(std::function<void()> act);
+  // Allows a call as long as this process holds the duty's lease under this token.
+  http::GuardedClient::Guard HoldsLease(duties::Duty duty, duties::FencingToken token) const;
   void RequestReport(const PlacementCall& call);
 
   event_base* const base_;
@@ -83,6 +84,7 @@
   http::Server public_api_;
   http::Server internal_api_;
   http::Client client_;
+  http::GuardedClient duty_client_;    // for calls under a lease
   std::unique_ptr<ControlCore> core_;  // once the disk has been read
   EventPtr tick_event_;
   EventPtr orders_event_;
--- /dev/null
+++ b/tests/control/api/guarded_client_test.cpp
@@ -0,0 +1,170 @@
+// Calls that must not be late, over loopback: what leaves when the guard refuses after the call was begun.
+#include "control/api/guarded_client.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <utility>
+
+namespace violetwing::http {
+namespace {
+
+using Outcome = GuardedResult::Outcome;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTimeout{60};
+constexpr const char* kResponse = "HTTP/1.1 202 Accepted\r\nContent-Length: 2\r\n\r\n{}";
+
+// A listener whose connections the test reads and writes by hand.
+class ScriptedPeer {
+ public:
+  ScriptedPeer() : listener_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    REQUIRE(bind(listener_, reinterpret_cast<sockaddr*>(&address), size) == 0);
+    REQUIRE(listen(listener_, 4) == 0);
+    REQUIRE(getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size) == 0);
+    address_ = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+  }
+  ~ScriptedPeer() {
+    if (connection_ >= 0) close(connection_);
+    close(listener_);
+  }
+  ScriptedPeer(const ScriptedPeer&) = delete;
+  ScriptedPeer& operator=(const ScriptedPeer&) = delete;
+
+  const std::string& address() const { return address_; }
+  // What the first connection has brought since the last call.
+  std::string Take() {
+    if (connection_ < 0) connection_ = accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK);
+    char bytes[4096];
+    const ssize_t size = recv(connection_, bytes, sizeof bytes, MSG_DONTWAIT);
+    return size > 0 ? std::string(bytes, static_cast<std::size_t>(size)) : std::string();
+  }
+  void Write(const std::string& text) const {
+    REQUIRE(send(connection_, text.data(), text.size(), 0) == static_cast<ssize_t>(text.size()));
+  }
+
+ private:
+  const int listener_;
+  int connection_ = -1;
+  std::string address_;
+};
+
+struct EventBaseDeleter {
+  void operator()(event_base* owned) const { event_base_free(owned); }
+};
+
+// A client with its event loop, and the end of its latest call.
+class Caller {
+ public:
+  void Start(const std::string& address, GuardedClient::Guard may_send) {
+    result_.reset();
+    GuardedClient::Call call;
+    call.address = address;
+    call.path = "/api/order";
+    call.headers = {{"X-Violetwing-Expected-Instance", "i-1"}};
+    call.body = R"({"operation":"load_model"})";
+    call.timeout = kTimeout;
+    client_.Start(std::move(call), std::move(may_send), [this](const GuardedResult& result) {
+      REQUIRE_FALSE(result_);
+      result_ = result;
+    });
+  }
+  // Turns of the loop until the call has ended.
+  GuardedResult AwaitEnd() {
+    while (!result_) event_base_loop(base_.get(), EVLOOP_ONCE);
+    return *result_;
+  }
+  void TurnOnce() { event_base_loop(base_.get(), EVLOOP_ONCE); }
+
+ private:
+  const std::unique_ptr<event_base, EventBaseDeleter> base_{event_base_new()};
+  GuardedClient client_{base_.get()};
+  std::optional<GuardedResult> result_;
+};
+
+bool Always() { return true; }
+
+}  // namespace
+
+TEST_CASE("ONE: an order whose lease ends while the process stands still is not sent when it goes on") {
+  ScriptedPeer server;
+  Caller caller;
+  const auto lease_end = std::chrono::steady_clock::now() + milliseconds(20);
+  caller.Start(server.address(), [&] { return std::chrono::steady_clock::now() < lease_end; });
+  std::this_thread::sleep_for(milliseconds(40));  // the kernel establishes the connection meanwhile
+  CHECK(caller.AwaitEnd().outcome == Outcome::kNotSent);
+  CHECK(server.Take().empty());
+}
+
+TEST_CASE("ONE: an order on a kept connection is not sent once its lease has ended") {
+  ScriptedPeer server;
+  Caller caller;
+  bool holds_lease = true;
+  const auto guard = [&] { return holds_lease; };
+  caller.Start(server.address(), guard);
+  while (server.Take().empty()) caller.TurnOnce();
+  server.Write(kResponse);
+  REQUIRE(caller.AwaitEnd().status == 202);
+  caller.Start(server.address(), guard);
+  holds_lease = false;
+  CHECK(caller.AwaitEnd().outcome == Outcome::kNotSent);
+  CHECK(server.Take().empty());
+}
+
+TEST_CASE("A guarded call sends method, path, headers and body, and keeps its connection for the next one") {
+  ScriptedPeer server;
+  Caller caller;
+  for (int call = 0; call < 2; ++call) {
+    caller.Start(server.address(), Always);
+    std::string request;
+    while (request.empty()) {
+      caller.TurnOnce();
+      request = server.Take();
+    }
+    CHECK(request.rfind("POST /api/order HTTP/1.1\r\n", 0) == 0);
+    CHECK(request.find("X-Violetwing-Expected-Instance: i-1\r\n") != std::string::npos);
+    CHECK(request.find("Content-Type: application/json\r\n") != std::string::npos);
+    CHECK(request.find("Host: " + server.address()) != std::string::npos);
+    CHECK(request.substr(request.find("\r\n\r\n") + 4) == R"({"operation":"load_model"})");
+    server.Write(kResponse);
+    const GuardedResult result = caller.AwaitEnd();
+    CHECK(result.outcome == Outcome::kAnswered);
+    CHECK(result.status == 202);
+  }
+}
+
+TEST_CASE("A guarded call without a response may have arrived, one without a connection has not") {
+  Caller caller;
+  ScriptedPeer server;
+  caller.Start(server.address(), Always);
+  CHECK(caller.AwaitEnd().outcome == Outcome::kUnanswered);
+  CHECK_FALSE(server.Take().empty());
+  caller.Start("127.0.0.1:1", Always);
+  CHECK(caller.AwaitEnd().outcome == Outcome::kNotSent);
+  caller.Start("nowhere", Always);
+  CHECK(caller.AwaitEnd().outcome == Outcome::kNotSent);
+}
+
+TEST_CASE("A response to a guarded call that cannot be read ends it as unanswered") {
+  for (const std::string bytes : {"nonsense\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n"}) {
+    ScriptedPeer server;
+    Caller caller;
+    caller.Start(server.address(), Always);
+    while (server.Take().empty()) caller.TurnOnce();
+    server.Write(bytes);
+    CHECK(caller.AwaitEnd().outcome == Outcome::kUnanswered);
+  }
+}
+
+}  // namespace violetwing::http
