Trust no key before the first answer of a control process, and test the proofs of being in touch

Written, one of them failed: on a machine whose steady clock is younger than revoke_ms less 2.4 s, a sidecar trusted keys that no control process had confirmed. Cause: the time of the last answer began at -1.5 s, which is 'never' for IsInTouch alone. Change: it begins at the least time. Callers saw nothing of it, as a sidecar without a configuration answers 503. Measured: four tests; the third failed before.

--- a/src/dataplane/control_client/control_link.hpp
+++ b/src/dataplane/control_client/control_link.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -67,6 +68,8 @@
   // Longer than two watches that wait for an update. With the age that the answer of a control process may
   // have, still shorter than a configuration may take to be in force.
   static constexpr Micros kInTouchFor = 1'500'000;
+  // Longer ago than any time-out, on a machine that has just started too.
+  static constexpr Micros kNever = std::numeric_limits<Micros>::min() / 2;
 
   void Watch();
   void OnWatched(int status, const std::string& body);
@@ -85,7 +88,7 @@
   bool stopped_ = false;
   const std::optional<Micros> key_lifetime_;  // without an answer; empty if keys need not stop in time
   Micros watch_sent_at_ = 0;
-  Micros last_answer_at_ = -kInTouchFor;  // sending of the last watch after which this sidecar was up to date
+  Micros last_answer_at_ = kNever;  // sending of the last watch after which this sidecar was up to date
 
   SystemView view_;
   ControlProcessSelector selector_;
--- a/tests/dataplane/control_client/control_link_test.cpp
+++ b/tests/dataplane/control_client/control_link_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <deque>
 
+#include "common/steady_time.hpp"
 #include "sidecar/scripted_peers.hpp"
 #include "testing/wire_fields.hpp"
 
@@ -49,9 +50,10 @@
 // A link before one control process that gives the answers of a list, one a pull.
 class Link {
  public:
-  Link()
+  // `revoke_ms`: in which revoked keys must stop; 0: they need not.
+  explicit Link(std::int64_t revoke_ms = 0)
       : control_(io_, [this](Peer& peer) { Answer(peer); }),
-        link_(io_, Settings(control_.address.port()), [this](DirectoryPtr directory) {
+        link_(io_, Settings(control_.address.port(), revoke_ms), [this](DirectoryPtr directory) {
           if (directory->version() < version_) ++went_back_;
           version_ = directory->version();
           directory_ = std::move(directory);
@@ -66,11 +68,15 @@
   }
   std::int64_t version() const { return version_; }
   int went_back() const { return went_back_; }
+  bool IsInTouch(Micros later = 0) const { return link_.IsInTouch(SteadyMicros() + later); }
+  bool MayTrustKeys(Micros later = 0) const { return link_.MayTrustKeys(SteadyMicros() + later); }
   bool Serves() const { return directory_ != nullptr && directory_->Servers("s").size() == 1; }
 
  private:
-  static NodeSettings Settings(int port) {
+  static NodeSettings Settings(int port, std::int64_t revoke_ms) {
     NodeSettings settings;
+    settings.revoked_keys = revoke_ms > 0;
+    settings.revoke_ms = revoke_ms;
     settings.node_name = "edge";
     settings.internal_port = port;
     settings.seeds = {"127.0.0.1:1"};
@@ -98,6 +104,9 @@
 
 std::string Ok(const std::string& body) { return Reply("200 OK", body); }
 std::string Ok(const WatchReply& reply) { return Ok(Encode(reply)); }
+std::string OutOfTouch() { return Reply("503 Service Unavailable", "{}\n"); }
+
+constexpr Micros kSecond = 1'000'000;
 
 }  // namespace
 
@@ -161,6 +170,43 @@
   CHECK_FALSE(leaving.Serves());
 }
 
+TEST_CASE(
+    "DENIED: a link is in touch from the first answer of a control process on, for 1.5 s without another") {
+  Link refused;
+  CHECK_FALSE(refused.IsInTouch());
+  refused.Play({OutOfTouch()});
+  CHECK_FALSE(refused.IsInTouch());
+  Link link;
+  link.Play({Ok(Good(5, Server(Phase::kReady, 1, 1)))});
+  CHECK(link.IsInTouch());
+  CHECK_FALSE(link.IsInTouch(1'500'000));
+}
+
+TEST_CASE(
+    "DENIED: an answer that tells of a configuration and does not bring it is no proof of being in touch") {
+  WatchReply deferred = Good(6, Server(Phase::kReady, 1, 1));
+  deferred.configuration_document.clear();
+  Link link;
+  link.Play({Ok(deferred)});
+  CHECK_FALSE(link.IsInTouch());
+}
+
+TEST_CASE("CONFIG: keys that may be revoked are trusted for less than their bound after an answer") {
+  Link link(5000);
+  CHECK_FALSE(link.MayTrustKeys());
+  CHECK_FALSE(link.MayTrustKeys(-SteadyMicros()));  // on a machine that has just started
+  link.Play({Ok(Good(5, Server(Phase::kReady, 1, 1)))});
+  CHECK(link.MayTrustKeys());
+  CHECK(link.MayTrustKeys(2 * kSecond));
+  CHECK_FALSE(link.MayTrustKeys(5 * kSecond - 900'000));  // what was answered may have been that old
+}
+
+TEST_CASE("CONFIG: keys that cannot be revoked at once are trusted without an answer") {
+  const Link link;
+  CHECK(link.MayTrustKeys());
+  CHECK(link.MayTrustKeys(100 * kSecond));
+}
+
 TEST_CASE("A duplicated watch reply is applied once") {
   Link link;
   const std::string answer = Ok(Good(5, Server(Phase::kReady, 1, 1)));
