Acknowledge a departure only while sidecars can be told of it

Callers: a server that deregisters could be acknowledged while no control process answers watches, so that sidecars go on sending to it beyond drain_ms after that (a way to DRAIN, also where the process was out of touch). Cause: a promise whose way is not looked at. Departures are in the logs of two shards of their own; watches are answered by the contact that the configuration's shard proves. With that one without a leader, the acknowledgement came from the others, up to 1.5 s after contact had ended for a deregistration, and at any time for one that was in the log already. Change: without contact at the moment of the acknowledgement the answer is 503; the server announces it again, to whichever process. The digest of the virtual system changes, as its schedules have such moments.

--- a/src/control/core/control_core.cpp
+++ b/src/control/core/control_core.cpp
@@ -180,7 +180,7 @@
 
 void ControlCore::Deregister(const std::string& id, Micros now, const AcceptanceCallback& done) {
   now_ = now;
-  if (shards_.Deregistered(id) == Phase::kDeregistered) return done(Acceptance::kAccepted);
+  if (shards_.Deregistered(id) == Phase::kDeregistered) return done(AcceptanceOfDeparture());
   const InstanceTable::Record* record = table_.Find(id);
   SubmitDeregistration(record == nullptr ? std::string() : record->instance.backend, id, Phase::kDeregistered,
                        done);
@@ -191,15 +191,22 @@
   if (IsIsolated()) return done(Acceptance::kUnavailable);
   const Micros announced_at = now_;
   shards_.Deregister(service, id, phase, now_, [=, this](const Result<void>& committed) {
-    LogDeparture(id, phase, announced_at, committed);
-    done(committed ? Acceptance::kAccepted : Acceptance::kUnavailable);
+    const Acceptance acceptance = committed ? AcceptanceOfDeparture() : Acceptance::kUnavailable;
+    LogDeparture(id, phase, announced_at, acceptance);
+    done(acceptance);
   });
   Flush();
 }
 
+// An acknowledgement starts the time within which no request may reach the server any more. Without contact
+// no sidecar is told; the server repeats its announcement.
+ControlCore::Acceptance ControlCore::AcceptanceOfDeparture() const {
+  return HasQuorumContact() ? Acceptance::kAccepted : Acceptance::kUnavailable;
+}
+
 void ControlCore::LogDeparture(const std::string& id, Phase phase, Micros announced_at,
-                               const Result<void>& committed) const {
-  const char* const outcome = committed ? "acknowledged" : "not acknowledged";
+                               Acceptance acceptance) const {
+  const char* const outcome = acceptance == Acceptance::kAccepted ? "acknowledged" : "not acknowledged";
   spdlog::info("departure {} instance={} phase={} waited_ms={}", outcome, id, Name(phase),
                (now_ - announced_at) / kMicrosPerMs);
 }
--- a/src/control/core/control_core.hpp
+++ b/src/control/core/control_core.hpp
@@ -142,8 +142,9 @@
   bool IsIsolated() const;
   void SubmitDeregistration(const std::string& service, const std::string& id, Phase phase,
                             const AcceptanceCallback& done);
-  void LogDeparture(const std::string& id, Phase phase, Micros announced_at,
-                    const Result<void>& committed) const;
+  void LogDeparture(const std::string& id, Phase phase, Micros announced_at, Acceptance acceptance) const;
+  // Of a departure that is in the log.
+  Acceptance AcceptanceOfDeparture() const;
   WatchRegistry::Readiness WatchReadiness() const;
   void AnswerWatches(WatchRegistry::Urgency urgency);
   void RouteDemand(const std::vector<ModelDemand>& demand);
--- a/tests/control/digest_test.cpp
+++ b/tests/control/digest_test.cpp
@@ -32,7 +32,7 @@
 constexpr std::uint64_t kSystemSeeds = 200;
 constexpr std::uint64_t kClusterSeeds = 200;
 constexpr std::uint64_t kRoutingSeeds = 50;
-constexpr std::uint64_t kSystemDigest = 0x45c4bef8066adbc1U;
+constexpr std::uint64_t kSystemDigest = 0xeb7e1c15aaccf443U;
 constexpr std::uint64_t kClusterDigest = 0xaf68d3eadbe174b2U;
 constexpr std::uint64_t kRoutingDigest = 0x8561f8245c6b3449U;
 
--- a/tests/control/system_test.cpp
+++ b/tests/control/system_test.cpp
@@ -22,6 +22,7 @@
 constexpr Micros kSecond = 1'000'000;
 constexpr Micros kHeartbeat = 500'000;
 constexpr int kTimeoutMs = 1000;
+constexpr int kConfigurationShard = 0;
 
 // Sends one change until it has a clear answer, as the operator does: to the next process after each failure.
 class Operator {
@@ -346,6 +347,28 @@
   }
 }
 
+TEST_CASE("DRAIN: a departure is not acknowledged by a process that cannot tell sidecars of it") {
+  Play play;
+  play.Configure(3, 0);
+  play.AwaitServers(2);
+  // The shard that proves contact is lost, those that hold departures go on.
+  play.system.tamper = [](WireMessage& message) {
+    if (message.path != kExchangePath || message.answer) return;
+    auto request = Decode<ExchangeRequest>(message.body);
+    std::erase_if(request->messages, [](const auto& one) { return one.shard == kConfigurationShard; });
+    message.body = Encode(*request);
+  };
+  play.system.Run(1'100'000);
+  std::vector<int> statuses;
+  for (std::size_t i = 0; i < play.system.controls(); ++i)
+    play.system.CallPublic(i, "DELETE", "/api/instances/i-leaves", "", 0,
+                           [&](int status, const std::string&) { statuses.push_back(status); });
+  play.system.Run(kSecond);
+  CHECK(statuses == std::vector<int>(play.system.controls(), 503));
+  play.system.tamper = nullptr;
+  play.AwaitServers(1);
+}
+
 TEST_CASE("System: an acknowledged drain outlives the process that acknowledged it") {
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
     INFO("seed " << seed);
