--- a/tests/control/system_test.cpp
+++ b/tests/control/system_test.cpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <utility>
 
+#include "testing/announcing_server.hpp"
 #include "testing/configuration_document.hpp"
 #include "testing/virtual_system.hpp"
 #include "testing/wire_fields.hpp"
@@ -15,12 +16,12 @@
 namespace {
 
 using nlohmann::json;
+using testing::AnnouncingServer;
 using testing::Document;
 using testing::VirtualSystem;
 using testing::WireMessage;
 
 constexpr Micros kSecond = 1'000'000;
-constexpr Micros kHeartbeat = 500'000;
 constexpr int kTimeoutMs = 1000;
 constexpr int kConfigurationShard = 0;
 
@@ -51,47 +52,6 @@
   const std::shared_ptr<int> status_ = std::make_shared<int>(0);
 };
 
-// A server that sends heartbeats to one process, to the next after a failure, and can be told to leave.
-class Server {
- public:
-  Server(VirtualSystem& system, std::string id, std::string address)
-      : system_(system), id_(std::move(id)), address_(std::move(address)) {}
-
-  // To be called at each turn of the system.
-  void Turn() {
-    if (*calling_ || system_.now() < next_at_) return;
-    *calling_ = true;
-    const json body{{"backend", "s"},
-                    {"address", address_},
-                    {"zone", "zone"},
-                    {"capacity", 4},
-                    {"phase", draining_ ? "draining" : "ready"},
-                    {"sequence", ++sequence_}};
-    system_.CallPublic(
-        at_ % system_.controls(), "PUT", "/api/instances/" + id_, body.dump(), 0,
-        [this, calling = std::weak_ptr<bool>(calling_), said = draining_](int status, const std::string&) {
-          if (calling.expired()) return;
-          *calling_ = false;
-          next_at_ = system_.now() + (status == 200 ? kHeartbeat : 0);
-          if (status != 200) ++at_;
-          if (status == 200 && said) drain_acknowledged_ = true;
-        });
-  }
-  void Drain() { draining_ = true; }
-  bool drain_acknowledged() const { return drain_acknowledged_; }
-
- private:
-  VirtualSystem& system_;
-  const std::string id_;
-  const std::string address_;
-  const std::shared_ptr<bool> calling_ = std::make_shared<bool>(false);
-  Micros next_at_ = 0;
-  std::size_t at_ = 0;
-  std::int64_t sequence_ = 0;
-  bool draining_ = false;
-  bool drain_acknowledged_ = false;
-};
-
 // A system with two servers; the stages of one short life of it.
 class Play {
  public:
@@ -158,8 +118,8 @@
   VirtualSystem system;
 
  private:
-  Server stays_;
-  Server leaves_;
+  AnnouncingServer stays_;
+  AnnouncingServer leaves_;
 };
 
 const char* const kPaths[] = {kExchangePath, kWatchPath};
