--- a/tests/control/api/guarded_client_test.cpp
+++ b/tests/control/api/guarded_client_test.cpp
@@ -1,11 +1,6 @@
 // Calls that must not be late, over loopback: what leaves when the guard refuses after the call was begun.
 #include "control/api/guarded_client.hpp"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <catch2/catch.hpp>
 #include <memory>
 #include <optional>
@@ -13,6 +8,8 @@
 #include <thread>
 #include <utility>
 
+#include "testing/loopback_listener.hpp"
+
 namespace violetwing::http {
 namespace {
 
@@ -25,27 +22,17 @@
 // A listener whose connections the test reads and writes by hand.
 class ScriptedPeer {
  public:
-  ScriptedPeer() : listener_(socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof address;
-    REQUIRE(bind(listener_, reinterpret_cast<sockaddr*>(&address), size) == 0);
-    REQUIRE(listen(listener_, 4) == 0);
-    REQUIRE(getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size) == 0);
-    address_ = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
-  }
+  ScriptedPeer() = default;
   ~ScriptedPeer() {
     if (connection_ >= 0) close(connection_);
-    close(listener_);
   }
   ScriptedPeer(const ScriptedPeer&) = delete;
   ScriptedPeer& operator=(const ScriptedPeer&) = delete;
 
-  const std::string& address() const { return address_; }
+  const std::string& address() const { return listener_.address(); }
   // What the first connection has brought since the last call.
   std::string Take() {
-    if (connection_ < 0) connection_ = accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK);
+    if (connection_ < 0) connection_ = accept4(listener_.socket_fd(), nullptr, nullptr, SOCK_NONBLOCK);
     char bytes[4096];
     const ssize_t size = recv(connection_, bytes, sizeof bytes, MSG_DONTWAIT);
     return size > 0 ? std::string(bytes, static_cast<std::size_t>(size)) : std::string();
@@ -55,9 +42,8 @@
   }
 
  private:
-  const int listener_;
+  const testing::LoopbackListener listener_;
   int connection_ = -1;
-  std::string address_;
 };
 
 struct EventBaseDeleter {
--- a/tests/control/api/http_client_test.cpp
+++ b/tests/control/api/http_client_test.cpp
@@ -1,17 +1,15 @@
 // Requests of a control process to servers and other control processes, over loopback.
 #include "control/api/http_client.hpp"
 
-#include <arpa/inet.h>
 #include <event2/event.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <catch2/catch.hpp>
 #include <cerrno>
 #include <memory>
 #include <string>
 
+#include "testing/loopback_listener.hpp"
+
 namespace violetwing::http {
 namespace {
 
@@ -22,24 +20,11 @@
 // Takes connections and reads nothing until it is asked to.
 class SilentPeer {
  public:
-  SilentPeer() : listener_(socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof address;
-    REQUIRE(bind(listener_, reinterpret_cast<sockaddr*>(&address), size) == 0);
-    REQUIRE(listen(listener_, 4) == 0);
-    REQUIRE(getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size) == 0);
-    address_ = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
-  }
-  ~SilentPeer() { close(listener_); }
-  SilentPeer(const SilentPeer&) = delete;
-  SilentPeer& operator=(const SilentPeer&) = delete;
-  const std::string& address() const { return address_; }
+  const std::string& address() const { return listener_.address(); }
 
   // The error with which the next connection ends, 0 for a plain end.
   int EndOfConnection() const {
-    const int connection = accept(listener_, nullptr, nullptr);
+    const int connection = accept(listener_.socket_fd(), nullptr, nullptr);
     char bytes[4096];
     ssize_t size = 0;
     do size = recv(connection, bytes, sizeof bytes, 0);
@@ -50,8 +35,7 @@
   }
 
  private:
-  const int listener_;
-  std::string address_;
+  const testing::LoopbackListener listener_;
 };
 
 }  // namespace
