--- a/review/common/model_server.hpp
+++ b/review/common/model_server.hpp
@@ -164,6 +164,7 @@
       Sleep(5);
       const std::lock_guard<std::mutex> lock(mutex_);
       if (!order_ || Clock::now() < order_done_at_) continue;
+      if (order_->operation == "unload_model" && order_->adapter.empty() && running_[order_->model] > 0) continue;
       const Order done = *std::exchange(order_, std::nullopt);
       if (done.operation == "load_model") {
         if (done.adapter.empty())
@@ -191,12 +192,21 @@
       const std::lock_guard<std::mutex> lock(mutex_);
       const bool concerned = order_ && order_->model == model && (order_->adapter.empty() || order_->adapter == adapter);
       refusal = concerned ? 503 : Holds(model, adapter) ? 0 : 421;
-      if (refusal == 0) ++runs_[*id];
+      if (refusal == 0) ++runs_[*id], ++running_[model];
     }
     const Headers about{{"X-Violetwing-Request-Id", *id}};
     if (refusal != 0)
       return to.Write(FormatAnswer(refusal, {about[0], {"X-Violetwing-Not-Executed", "1"}}, ""));
     record_.Line("%s: runs request %s for %s", settings_.id.c_str(), id->c_str(), name->c_str());
+    const bool complete = WriteEvents(request, *id, to);
+    const std::lock_guard<std::mutex> lock(mutex_);
+    --running_[model];
+    return complete;
+  }
+
+  // Answers with a stream of events of 5 tokens, one each 20 ms.
+  bool WriteEvents(const Message& request, const std::string& request_id, Stream& to) const {
+    const std::string* id = &request_id;
     std::string head = "HTTP/1.1 200 OK\r\nX-Violetwing-Request-Id: " + *id +
                        "\r\nX-Violetwing-Response-Signature: 3e1b." + *id +
                        "\r\nVersions: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -253,7 +263,8 @@
   std::int64_t sequence_ = 0;
   std::optional<Order> order_;
   Clock::time_point order_done_at_;
-  std::map<std::string, int> runs_;
+  std::map<std::string, int> runs_;     // by request id
+  std::map<std::string, int> running_;  // by model
   std::atomic<bool> stopped_{false}, registered_{false}, fell_{false};
   std::unique_ptr<Server> server_;
   std::thread heartbeats_, orders_;
