Reject a patch that deletes something other than names

Cause: a patch is applied to the document and to the parsed message. The first passed over lists that the document lacks, the second took their names for checked: nlohmann's get<std::string>() threw, and nothing between the log and main() catches it.

Change: ApplyToMessage tells "not names" apart, and the change is invalid. What earlier versions accepted (an upsert that is not merged by items, a list that they do not know) stays accepted: they threw in no other case, so no acknowledged change is refused. The form is checked before the log as well (CheckForm), alike for each configuration: 400, and no entry. A process that would refuse a form makes sure of the newest state first, and acknowledges a change that an earlier version had accepted.

Test: "CONFIG: a patch that deletes something other than names ..." and "CONFIG: a log with a patch that deletes ..." throw type_error.302 on the code before; "CONFIG: what an earlier version has accepted ..." passes on both, as it should.

--- a/src/control/api/handlers.cpp
+++ b/src/control/api/handlers.cpp
@@ -86,9 +86,6 @@
   change.patch = request.method == "PATCH";
   if (!ParseIfMatch(request.if_match, change.base_version))
     return respond(Failure(http::kBadRequest, "If-Match: is no version"));
-  // Checked before it is submitted, so that the log holds valid JSON only.
-  if (!json::accept(request.body))
-    return respond(Failure(http::kBadRequest, "document: cannot be read whole as JSON"));
   change.body = request.body;
   core.Change(change, now, [respond](const Result<configuration::ChangeOutcome>& result) {
     if (!result) return respond(Unavailable("no quorum has taken it yet; send it again unchanged"));
--- /dev/null
+++ b/src/control/configuration/change_form.hpp
@@ -0,0 +1,28 @@
+// Checks the form of a configuration change before it is submitted to the log.
+#ifndef VIOLETWING_CONTROL_CONFIGURATION_CHANGE_FORM_HPP_
+#define VIOLETWING_CONTROL_CONFIGURATION_CHANGE_FORM_HPP_
+
+#include <optional>
+#include <string>
+
+#include "control/configuration/change.hpp"
+
+namespace violetwing::configuration {
+
+/// Why a change is rejected before it is submitted.
+enum class FormProblem {
+  kNotJson,         ///< the body is not JSON in UTF-8; no version of this program has accepted such a change
+  kDeletesNonName,  ///< a list in a patch's `delete` holds something that is not a name
+};
+
+/// Returns the first problem of a change's form that makes it invalid on every version of the configuration;
+/// empty if there is none. Stricter than `State::Apply`, which must still accept each change that an earlier
+/// version of this program has accepted.
+std::optional<FormProblem> CheckForm(const Change& change);
+
+/// Describes the problem for the operator, without any text of the change.
+std::string ToText(FormProblem problem);
+
+}  // namespace violetwing::configuration
+
+#endif  // VIOLETWING_CONTROL_CONFIGURATION_CHANGE_FORM_HPP_
--- a/src/control/configuration/message_patch.cpp
+++ b/src/control/configuration/message_patch.cpp
@@ -1,6 +1,7 @@
 #include "control/configuration/message_patch.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -21,6 +22,7 @@
 
 // Returns whether all members of the patch's `upsert` can be merged into the message item by item.
 bool IsMergeable(const Json& upsert) {
+  if (!upsert.is_object()) return false;
   for (const auto& [key, items] : upsert.items()) {
     const bool is_list = key == kRoutes || key == kBackends || key == kTenants;
     if (is_list ? !items.is_array() : key != kLimits || !items.is_object()) return false;
@@ -28,10 +30,21 @@
   return true;
 }
 
+// Reads the names in a list of the patch's `delete`; empty if it holds something that is not a name.
+std::optional<std::set<std::string>> ReadNames(const Json& remove, const char* list) {
+  std::set<std::string> names;
+  const auto items = remove.find(list);
+  if (items == remove.end()) return names;
+  if (!items->is_array()) return std::nullopt;
+  for (const Json& name : *items) {
+    if (!name.is_string()) return std::nullopt;
+    names.insert(name.get<std::string>());
+  }
+  return names;
+}
+
 template <class Item>
-void Remove(google::protobuf::RepeatedPtrField<Item>& list, const Json& names) {
-  std::set<std::string> removed;
-  for (const Json& name : names) removed.insert(name.get<std::string>());
+void Remove(google::protobuf::RepeatedPtrField<Item>& list, const std::set<std::string>& removed) {
   if (removed.empty()) return;
   const auto end = std::remove_if(list.begin(), list.end(),
                                   [&](const Item& item) { return removed.count(item.name()) > 0; });
@@ -56,25 +69,29 @@
 
 }  // namespace
 
-bool ApplyToMessage(proto::Configuration& message, const Json& patch) {
-  if (!patch.is_object() || !patch.contains("version")) return false;
+MessagePatchResult ApplyToMessage(proto::Configuration& message, const Json& patch) {
+  if (!patch.is_object() || !patch.contains("version")) return MessagePatchResult::kNotMergeable;
   const Json upsert = patch.value("upsert", Json::object());
   const Json remove = patch.value("delete", Json::object());
-  if (!IsMergeable(upsert)) return false;
+  if (!IsMergeable(upsert) || !remove.is_object()) return MessagePatchResult::kNotMergeable;
   Json items = upsert;
   items["version"] = patch.at("version");
   proto::Configuration changed;
   // The finding is dropped: parsing the complete document reports it with its path.
-  if (ParseMessage(items.dump(), changed)) return false;
+  if (ParseMessage(items.dump(), changed)) return MessagePatchResult::kNotMergeable;
+  const auto removed_routes = ReadNames(remove, kRoutes);
+  const auto removed_backends = ReadNames(remove, kBackends);
+  const auto removed_tenants = ReadNames(remove, kTenants);
+  if (!removed_routes || !removed_backends || !removed_tenants) return MessagePatchResult::kInvalidNames;
   message.set_version(changed.version());
-  Remove(*message.mutable_routes(), remove.value(kRoutes, Json::array()));
-  Remove(*message.mutable_backends(), remove.value(kBackends, Json::array()));
-  Remove(*message.mutable_tenants(), remove.value(kTenants, Json::array()));
+  Remove(*message.mutable_routes(), *removed_routes);
+  Remove(*message.mutable_backends(), *removed_backends);
+  Remove(*message.mutable_tenants(), *removed_tenants);
   Upsert(*message.mutable_routes(), changed.routes());
   Upsert(*message.mutable_backends(), changed.backends());
   Upsert(*message.mutable_tenants(), changed.tenants());
   if (changed.has_limits()) *message.mutable_limits() = changed.limits();
-  return true;
+  return MessagePatchResult::kApplied;
 }
 
 }  // namespace violetwing::configuration
--- a/src/control/configuration/message_patch.hpp
+++ b/src/control/configuration/message_patch.hpp
@@ -10,10 +10,18 @@
 
 namespace violetwing::configuration {
 
-/// Replaces, adds and removes items of `message` by name (PROTOCOL.md, "The operator's API"). Returns false
-/// if the patch upserts anything other than `routes`, `backends`, `tenants` and `limits`, or cannot be
-/// parsed. The caller must then apply it to the document and discard `message`.
-bool ApplyToMessage(proto::Configuration& message, const nlohmann::ordered_json& patch);
+/// Whether a patch was applied to a parsed configuration.
+enum class MessagePatchResult {
+  kApplied,
+  /// The patch upserts anything other than `routes`, `backends`, `tenants` and `limits`, or cannot be parsed.
+  /// The caller must apply it to the document and read that.
+  kNotMergeable,
+  kInvalidNames,  ///< a list in `delete` holds something that is not a name
+};
+
+/// Replaces, adds and removes items of `message` by name (PROTOCOL.md, "The operator's API"). The message is
+/// unspecified unless the result is `kApplied`.
+MessagePatchResult ApplyToMessage(proto::Configuration& message, const nlohmann::ordered_json& patch);
 
 }  // namespace violetwing::configuration
 
--- a/src/control/configuration/reader.cpp
+++ b/src/control/configuration/reader.cpp
@@ -10,6 +10,12 @@
 namespace violetwing::configuration {
 namespace {
 
+ReadResult RejectNames() {
+  return {nullptr,
+          {{FindingCode::kMalformed, "patch", "delete: a list holds something that is not a name"}},
+          nullptr};
+}
+
 ReadResult ValidateMessage(std::shared_ptr<const proto::Configuration> message) {
   ValidationResult result = Validate(*message);
   if (result.configuration == nullptr) return {nullptr, std::move(result.findings), nullptr};
@@ -28,8 +34,16 @@
 std::optional<ReadResult> ReadPatched(const proto::Configuration& before,
                                       const std::vector<nlohmann::ordered_json>& patches) {
   auto message = std::make_shared<proto::Configuration>(before);
-  for (const nlohmann::ordered_json& patch : patches)
-    if (!ApplyToMessage(*message, patch)) return std::nullopt;
+  for (const nlohmann::ordered_json& patch : patches) {
+    switch (ApplyToMessage(*message, patch)) {
+      case MessagePatchResult::kApplied:
+        break;
+      case MessagePatchResult::kNotMergeable:
+        return std::nullopt;
+      case MessagePatchResult::kInvalidNames:
+        return RejectNames();
+    }
+  }
   return ValidateMessage(std::move(message));
 }
 
--- a/src/control/configuration/reader.hpp
+++ b/src/control/configuration/reader.hpp
@@ -29,7 +29,8 @@
 ReadResult Read(const std::string& json);
 /// Reads the configuration that results from applying `patches` in order to `before`. The result equals that
 /// of `Read` on the patched document, but only the patches are parsed. Returns `nullopt` if a patch cannot be
-/// applied to the parsed form (message_patch.hpp); the caller must then read the complete document.
+/// applied to the parsed form (message_patch.hpp); the caller must then read the complete document. Never
+/// throws, whatever the patches contain.
 std::optional<ReadResult> ReadPatched(const proto::Configuration& before,
                                       const std::vector<nlohmann::ordered_json>& patches);
 
--- a/src/control/configuration/state.cpp
+++ b/src/control/configuration/state.cpp
@@ -45,6 +45,10 @@
   return {ChangeStatus::kAccepted, version_, {}};
 }
 
+bool State::MayHaveAccepted(const Change& change) const {
+  return change.base_version < accepted_.horizon() || accepted_.Contains(DigestOf(change));
+}
+
 State::Candidate State::MakeCandidate(const Change& change, Json body) {
   std::optional<ReadResult> read;
   if (change.patch) {
--- a/src/control/configuration/state.hpp
+++ b/src/control/configuration/state.hpp
@@ -20,11 +20,14 @@
 /// Applies changes in log order, with the same outcome on every replica. Not thread-safe.
 class State {
  public:
-  /// Applies a change (RULES.md, "Configuration"). A retry of an accepted change is accepted again without
+  /// Applies a change (RULES.md, "Configuration"); never throws, whatever its body is. A retry of an accepted change is accepted again without
   /// effect, even after later changes. A change based on a version below the horizon of the accepted changes
   /// is never rejected, because it may have been accepted before; its status is `kUnknown`.
   ChangeOutcome Apply(const Change& change);
 
+  /// Returns whether the change was accepted, or is so old that it may have been.
+  bool MayHaveAccepted(const Change& change) const;
+
   /// The current version; 0 before the first one.
   std::int64_t version() const { return version_; }
   /// The document as the operator sent it, with later patches applied; empty before the first version.
--- a/src/control/core/control_core.cpp
+++ b/src/control/core/control_core.cpp
@@ -216,11 +216,33 @@
 
 void ControlCore::Change(const configuration::Change& change, Micros now, const ChangeCallback& done) {
   now_ = now;
+  // Checked before it is submitted, so that the log holds valid JSON only.
+  const std::optional<configuration::FormProblem> problem = configuration::CheckForm(change);
+  if (problem == configuration::FormProblem::kNotJson) return done(InvalidChange(*problem));
   if (IsIsolated()) return done(ControlErrc::kNoQuorum);
-  shards_.SubmitChange(change, now, done);
+  if (problem)
+    RejectChange(change, *problem, done);
+  else
+    shards_.SubmitChange(change, now, done);
   Flush();
 }
 
+configuration::ChangeOutcome ControlCore::InvalidChange(configuration::FormProblem problem) const {
+  return {configuration::ChangeStatus::kInvalid, configuration().version(), ToText(problem)};
+}
+
+// A change that an earlier version of this program has accepted is never rejected when it is sent again. The
+// state of this process may be older than that acceptance, hence the barrier.
+void ControlCore::RejectChange(const configuration::Change& change, configuration::FormProblem problem,
+                               const ChangeCallback& done) {
+  shards_.AwaitReadBarrier(now_, [=, this](const Result<void>& current) {
+    if (!current) return done(current.error());
+    if (configuration().MayHaveAccepted(change)) return shards_.SubmitChange(change, now_, done);
+    spdlog::info("configuration change rejected base={} reason={}", change.base_version, ToText(problem));
+    done(InvalidChange(problem));
+  });
+}
+
 void ControlCore::ReadConfiguration(Micros now, const ReadCallback& done) {
   now_ = now;
   if (IsIsolated()) return done(ControlErrc::kNoQuorum);
--- a/src/control/core/control_core.hpp
+++ b/src/control/core/control_core.hpp
@@ -16,6 +16,7 @@
 #include "common/node_settings.hpp"
 #include "common/result.hpp"
 #include "common/time.hpp"
+#include "control/configuration/change_form.hpp"
 #include "control/core/quorum_contact.hpp"
 #include "control/core/watch_registry.hpp"
 #include "control/duties/lease_keeper.hpp"
@@ -94,7 +95,7 @@
   void Heartbeat(Instance instance, bool draining, Micros now, const AcceptanceCallback& done);
   /// A server has deregistered. Idempotent.
   void Deregister(const std::string& id, Micros now, const AcceptanceCallback& done);
-  /// Replaces or patches the configuration.
+  /// Replaces or patches the configuration. A change whose form is invalid never reaches the log.
   void Change(const configuration::Change& change, Micros now, const ChangeCallback& done);
   /// A linearizable read of the configuration.
   void ReadConfiguration(Micros now, const ReadCallback& done);
@@ -149,6 +150,9 @@
   void LogDeparture(const std::string& id, Phase phase, Micros announced_at, Acceptance acceptance) const;
   // The outcome of a departure whose command is committed.
   Acceptance DepartureAcceptance() const;
+  configuration::ChangeOutcome InvalidChange(configuration::FormProblem problem) const;
+  void RejectChange(const configuration::Change& change, configuration::FormProblem problem,
+                    const ChangeCallback& done);
   WatchRegistry::Readiness WatchReadiness() const;
   void AnswerWatches(WatchRegistry::Urgency urgency);
   void RouteDemand(const std::vector<ModelDemand>& demand);
--- /dev/null
+++ b/tests/control/invalid_input_test.cpp
@@ -0,0 +1,153 @@
+// Input that no caller should send: it is rejected without effect, and no control process ends, also if an
+// earlier version of the program has written it to the log.
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "control/configuration/change_form.hpp"
+#include "control/replication/commands.hpp"
+#include "testing/configuration_document.hpp"
+#include "testing/virtual_system.hpp"
+
+namespace violetwing {
+namespace {
+
+using nlohmann::json;
+using testing::Document;
+using testing::PatchDocument;
+using testing::VirtualSystem;
+
+constexpr int kConfigurationShard = 0;
+constexpr Micros kTimeout = 10'000'000;
+constexpr const char* kConfigurationPath = "/api/configuration";
+
+struct Answer {
+  int status = 0;
+  std::string body;
+};
+
+// Three control processes with version 1 of the configuration.
+class System {
+ public:
+  System() : system_(3, 1, 1) { CHECK(Change("PUT", 0, Document(1)).status == 200); }
+
+  // Sends a call to one process after the other until one answers it other than with 503.
+  Answer Call(const std::string& method, const std::string& path, const std::string& body,
+              std::int64_t base = 0) {
+    Answer answer;
+    for (std::size_t attempt = 0; attempt < 60; ++attempt) {
+      bool ended = false;
+      system_.CallPublic(attempt % system_.controls(), method, path, body, base,
+                         [&](int status, const std::string& text) {
+                           answer = {status, text};
+                           ended = true;
+                         });
+      system_.RunUntil([&] { return ended; }, kTimeout);
+      if (answer.status != 0 && answer.status != 503) return answer;
+    }
+    return answer;
+  }
+  Answer Change(const std::string& method, std::int64_t base, const std::string& body) {
+    return Call(method, kConfigurationPath, body, base);
+  }
+  // The version that a read returns; 0 if it does not succeed.
+  std::int64_t ReadVersion() {
+    const Answer answer = Call("GET", kConfigurationPath, "");
+    return answer.status == 200 ? json::parse(answer.body).at("version").get<std::int64_t>() : 0;
+  }
+
+  // Writes a command to the log as a process of an earlier version does, which does not check it.
+  void AppendUnchecked(int shard, const std::string& command) {
+    ExchangeRequest request;
+    request.sender = {"control-0", "zone", system_.control(0).address, system_.control(0).public_address};
+    request.proposals.push_back(
+        {shard, Encode(Envelope{"earlier version/" + std::to_string(++appended_), command})});
+    for (std::size_t i = 0; i < system_.controls(); ++i)
+      system_.control(i).core->OnExchangeRequest(request, system_.now());
+    system_.Run(1'000'000);
+  }
+  void AppendUnchecked(const configuration::Change& change) {
+    AppendUnchecked(kConfigurationShard, Encode(ConfigurationCommand(change)));
+  }
+
+  // Ends all processes and starts them from their disks.
+  void Restart() {
+    for (std::size_t i = 0; i < system_.controls(); ++i) system_.Kill(i);
+    for (std::size_t i = 0; i < system_.controls(); ++i) system_.Start(i);
+    system_.Run(1'000'000);
+  }
+  // Whether all processes have applied `version`.
+  bool IsInForceEverywhere(std::int64_t version) {
+    for (std::size_t i = 0; i < system_.controls(); ++i)
+      if (system_.control(i).core->configuration().version() != version) return false;
+    return true;
+  }
+  VirtualSystem& virtual_system() { return system_; }
+
+ private:
+  VirtualSystem system_;
+  int appended_ = 0;
+};
+
+// A patch of version 1 to version 2 with this `delete`.
+std::string PatchThatDeletes(const json& remove) {
+  json patch = json::parse(PatchDocument(2, 2000));
+  patch["delete"] = remove;
+  return patch.dump();
+}
+
+const json kItemInPlaceOfName = {{{"name", "old-customer"}}};
+
+}  // namespace
+
+// Such a patch once passed every check, and then ended each control process that applied the committed entry.
+TEST_CASE("CONFIG: a patch that deletes something other than names is rejected without effect") {
+  System system;
+  for (const json& item :
+       {json(kItemInPlaceOfName[0]), json(7), json(nullptr), json::array({"r0"}), json(true)}) {
+    for (const char* list : {"routes", "backends", "tenants", "limits", "unknown"}) {
+      const Answer answer = system.Change("PATCH", 1, PatchThatDeletes({{list, {"a-name", item}}}));
+      CHECK(answer.status == 400);
+      CHECK(answer.body.find("not a name") != std::string::npos);
+    }
+  }
+  CHECK(system.ReadVersion() == 1);
+  system.Restart();
+  CHECK(system.ReadVersion() == 1);
+  CHECK(system.Change("PATCH", 1, PatchThatDeletes({{"tenants", {"a-name"}}})).status == 200);
+  CHECK(system.ReadVersion() == 2);
+}
+
+TEST_CASE("CONFIG: a log with a patch that deletes something other than names is applied without effect") {
+  System system;
+  const configuration::Change change{true, 1, PatchThatDeletes({{"tenants", kItemInPlaceOfName}})};
+  system.AppendUnchecked(change);
+  CHECK(system.IsInForceEverywhere(1));
+  CHECK(system.ReadVersion() == 1);
+  system.Restart();
+  CHECK(system.ReadVersion() == 1);
+  CHECK(system.Change("PATCH", 1, change.body).status == 400);
+  CHECK(system.Change("PATCH", 1, PatchDocument(2, 2000)).status == 200);
+  CHECK(system.IsInForceEverywhere(2));
+}
+
+// Earlier versions accepted such a patch if they read the complete document in place of the patch, or if the
+// list was none that they know.
+TEST_CASE("CONFIG: what an earlier version has accepted stays in force and is acknowledged again") {
+  json unmergeable = json::parse(PatchThatDeletes({{"tenants", kItemInPlaceOfName}}));
+  unmergeable["upsert"]["unknown"] = json::array();
+  const std::vector<configuration::Change> changes = {{true, 1, PatchThatDeletes({{"unknown", {1, 2}}})},
+                                                      {true, 1, unmergeable.dump()}};
+  for (const configuration::Change& change : changes) {
+    System system;
+    system.AppendUnchecked(change);
+    CHECK(system.IsInForceEverywhere(2));
+    CHECK(system.Change("PATCH", 1, change.body).status == 200);
+    system.Restart();
+    CHECK(system.ReadVersion() == 2);
+    CHECK(system.Change("PATCH", 1, change.body).status == 200);
+  }
+}
+}  // namespace violetwing
