Bound the nesting of changes, and apply any nesting without recursion

Seen, one control process a body on: a list of 60,000 levels in an unknown member, a route or an upserted object, and routes in 20,000 lists, end the process with SIGSEGV, again at each start from that store. The least depths are 58,126 to 58,203, 19,369 to 19,406 for routes, 104,614 to 104,723 for a list in `delete`.

Cause: nlohmann's dump() and copy constructor, and the look for ignored members, recurse over the operator's document. The parsers of nlohmann and of protocol buffers do not (4,000,000 levels were read).

Change: before the log a body nests 100 levels at most, as objects of messages do; 400. A document of more than 58,254 levels (8 MiB of stack by 144 bytes) is invalid then: no earlier version could accept one. What they accepted stays in force.

--- a/src/control/configuration/change_form.cpp
+++ b/src/control/configuration/change_form.cpp
@@ -45,7 +45,7 @@
   }
   bool OnContainer() {
     OnValue(/*is_string=*/false);
-    ++depth_;
+    if (++depth_ > kMaxChangeDepth) Report(FormProblem::kNestsTooDeep);
     return true;
   }
   bool OnContainerEnd() {
@@ -74,6 +74,8 @@
   switch (problem) {
     case FormProblem::kNotJson:
       return "document: cannot be read whole as JSON";
+    case FormProblem::kNestsTooDeep:
+      return "document: nests deeper than " + std::to_string(kMaxChangeDepth) + " levels";
     case FormProblem::kDeletesNonName:
       return "patch: delete: a list holds something that is not a name";
   }
--- a/src/control/configuration/change_form.hpp
+++ b/src/control/configuration/change_form.hpp
@@ -2,6 +2,7 @@
 #ifndef VIOLETWING_CONTROL_CONFIGURATION_CHANGE_FORM_HPP_
 #define VIOLETWING_CONTROL_CONFIGURATION_CHANGE_FORM_HPP_
 
+#include <cstddef>
 #include <optional>
 #include <string>
 
@@ -9,9 +10,14 @@
 
 namespace violetwing::configuration {
 
+/// The maximum nesting depth of a change's body: that of messages in JSON (protocol buffers'
+/// JsonStringToMessage), so that it limits unknown members like known ones.
+constexpr std::size_t kMaxChangeDepth = 100;
+
 /// Why a change is rejected before it is submitted.
 enum class FormProblem {
   kNotJson,         ///< the body is not JSON in UTF-8; no version of this program has accepted such a change
+  kNestsTooDeep,    ///< containers nest deeper than kMaxChangeDepth
   kDeletesNonName,  ///< a list in a patch's `delete` holds something that is not a name
 };
 
--- a/src/control/configuration/document_patch.cpp
+++ b/src/control/configuration/document_patch.cpp
@@ -4,6 +4,9 @@
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
+
+#include "control/configuration/json_document.hpp"
 
 namespace violetwing::configuration {
 namespace {
@@ -25,16 +28,16 @@
   return indexes;
 }
 
-std::optional<Finding> Upsert(Json& list, const Json& items, const std::string& key) {
+std::optional<Finding> Upsert(Json& list, Json& items, const std::string& key) {
   std::unordered_map<std::string, std::size_t> indexes = IndexesOf(list);
-  for (const Json& item : items) {
+  for (Json& item : items) {
     const std::string name = NameOf(item);
     if (name.empty()) return Finding{FindingCode::kMissing, "upsert." + key, "an item has no name"};
     const auto [entry, added] = indexes.emplace(name, list.size());
     if (added)
-      list.push_back(item);
+      list.push_back(std::move(item));
     else
-      list[entry->second] = item;
+      list[entry->second] = std::move(item);
   }
   return std::nullopt;
 }
@@ -52,13 +55,6 @@
   return std::nullopt;
 }
 
-// Returns a member of the patch, or an empty object if the patch does not have it.
-const Json& Member(const Json& patch, const char* key) {
-  static const Json kEmptyObject = Json::object();
-  const auto member = patch.find(key);
-  return member == patch.end() ? kEmptyObject : *member;
-}
-
 std::optional<Finding> RemoveAll(Json& document, const Json& remove) {
   if (!remove.is_object()) return Finding{FindingCode::kMalformed, "delete", "is not an object"};
   for (const auto& [key, names] : remove.items()) {
@@ -71,10 +67,12 @@
   return std::nullopt;
 }
 
-std::optional<Finding> UpsertAll(Json& document, const Json& upsert) {
-  for (const auto& [key, items] : upsert.items()) {
+std::optional<Finding> UpsertAll(Json& document, Json& upsert) {
+  for (const auto& member : upsert.items()) {
+    const std::string& key = member.key();
+    Json& items = member.value();
     if (!items.is_array()) {
-      document[key] = items;  // not a list of items: replaces the previous value
+      document[key] = std::move(items);  // not a list of items: replaces the previous value
       continue;
     }
     Json& list = document[key];
@@ -87,11 +85,11 @@
 
 }  // namespace
 
-std::optional<Finding> ApplyToDocument(Json& document, const Json& patch) {
+std::optional<Finding> ApplyToDocument(Json& document, Json patch) {
   if (!patch.is_object()) return Finding{FindingCode::kMalformed, "document", "is not an object"};
-  const Json& upsert = Member(patch, "upsert");
+  Json& upsert = patch.emplace("upsert", Json::object()).first.value();
   if (!upsert.is_object()) return Finding{FindingCode::kMalformed, "upsert", "is not an object"};
-  if (auto finding = RemoveAll(document, Member(patch, "delete"))) return finding;
+  if (auto finding = RemoveAll(document, MemberOrEmptyObject(patch, "delete"))) return finding;
   if (auto finding = UpsertAll(document, upsert)) return finding;
   if (!patch.contains("version")) return Finding{FindingCode::kMissing, "version", "is missing"};
   document["version"] = patch["version"];
--- a/src/control/configuration/document_patch.hpp
+++ b/src/control/configuration/document_patch.hpp
@@ -11,8 +11,9 @@
 
 /// Removes the items named in the patch's `delete`, then replaces or adds the items in its `upsert` by name
 /// (PROTOCOL.md, "The operator's API"). Returns a finding with its path in the patch if the patch is not
-/// well-formed; `document` may then be partially modified.
-std::optional<Finding> ApplyToDocument(nlohmann::ordered_json& document, const nlohmann::ordered_json& patch);
+/// well-formed; `document` may then be partially modified. Moves the items out of the patch: copying them
+/// would recurse.
+std::optional<Finding> ApplyToDocument(nlohmann::ordered_json& document, nlohmann::ordered_json patch);
 
 }  // namespace violetwing::configuration
 
--- a/src/control/configuration/ignored_members.cpp
+++ b/src/control/configuration/ignored_members.cpp
@@ -1,5 +1,7 @@
 #include "control/configuration/ignored_members.hpp"
 
+#include <vector>
+
 #include "generated/configuration.pb.h"
 
 namespace violetwing::configuration {
@@ -10,13 +12,12 @@
 using google::protobuf::FieldDescriptor;
 
 void CollectIgnored(const Json& value, const Descriptor& type, const std::string& path,
-                    std::set<std::string>& ignored) {
-  if (value.is_array()) {
-    for (const Json& item : value) CollectIgnored(item, type, path, ignored);
-    return;
-  }
-  if (!value.is_object()) return;
-  for (const auto& [name, member] : value.items()) {
+                    std::set<std::string>& ignored);
+
+// Recurses as deep as messages of configuration.proto contain each other.
+void CollectIgnoredOfObject(const Json& object, const Descriptor& type, const std::string& path,
+                            std::set<std::string>& ignored) {
+  for (const auto& [name, member] : object.items()) {
     const FieldDescriptor* field = type.FindFieldByName(name);
     if (field == nullptr)
       ignored.insert(path + name);
@@ -25,6 +26,19 @@
   }
 }
 
+// Protocol buffers read lists within lists like a single list, so these may nest to any depth.
+void CollectIgnored(const Json& value, const Descriptor& type, const std::string& path,
+                    std::set<std::string>& ignored) {
+  std::vector<const Json*> pending{&value};
+  while (!pending.empty()) {
+    const Json& next = *pending.back();
+    pending.pop_back();
+    if (next.is_object()) CollectIgnoredOfObject(next, type, path, ignored);
+    if (!next.is_array()) continue;
+    for (const Json& item : next) pending.push_back(&item);
+  }
+}
+
 }  // namespace
 
 std::set<std::string> IgnoredMembers(const Json& document) {
--- a/src/control/configuration/message_patch.cpp
+++ b/src/control/configuration/message_patch.cpp
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <unordered_map>
 
+#include "control/configuration/json_document.hpp"
 #include "control/configuration/parser.hpp"
 #include "generated/configuration.pb.h"
 
@@ -30,6 +31,13 @@
   return true;
 }
 
+// Returns a document of the patch's items and version. The keys are those that IsMergeable allows.
+std::string ToDocumentText(const Json& upsert, const Json& version) {
+  std::string text = "{\"version\":" + Serialize(version);
+  for (const auto& [key, items] : upsert.items()) text += ",\"" + key + "\":" + Serialize(items);
+  return text + "}";
+}
+
 // Reads the names in a list of the patch's `delete`; empty if it holds something that is not a name.
 std::optional<std::set<std::string>> ReadNames(const Json& remove, const char* list) {
   std::set<std::string> names;
@@ -71,14 +79,13 @@
 
 MessagePatchResult ApplyToMessage(proto::Configuration& message, const Json& patch) {
   if (!patch.is_object() || !patch.contains("version")) return MessagePatchResult::kNotMergeable;
-  const Json upsert = patch.value("upsert", Json::object());
-  const Json remove = patch.value("delete", Json::object());
+  const Json& upsert = MemberOrEmptyObject(patch, "upsert");
+  const Json& remove = MemberOrEmptyObject(patch, "delete");
   if (!IsMergeable(upsert) || !remove.is_object()) return MessagePatchResult::kNotMergeable;
-  Json items = upsert;
-  items["version"] = patch.at("version");
   proto::Configuration changed;
   // The finding is dropped: parsing the complete document reports it with its path.
-  if (ParseMessage(items.dump(), changed)) return MessagePatchResult::kNotMergeable;
+  if (ParseMessage(ToDocumentText(upsert, patch["version"]), changed))
+    return MessagePatchResult::kNotMergeable;
   const auto removed_routes = ReadNames(remove, kRoutes);
   const auto removed_backends = ReadNames(remove, kBackends);
   const auto removed_tenants = ReadNames(remove, kTenants);
--- a/src/control/configuration/reader.cpp
+++ b/src/control/configuration/reader.cpp
@@ -32,7 +32,7 @@
 }
 
 std::optional<ReadResult> ReadPatched(const proto::Configuration& before,
-                                      const std::vector<nlohmann::ordered_json>& patches) {
+                                      std::span<const nlohmann::ordered_json> patches) {
   auto message = std::make_shared<proto::Configuration>(before);
   for (const nlohmann::ordered_json& patch : patches) {
     switch (ApplyToMessage(*message, patch)) {
--- a/src/control/configuration/reader.hpp
+++ b/src/control/configuration/reader.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -32,7 +33,7 @@
 /// applied to the parsed form (message_patch.hpp); the caller must then read the complete document. Never
 /// throws, whatever the patches contain.
 std::optional<ReadResult> ReadPatched(const proto::Configuration& before,
-                                      const std::vector<nlohmann::ordered_json>& patches);
+                                      std::span<const nlohmann::ordered_json> patches);
 
 }  // namespace violetwing::configuration
 
--- a/src/control/configuration/state.cpp
+++ b/src/control/configuration/state.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "control/configuration/document_patch.hpp"
+#include "control/configuration/json_document.hpp"
 
 namespace violetwing::configuration {
 namespace {
@@ -11,6 +12,10 @@
 // Preserves the order of the operator's fields.
 using Json = nlohmann::ordered_json;
 
+// Earlier versions serialized the document recursively, with 144 bytes of stack for each level. They ended on
+// deeper documents than 8 MiB of stack allow, and thus have accepted none.
+constexpr std::size_t kMaxDocumentDepth = std::size_t{8} * 1024 * 1024 / 144;
+
 // Returns the reason why `read` cannot replace `version`; `nullopt` if it can.
 std::optional<std::string> RejectionReason(const ReadResult& read, std::int64_t version) {
   if (read.configuration == nullptr) return ToText(read.findings);
@@ -49,16 +54,20 @@
   return change.base_version < accepted_.horizon() || accepted_.Contains(DigestOf(change));
 }
 
+State::Candidate State::Rejected(Finding finding) { return {{}, {nullptr, {std::move(finding)}, nullptr}}; }
+
 State::Candidate State::MakeCandidate(const Change& change, Json body) {
   std::optional<ReadResult> read;
   if (change.patch) {
-    if (const std::optional<Finding> finding = ApplyToDocument(json_, body))
-      return {{}, {nullptr, {{finding->code, "patch", ToText(*finding)}}, nullptr}};
-    if (message_ != nullptr) read = ReadPatched(*message_, {body});
+    if (message_ != nullptr) read = ReadPatched(*message_, {&body, 1});
+    if (const std::optional<Finding> finding = ApplyToDocument(json_, std::move(body)))
+      return Rejected({finding->code, "patch", ToText(*finding)});
   } else {
     json_ = std::move(body);
   }
-  std::string document = json_.dump();
+  if (NestingDepth(json_) > kMaxDocumentDepth)
+    return Rejected({FindingCode::kMalformed, "document", "nests too deeply"});
+  std::string document = Serialize(json_);
   processed_bytes_ += document.size();
   if (read) return {std::move(document), std::move(*read), /*read_by_patch=*/true};
   ReadResult full_read = Read(document);
--- a/src/control/configuration/state.hpp
+++ b/src/control/configuration/state.hpp
@@ -20,9 +20,10 @@
 /// Applies changes in log order, with the same outcome on every replica. Not thread-safe.
 class State {
  public:
-  /// Applies a change (RULES.md, "Configuration"); never throws, whatever its body is. A retry of an accepted change is accepted again without
-  /// effect, even after later changes. A change based on a version below the horizon of the accepted changes
-  /// is never rejected, because it may have been accepted before; its status is `kUnknown`.
+  /// Applies a change (RULES.md, "Configuration"); never throws, whatever its body is. A retry of an accepted
+  /// change is accepted again without effect, even after later changes. A change based on a version below the
+  /// horizon of the accepted changes is never rejected, because it may have been accepted before; its status
+  /// is `kUnknown`.
   ChangeOutcome Apply(const Change& change);
 
   /// Returns whether the change was accepted, or is so old that it may have been.
@@ -60,6 +61,7 @@
     ReadResult read;
     bool read_by_patch = false;  // the configuration was read by parsing the patch alone
   };
+  static Candidate Rejected(Finding finding);
   // Also modifies `json_`; the caller must restore it if the candidate is rejected.
   Candidate MakeCandidate(const Change& change, nlohmann::ordered_json body);
   void Install(std::string document, ReadResult read);
--- a/tests/control/configuration/change_form_test.cpp
+++ b/tests/control/configuration/change_form_test.cpp
@@ -32,4 +32,21 @@
   CHECK_FALSE(CheckPatch(R"({"delete":{"tenants":["a"]},"upsert":{"limits":{"x":[1]}},"version":2})"));
 }
 
+TEST_CASE("Containers of a change nest up to the maximum depth") {
+  const auto nested = [](const std::string& open, const std::string& close, std::size_t depth) {
+    std::string body = "{\"unknown\":";
+    for (std::size_t level = 1; level < depth; ++level) body += open;
+    body += "1";
+    for (std::size_t level = 1; level < depth; ++level) body += close;
+    return body + "}";
+  };
+  for (const auto& [open, close] :
+       {std::pair("[", "]"), std::pair("{\"a\":", "}"), std::pair("[{\"a\":", "}]")}) {
+    const std::size_t levels = std::string(open).size() == 6 ? 2 : 1;
+    CHECK_FALSE(CheckPut(nested(open, close, kMaxChangeDepth / levels)));
+    CHECK(CheckPut(nested(open, close, kMaxChangeDepth + 1)) == FormProblem::kNestsTooDeep);
+    CHECK(CheckPatch(nested(open, close, 1'000'000)) == FormProblem::kNestsTooDeep);
+  }
+}
+
 }  // namespace violetwing::configuration
--- a/tests/control/invalid_input_test.cpp
+++ b/tests/control/invalid_input_test.cpp
@@ -150,4 +150,83 @@
     CHECK(system.Change("PATCH", 1, change.body).status == 200);
   }
 }
+
+namespace {
+
+// A list that nests `depth` levels deep around `inner`.
+std::string Nested(std::size_t depth, const std::string& inner = "") {
+  return std::string(depth, '[') + inner + std::string(depth, ']');
+}
+
+// Document(version) with one more member, `unknown`.
+std::string DocumentWith(std::int64_t version, const std::string& unknown) {
+  std::string document = Document(version);
+  document.pop_back();
+  return document + ",\"unknown\":" + unknown + "}";
+}
+
+// Document(version) with its list of routes inside `depth` further lists, which is read like a single list.
+std::string DocumentWithNestedRoutes(std::int64_t version, std::size_t depth) {
+  const std::string routes = json::parse(Document(version))["routes"].dump();
+  return R"({"version":)" + std::to_string(version) + R"(,"backends":[{"name":"s"}],"routes":)" +
+         Nested(depth, routes) + "}";
+}
+
+}  // namespace
+
+// Such changes once ended each control process that applied them, by the end of its stack.
+TEST_CASE("CONFIG: a change that nests too deeply is rejected without effect") {
+  System system;
+  const std::string route = testing::RouteDocument(0, 2000).dump();
+  for (const std::size_t depth : {std::size_t{60'000}, std::size_t{1'000'000}}) {
+    CHECK(system.Change("PUT", 1, DocumentWith(2, Nested(depth))).status == 400);
+    CHECK(system.Change("PUT", 1, DocumentWithNestedRoutes(2, depth)).status == 400);
+    const std::vector<std::string> members = {R"("unknown":)" + Nested(depth),
+                                              R"("delete":{"unknown":)" + Nested(depth) + "}",
+                                              R"("upsert":{"unknown":)" + Nested(depth) + "}",
+                                              R"("upsert":{"routes":[)" + route.substr(0, route.size() - 1) +
+                                                  R"(,"unknown":)" + Nested(depth) + "}]}"};
+    for (const std::string& member : members)
+      CHECK(system.Change("PATCH", 1, R"({"version":2,)" + member + "}").status == 400);
+  }
+  CHECK(system.IsInForceEverywhere(1));
+  system.Restart();
+  CHECK(system.ReadVersion() == 1);
+  CHECK(system.Change("PUT", 1, DocumentWith(2, Nested(configuration::kMaxChangeDepth - 1))).status == 200);
+}
+
+TEST_CASE("CONFIG: a log with changes that nest too deeply is applied without effect") {
+  System system;
+  system.AppendUnchecked({false, 1, DocumentWith(2, Nested(60'000))});
+  system.AppendUnchecked({false, 1, DocumentWith(2, Nested(1'000'000))});
+  system.AppendUnchecked({true, 1, R"({"version":2,"upsert":{"unknown":{"a":)" + Nested(60'000) + "}}}"});
+  CHECK(system.IsInForceEverywhere(1));
+  system.Restart();
+  CHECK(system.ReadVersion() == 1);
+  CHECK(system.Change("PATCH", 1, PatchDocument(2, 2000)).status == 200);
+}
+
+TEST_CASE("CONFIG: deep changes that earlier versions have accepted stay in force, and can be patched") {
+  constexpr std::size_t kDepth = 50'000;
+  const std::vector<configuration::Change> changes = {
+      {false, 1, DocumentWith(2, Nested(kDepth))},
+      {false, 1, DocumentWithNestedRoutes(2, 15'000)},
+      {true, 1, R"({"version":2,"unknown":)" + Nested(kDepth) + "}"},
+      {true, 1, R"({"version":2,"upsert":{"unknown":{"a":)" + Nested(kDepth) + "}}}"},
+      {true, 1, R"({"version":2,"delete":{"unknown":)" + Nested(kDepth) + "}}"}};
+  for (const configuration::Change& change : changes) {
+    System system;
+    system.AppendUnchecked(change);
+    CHECK(system.IsInForceEverywhere(2));
+    CHECK(system.Change(change.patch ? "PATCH" : "PUT", 1, change.body).status == 200);
+    system.Restart();
+    CHECK(system.ReadVersion() == 2);
+    CHECK(system.Change("PATCH", 2, PatchDocument(3, 3000)).status == 200);
+    CHECK(system.virtual_system().RunUntil(
+        [&] {
+          return system.IsInForceEverywhere(3) && system.virtual_system().sidecar(0).view->version() == 3;
+        },
+        kTimeout));
+  }
+}
 }  // namespace violetwing
