Answer requests that are not UTF-8 instead of ending

Seen on: a heartbeat that is cut within a character or holds the byte 0xF8, and a GET of a path with it at the public or the internal address, end the control process with status 1, "[json.exception.type_error.316] invalid UTF-8 byte".

Cause: error answers quote the parser's message or the path, and dump() throws on text that JSON cannot represent.

Change: error answers replace such bytes by U+FFFD.

Test: "Requests that are not UTF-8 are rejected, and the process goes on" throws type_error.316 on the code before.

--- a/src/control/api/handlers.cpp
+++ b/src/control/api/handlers.cpp
@@ -17,8 +17,11 @@
 
 http::Response Success() { return {http::kOk, "{}", {}}; }
 
+// `problem` may quote the request, which may be no UTF-8: such bytes are replaced.
 http::Response Failure(int status, const std::string& problem) {
-  return {status, json{{"error", problem}}.dump(), {}};
+  constexpr int kCompact = -1;
+  const json body{{"error", problem}};
+  return {status, body.dump(kCompact, ' ', /*ensure_ascii=*/false, json::error_handler_t::replace), {}};
 }
 
 http::Response Unavailable(const std::string& problem) {
--- a/tests/control/invalid_input_test.cpp
+++ b/tests/control/invalid_input_test.cpp
@@ -229,4 +229,22 @@
         kTimeout));
   }
 }
+
+// Answers that quoted such a request once ended the process: JSON cannot represent it.
+TEST_CASE("Requests that are not UTF-8 are rejected, and the process goes on") {
+  System system;
+  const std::string not_utf8 = "\xf8";
+  CHECK(system.Call("GET", "/" + not_utf8, "").status == 404);
+  CHECK(system.Call(not_utf8, "/", "").status == 404);
+  const std::vector<std::string> heartbeats = {"{\"backend\":\"\xc3",
+                                               "{\"backend\":\"s\xf8\",\"address\":\"10.0.1.1:80\"}",
+                                               "{\"backend\":\"s\",\"address\":\"10.0.1.1:80\",\"models\":[{"
+                                               "\"name\":\"m\",\"adapters\":[\"\xf8\"]}]}"};
+  for (const std::string& body : heartbeats) {
+    const Answer answer = system.Call("PUT", "/api/instances/i-1", body);
+    CHECK(answer.status == 400);
+    CHECK(json::accept(answer.body));
+  }
+  CHECK(system.ReadVersion() == 1);
+}
 }  // namespace violetwing
