Reject instance ids that are not UTF-8, and save those in the log

Change: such an id gets 400, in heartbeats too. One that the log already holds stays in force and is saved as a list of bytes; the saved form of all other departures is the same to the byte.

Test: "DRAIN: departures with ids that are not UTF-8 ..." and "Deregistrations are saved as by earlier versions, ..." throw type_error.316 on the code before.

--- a/src/control/api/handlers.cpp
+++ b/src/control/api/handlers.cpp
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "common/json_text.hpp"
+#include "common/utf8.hpp"
 #include "control/api/http_status.hpp"
 
 namespace violetwing {
@@ -17,11 +19,9 @@
 
 http::Response Success() { return {http::kOk, "{}", {}}; }
 
-// `problem` may quote the request, which may be no UTF-8: such bytes are replaced.
+// `problem` may quote the request, which may not be UTF-8.
 http::Response Failure(int status, const std::string& problem) {
-  constexpr int kCompact = -1;
-  const json body{{"error", problem}};
-  return {status, body.dump(kCompact, ' ', /*ensure_ascii=*/false, json::error_handler_t::replace), {}};
+  return {status, ToJsonText({{"error", problem}}), {}};
 }
 
 http::Response Unavailable(const std::string& problem) {
@@ -148,6 +148,7 @@
       return HandleChange(core, request, now, respond);
   } else if (request.path.rfind(kInstancesPath, 0) == 0) {
     const std::string id = request.path.substr(std::string(kInstancesPath).size());
+    if (!IsUtf8(id)) return respond(Failure(http::kBadRequest, "instance id: is not UTF-8"));
     if (request.method == "PUT") return HandleHeartbeat(core, id, request.body, now, respond);
     if (request.method == "DELETE") return core.Deregister(id, now, RespondWithAcceptance(respond));
   }
--- a/src/control/instances/deregistrations.hpp
+++ b/src/control/instances/deregistrations.hpp
@@ -6,6 +6,7 @@
 
 #include <deque>
 #include <map>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 
@@ -24,12 +25,18 @@
   /// Phases by instance id.
   const std::map<std::string, Phase>& all() const { return phases_; }
 
-  /// Returns the state as JSON, in the form that snapshots of the shard store.
+  /// Returns the state as JSON, in the form that snapshots of the shard store. Ids that are not UTF-8 are
+  /// stored as lists of bytes.
   std::string Save() const;
   /// Replaces the state with a saved one. Returns false if it cannot be read; the state is then unspecified.
   [[nodiscard]] bool Load(const std::string& saved);
 
  private:
+  // `id` must have a phase.
+  nlohmann::json SaveBytes(const std::string& id) const;
+  // Throws nlohmann::json::exception.
+  void LoadDecoded(const nlohmann::json& saved);
+
   std::map<std::string, Phase> phases_;  // by instance id
   std::deque<std::string> order_;        // ids in the order of their first announcement, the oldest first
 };
--- a/tests/control/instances/instances_test.cpp
+++ b/tests/control/instances/instances_test.cpp
@@ -154,6 +154,22 @@
   CHECK_FALSE(loaded.Find("k").has_value());
 }
 
+TEST_CASE("Deregistrations are saved as by earlier versions, but for ids that are not UTF-8") {
+  Deregistrations deregistrations;
+  deregistrations.Apply("j", Phase::kDraining);
+  deregistrations.Apply("i", Phase::kDeregistered);
+  CHECK(deregistrations.Save() == R"({"order":["j","i"],"phases":{"i":"gone","j":"draining"}})");
+  deregistrations.Apply("\xf8\x01", Phase::kDeregistered);
+  Deregistrations loaded;
+  REQUIRE(loaded.Load(deregistrations.Save()));
+  CHECK(loaded.Find("\xf8\x01") == Phase::kDeregistered);
+  CHECK(loaded.all() == deregistrations.all());
+  CHECK(loaded.Save() == deregistrations.Save());
+  for (const char* malformed : {"", "{}", R"({"phases":{},"order":[1]})", R"({"phases":{},"order":[{}]})",
+                                R"({"phases":{},"order":[{"bytes":["a"],"phase":"gone"}]})"})
+    CHECK_FALSE(loaded.Load(malformed));
+}
+
 TEST_CASE("The number of deregistrations is bounded, and the oldest are evicted first") {
   Deregistrations deregistrations;
   for (int i = 0; i < 5000; ++i) deregistrations.Apply(std::to_string(i), Phase::kDeregistered);
--- a/tests/control/invalid_input_test.cpp
+++ b/tests/control/invalid_input_test.cpp
@@ -247,4 +247,28 @@
   }
   CHECK(system.ReadVersion() == 1);
 }
+
+// The snapshot of a departure with such an id once ended each control process, again after each start.
+TEST_CASE("DRAIN: departures with ids that are not UTF-8 are rejected, and those in a log stay in force") {
+  const std::string id = "i-\xf8";
+  System system;
+  CHECK(system.Call("DELETE", "/api/instances/" + id, "").status == 400);
+  CHECK(system.Call("PUT", "/api/instances/" + id, R"({"backend":"s","address":"10.0.1.1:80"})").status ==
+        400);
+  constexpr int kServiceShard = 1;
+  system.AppendUnchecked(kServiceShard, Encode(DeregistrationCommand{id, Phase::kDeregistered}));
+  // More departures than the log holds before a snapshot replaces it.
+  for (int departure = 0; departure < 300; ++departure)
+    CHECK(system.Call("DELETE", "/api/instances/i-" + std::to_string(departure), "").status == 200);
+  const auto is_deregistered = [&] {
+    for (std::size_t i = 0; i < system.virtual_system().controls(); ++i)
+      if (system.virtual_system().control(i).core->shards().Deregistered(id) != Phase::kDeregistered)
+        return false;
+    return true;
+  };
+  CHECK(is_deregistered());
+  system.Restart();
+  CHECK(is_deregistered());
+  CHECK(system.virtual_system().violations().empty());
+}
 }  // namespace violetwing
