Drop demand for models whose names are not UTF-8

Seen on: one request at an edge whose X-Violetwing-Model names an adapter with the byte 0xF8 ends the control process that holds the placement lease, as it writes the order, and the next holder while the request waits.

Cause: clients name adapters freely, edges report them as demand in protocol buffers, and the order is JSON.

Change: such an item is dropped where demand is decoded, whether an edge or another control process sent it; the rest of the report counts. The order's writer replaces such bytes instead of throwing.

Test: "Demand for an adapter whose name is not UTF-8 ..." fails on the code before: the order is made.

--- a/src/control/service/control_service.cpp
+++ b/src/control/service/control_service.cpp
@@ -10,6 +10,7 @@
 #include <random>
 #include <utility>
 
+#include "common/json_text.hpp"
 #include "common/steady_time.hpp"
 #include "control/api/handlers.hpp"
 #include "control/replication/bootstrap.hpp"
@@ -233,7 +234,7 @@
   call.address = order.address;
   call.path = kOrderPath;
   call.headers = {{kExpectedInstanceHeader, order.instance}};
-  call.body = body.dump();
+  call.body = ToJsonText(body);
   call.timeout = kDutyCallTimeout;
   duty_client_.Start(call, HoldsLease(duties::Duty::kPlacement, token),
                      [this, order, load](const http::GuardedResult& result) {
--- a/src/messages/wire_conversion.cpp
+++ b/src/messages/wire_conversion.cpp
@@ -1,5 +1,6 @@
 #include "messages/wire_conversion.hpp"
 
+#include "common/utf8.hpp"
 #include "generated/internal.pb.h"
 
 namespace violetwing {
@@ -110,7 +111,8 @@
   std::vector<ModelDemand> out;
   out.reserve(static_cast<std::size_t>(in.models_size()));
   for (const wire::ModelDemand& item : in.models())
-    out.push_back({item.backend(), item.model(), item.requests(), item.tokens(), item.waiting()});
+    if (IsUtf8(item.backend()) && IsUtf8(item.model()))
+      out.push_back({item.backend(), item.model(), item.requests(), item.tokens(), item.waiting()});
   return out;
 }
 
--- a/src/messages/wire_conversion.hpp
+++ b/src/messages/wire_conversion.hpp
@@ -32,6 +32,8 @@
 /// The inverse of ToWire. All required fields must be present, which Parse has checked.
 std::vector<Instance> FromWire(const wire::Instances& in);
 VersionVector FromWire(const wire::VersionVector& in);
+/// Skips models whose names are not UTF-8: clients choose these names, and orders to load a model are JSON,
+/// which cannot represent them.
 std::vector<ModelDemand> FromWire(const wire::Demand& in);
 ControlNode FromWire(const wire::ControlNode& in);
 std::vector<ControlNode> FromWire(const wire::ControlNodes& in);
--- a/tests/control/invalid_input_test.cpp
+++ b/tests/control/invalid_input_test.cpp
@@ -271,4 +271,68 @@
   CHECK(is_deregistered());
   CHECK(system.virtual_system().violations().empty());
 }
+
+namespace {
+
+// Document(2) whose service has the model m with adapters.
+std::string DocumentWithModel() {
+  json document = json::parse(Document(2));
+  document["backends"][0]["runtime"] = {{"capacity", 8},
+                                        {"weights_mb", 1000},
+                                        {"max_adapters", 4},
+                                        {"loads_per_s", 10},
+                                        {"models",
+                                         {{{"name", "m"},
+                                           {"weights_mb", 100},
+                                           {"load_time_s", 0.1},
+                                           {"adapters", 9},
+                                           {"adapter_size_mb", 1}}}}};
+  return document.dump();
+}
+
+}  // namespace
+
+// The body of an order to load such an adapter, which a client names, once ended the process that sent it.
+TEST_CASE(
+    "Demand for an adapter whose name is not UTF-8 leads to no order, and the watch that reports it "
+    "succeeds") {
+  System system;
+  REQUIRE(system.Change("PUT", 1, DocumentWithModel()).status == 200);
+  VirtualSystem& virtual_system = system.virtual_system();
+  std::set<std::string> ordered;
+  virtual_system.on_order = [&](std::size_t, const PlacementCall& call, consensus::Term) {
+    ordered.insert(call.adapter);
+  };
+  virtual_system.on_report_request = [&](std::size_t control, const PlacementCall& call) {
+    virtual_system.After(5'000, [&, control, id = call.instance] {
+      virtual_system.control(control).core->OnServerReport(id, ServerReport{false, 0, {{"m", 1, {}}}},
+                                                           virtual_system.now());
+    });
+  };
+  std::int64_t sequence = 0;
+  const auto report = [&](const std::vector<ModelDemand>& demand) {
+    for (int round = 0; round < 12; ++round) {
+      json heartbeat = {{"backend", "s"},
+                        {"address", "10.0.1.1:80"},
+                        {"sequence", ++sequence},
+                        {"models", {{{"name", "m"}, {"version", 1}}}}};
+      CHECK(system.Call("PUT", "/api/instances/i-1", heartbeat.dump()).status == 200);
+      WatchRequest watch;
+      watch.node = "edge-0";
+      watch.demand = demand;
+      for (std::size_t i = 0; i < virtual_system.controls(); ++i) {
+        int status = 0;
+        HandleInternal(*virtual_system.control(i).core, {"POST", kWatchPath, Encode(watch), {}},
+                       virtual_system.now(),
+                       [&](const http::Response& response) { status = response.status; });
+        CHECK(status != 400);
+      }
+      virtual_system.Run(250'000);
+    }
+  };
+  report({{"s", "m/\xf8", 1, 100, 1}, {"\xf8", "m", 1, 100, 1}});
+  CHECK(ordered.empty());
+  report({{"s", "m/\xf8", 1, 100, 1}, {"s", "m/a", 1, 100, 1}});
+  CHECK(ordered == std::set<std::string>{"a"});
+}
 }  // namespace violetwing
