Ignore names that are not UTF-8 in commands of duties

No caller can bring one there, as tenants and nodes are named in JSON; another process that is damaged could.

Change: usage of such a tenant and a lease of such a holder have no effect, the same on each replica.

Test: "CONFIG: a log with commands of duties whose names are not UTF-8 ..." ends the test program on the code before.

--- a/src/control/duties/duty_table.cpp
+++ b/src/control/duties/duty_table.cpp
@@ -1,6 +1,9 @@
 #include "control/duties/duty_table.hpp"
 
 #include <algorithm>
+#include <utility>
+
+#include "common/utf8.hpp"
 
 namespace violetwing::duties {
 namespace {
@@ -14,6 +17,7 @@
 }  // namespace
 
 void DutyTable::Apply(const AcquireLease& command) {
+  if (!IsUtf8(command.duty) || !IsUtf8(command.holder)) return;
   Lease& lease = leases_[command.duty];
   if (lease.token != command.expected_token || lease.holder == command.holder) return;
   lease.holder = command.holder;
@@ -22,7 +26,9 @@
 
 void DutyTable::Apply(const RecordUsage& command) {
   if (IsRecorded(command.window)) return;
-  usage_[command.window] = {command.counts, false};
+  UsageCounts counts = command.counts;
+  std::erase_if(counts, [](const auto& count) { return !IsUtf8(count.first); });
+  usage_[command.window] = {std::move(counts), false};
   if (usage_.size() <= kMaxUsageWindows) return;
   forgotten_up_to_ = usage_.begin()->first;
   usage_.erase(usage_.begin());
--- a/src/control/duties/duty_table.hpp
+++ b/src/control/duties/duty_table.hpp
@@ -54,7 +54,8 @@
 /// replica. Not thread-safe.
 class DutyTable {
  public:
-  /// Applies one committed command.
+  /// Applies one committed command. Names that are not UTF-8 have no effect: no node and no tenant of a
+  /// configuration has such a name, and neither snapshots nor reports can represent them.
   void Apply(const AcquireLease& command);
   void Apply(const RecordUsage& command);
   void Apply(const UsageDelivered& command);
--- a/tests/control/invalid_input_test.cpp
+++ b/tests/control/invalid_input_test.cpp
@@ -335,4 +335,22 @@
   report({{"s", "m/\xf8", 1, 100, 1}, {"s", "m/a", 1, 100, 1}});
   CHECK(ordered == std::set<std::string>{"a"});
 }
+
+// The snapshot of a log with such a name once ended each control process, again after each start.
+TEST_CASE("CONFIG: a log with commands of duties whose names are not UTF-8 is applied and saved") {
+  System system;
+  system.AppendUnchecked(kConfigurationShard,
+                         Encode(ConfigurationCommand(duties::RecordUsage{7, {{"t", 1}, {"t\xf8", 2}}})));
+  system.AppendUnchecked(kConfigurationShard,
+                         Encode(ConfigurationCommand(duties::AcquireLease{"\xf8", "\xf8", 0, 1})));
+  // More changes than the log holds before a snapshot replaces it.
+  for (std::int64_t version = 1; version < 200; ++version)
+    CHECK(system.Change("PATCH", version, PatchDocument(version + 1, 1000)).status == 200);
+  system.Restart();
+  CHECK(system.ReadVersion() == 200);
+  const auto& usage = system.virtual_system().control(0).core->shards().duties().usage();
+  REQUIRE(usage.count(7) == 1);
+  CHECK(usage.at(7).counts == duties::UsageCounts{{"t", 1}});
+}
+
 }  // namespace violetwing
