Decode the answer to a change without throwing

A command that cannot be decoded is answered with nothing, and DecodeAnswer threw on it in the process that had submitted a change under the same name. Found by reading; no run has shown it.

--- a/src/control/replication/shard_state_machines.cpp
+++ b/src/control/replication/shard_state_machines.cpp
@@ -6,9 +6,11 @@
 #include <nlohmann/json.hpp>
 #include <variant>
 
+#include "common/json_text.hpp"
 #include "control/configuration/ignored_members.hpp"
 #include "control/control_error.hpp"
 #include "control/replication/commands.hpp"
+#include "messages/decode_error.hpp"
 #include "messages/phase_name.hpp"
 
 namespace violetwing {
@@ -49,7 +51,8 @@
   const std::int64_t version_before = state_.version();
   const configuration::ChangeOutcome outcome = state_.Apply(change);
   if (!change.patch && state_.version() != version_before) LogIgnoredMembers(state_);
-  return json{{"outcome", outcome.status}, {"version", outcome.version}, {"problem", outcome.message}}.dump();
+  return ToJsonText(
+      {{"outcome", outcome.status}, {"version", outcome.version}, {"problem", outcome.message}});
 }
 
 std::string ConfigurationStateMachine::Save() const {
@@ -74,10 +77,15 @@
   return true;
 }
 
-configuration::ChangeOutcome ConfigurationStateMachine::DecodeAnswer(const std::string& answer) {
-  const json decoded = json::parse(answer);
-  return {decoded.at("outcome").get<configuration::ChangeStatus>(), decoded.at("version").get<std::int64_t>(),
-          decoded.at("problem").get<std::string>()};
+Result<configuration::ChangeOutcome> ConfigurationStateMachine::DecodeAnswer(const std::string& answer) {
+  try {
+    const json decoded = json::parse(answer);
+    return configuration::ChangeOutcome{decoded.at("outcome").get<configuration::ChangeStatus>(),
+                                        decoded.at("version").get<std::int64_t>(),
+                                        decoded.at("problem").get<std::string>()};
+  } catch (const json::exception&) {
+    return DecodeErrc::kMalformed;
+  }
 }
 
 std::string DeregistrationStateMachine::Apply(const std::string& command) {
--- a/src/control/replication/shard_state_machines.hpp
+++ b/src/control/replication/shard_state_machines.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <system_error>
 
+#include "common/result.hpp"
 #include "control/configuration/state.hpp"
 #include "control/duties/duty_table.hpp"
 #include "control/instances/deregistrations.hpp"
@@ -29,8 +30,9 @@
   std::error_code Load(const std::string& saved) override;
   std::size_t processed_bytes() const override { return state_.processed_bytes(); }
 
-  /// Decodes the answer that Apply returned for a change.
-  static configuration::ChangeOutcome DecodeAnswer(const std::string& answer);
+  /// Decodes the answer that Apply returned for a change. Error: DecodeErrc::kMalformed, for instance for the
+  /// empty answer to a command that cannot be decoded.
+  static Result<configuration::ChangeOutcome> DecodeAnswer(const std::string& answer);
 
  private:
   std::string ApplyDecoded(const ReadCommand&) { return {}; }
