Patch items in lists within lists alike in document and configuration

Seen on: PUT with "routes":[[{...}]] is acknowledged, and so is a PATCH that upserts the route; the document that is read back then has the route twice.

Cause: protocol buffers read lists within a list like one list, the document's patch did not look into them.

Change: the document's patch moves items of inner lists into the list first. A saved document in which such an item stands twice is loaded with the later one.

--- a/src/control/configuration/document_patch.cpp
+++ b/src/control/configuration/document_patch.cpp
@@ -1,10 +1,13 @@
 #include "control/configuration/document_patch.hpp"
 
 #include <algorithm>
+#include <array>
+#include <iterator>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
 #include <utility>
+#include <vector>
 
 #include "control/configuration/json_document.hpp"
 
@@ -13,6 +16,35 @@
 
 using Json = nlohmann::ordered_json;
 
+// The members that configuration.proto reads as lists of named items.
+constexpr std::array<const char*, 3> kItemLists = {"routes", "backends", "tenants"};
+
+bool IsItemList(const std::string& key) {
+  return std::find(kItemLists.begin(), kItemLists.end(), key) != kItemLists.end();
+}
+
+// Moves the items of lists within `list` into `list` itself, in order, as protocol buffers read them. Returns
+// whether there were such lists.
+bool Flatten(Json& list) {
+  auto& items = list.get_ref<Json::array_t&>();
+  if (std::none_of(items.begin(), items.end(), [](const Json& item) { return item.is_array(); }))
+    return false;
+  std::vector<Json> pending(std::make_move_iterator(items.rbegin()), std::make_move_iterator(items.rend()));
+  items.clear();
+  while (!pending.empty()) {
+    Json next = std::move(pending.back());
+    pending.pop_back();
+    if (!next.is_array()) {
+      items.push_back(std::move(next));
+      continue;
+    }
+    auto& inner = next.get_ref<Json::array_t&>();
+    pending.insert(pending.end(), std::make_move_iterator(inner.rbegin()),
+                   std::make_move_iterator(inner.rend()));
+  }
+  return true;
+}
+
 // Returns the name of an item; empty if it has none.
 std::string NameOf(const Json& item) {
   const auto name = item.is_object() ? item.find("name") : item.end();
@@ -62,6 +94,7 @@
     if (!document.contains(key)) continue;
     if (!document[key].is_array())
       return Finding{FindingCode::kMalformed, "delete." + key, "is no list of items"};
+    if (IsItemList(key)) Flatten(document[key]);
     if (auto finding = Remove(document[key], names, key)) return finding;
   }
   return std::nullopt;
@@ -78,6 +111,7 @@
     Json& list = document[key];
     if (list.is_null()) list = Json::array();
     if (!list.is_array()) return Finding{FindingCode::kMalformed, "upsert." + key, "is no list of items"};
+    if (IsItemList(key)) Flatten(list);
     if (auto finding = Upsert(list, items, key)) return finding;
   }
   return std::nullopt;
@@ -85,6 +119,18 @@
 
 }  // namespace
 
+bool MergeNestedItems(Json& document) {
+  bool changed = false;
+  for (const char* key : kItemLists) {
+    const auto list = document.find(key);
+    if (list == document.end() || !list->is_array() || !Flatten(*list)) continue;
+    Json items = std::exchange(*list, Json::array());
+    if (Upsert(*list, items, key)) return false;
+    changed = true;
+  }
+  return changed;
+}
+
 std::optional<Finding> ApplyToDocument(Json& document, Json patch) {
   if (!patch.is_object()) return Finding{FindingCode::kMalformed, "document", "is not an object"};
   Json& upsert = patch.emplace("upsert", Json::object()).first.value();
--- a/src/control/configuration/state.cpp
+++ b/src/control/configuration/state.cpp
@@ -121,6 +121,10 @@
   if (document.empty()) return true;
   json_ = Json::parse(document);
   ReadResult read = Read(document);
+  if (read.configuration == nullptr && MergeNestedItems(json_)) {
+    document = Serialize(json_);
+    read = Read(document);
+  }
   if (read.configuration == nullptr) return false;
   Install(std::move(document), std::move(read));
   return true;
--- a/tests/control/configuration/configuration_test.cpp
+++ b/tests/control/configuration/configuration_test.cpp
@@ -170,6 +170,48 @@
   }
 }
 
+// The document once kept the earlier value of such an item beside the new one: no process could load it
+// again.
+TEST_CASE("CONFIG: items in lists within lists are patched alike in document and configuration") {
+  json nested = Document(3);
+  nested["routes"] = json::array({json::array({nested["routes"]}), json::array()});
+  State state;
+  REQUIRE(Put(state, 0, nested).status == ChangeStatus::kAccepted);
+  json route = Document(3)["routes"][0];
+  route["timeout_ms"] = 7000;
+  REQUIRE(Patch(state, 3, {{"version", 4}, {"upsert", {{"routes", {route}}}}}).status ==
+          ChangeStatus::kAccepted);
+  const auto check = [&](const State& checked, std::size_t routes) {
+    REQUIRE(checked.current()->routes.size() == routes);
+    CHECK(checked.current()->routes[0].timeout_ms == 7000);
+    CHECK(Read(checked.document()).configuration->routes.size() == routes);
+  };
+  check(state, 2);
+  State loaded;
+  REQUIRE(loaded.Load(state.Save()));
+  check(loaded, 2);
+  REQUIRE(Patch(state, 4, {{"version", 5}, {"delete", {{"routes", {"r2"}}}}}).status ==
+          ChangeStatus::kAccepted);
+  check(state, 1);
+  REQUIRE(loaded.Load(state.Save()));
+  check(loaded, 1);
+}
+
+TEST_CASE("CONFIG: a snapshot in which a patched item stands twice is loaded with its latest value") {
+  json document = Document(4);
+  json route = document["routes"][0];
+  route["timeout_ms"] = 7000;
+  document["routes"] = json::array({document["routes"], route});
+  State state;
+  REQUIRE(state.Load(json{{"document", document.dump()}, {"taken", json::object()}}.dump()));
+  REQUIRE(state.current()->routes.size() == 2);
+  CHECK(state.current()->routes[0].timeout_ms == 7000);
+  CHECK(Read(state.document()).configuration != nullptr);
+  // An item that stands twice in one list was never accepted.
+  document["routes"] = json::array({route, route});
+  CHECK_FALSE(state.Load(json{{"document", document.dump()}, {"taken", json::object()}}.dump()));
+}
+
 TEST_CASE("Loading a snapshot restores the state, including the accepted changes") {
   State state;
   REQUIRE(Put(state, 0, Document(3)).status == ChangeStatus::kAccepted);
