--- a/tests/control/invalid_input_test.cpp
+++ b/tests/control/invalid_input_test.cpp
@@ -296,6 +296,7 @@
 TEST_CASE(
     "Demand for an adapter whose name is not UTF-8 leads to no order, and the watch that reports it "
     "succeeds") {
+  std::set<int> statuses;  // of the watches, which may be answered later
   System system;
   REQUIRE(system.Change("PUT", 1, DocumentWithModel()).status == 200);
   VirtualSystem& virtual_system = system.virtual_system();
@@ -321,11 +322,9 @@
       watch.node = "edge-0";
       watch.demand = demand;
       for (std::size_t i = 0; i < virtual_system.controls(); ++i) {
-        int status = 0;
         HandleInternal(*virtual_system.control(i).core, {"POST", kWatchPath, Encode(watch), {}},
                        virtual_system.now(),
-                       [&](const http::Response& response) { status = response.status; });
-        CHECK(status != 400);
+                       [&](const http::Response& response) { statuses.insert(response.status); });
       }
       virtual_system.Run(250'000);
     }
@@ -334,6 +333,7 @@
   CHECK(ordered.empty());
   report({{"s", "m/\xf8", 1, 100, 1}, {"s", "m/a", 1, 100, 1}});
   CHECK(ordered == std::set<std::string>{"a"});
+  CHECK(statuses.count(400) == 0);
 }
 
 // The snapshot of a log with such a name once ended each control process, again after each start.
