Log the end of a drain and each request that it cuts off

Change: requests in flight are kept in a set; at the end of a drain one line tells its length and the open connections, and one line for each request cut off tells its id, age and stage. No decision changes.

--- a/src/dataplane/edge_service.cpp
+++ b/src/dataplane/edge_service.cpp
@@ -104,7 +104,8 @@
   if (std::exchange(stopping_, true)) return;
   spdlog::info("sidecar draining node={}", settings_.node_name);
   ingress_.SetClosing();
-  stop_deadline_ = steady_clock::now() + milliseconds(settings_.grace_ms) - kExitReserve;
+  stop_began_ = steady_clock::now();
+  stop_deadline_ = stop_began_ + milliseconds(settings_.grace_ms) - kExitReserve;
   stop_timer_.expires_after(std::min(kUnreadyNoticeDelay, milliseconds(settings_.grace_ms / 2)));
   stop_timer_.async_wait([this](const boost::system::error_code& error) {
     if (error) return;
@@ -115,6 +116,7 @@
 
 void EdgeService::AwaitDrained() {
   if (ingress_.busy() == 0 || steady_clock::now() >= stop_deadline_) {
+    LogDrained();
     link_.Stop();
     load_reports_.Stop();
     io_.stop();
@@ -126,4 +128,11 @@
   });
 }
 
+void EdgeService::LogDrained() const {
+  const auto drained_for = std::chrono::duration_cast<milliseconds>(steady_clock::now() - stop_began_);
+  spdlog::info("drain ended node={} drained_ms={} open_connections={}", settings_.node_name,
+               drained_for.count(), ingress_.busy());
+  for (const auto& request : plane_.in_flight) request->LogCutOff();
+}
+
 }  // namespace violetwing
--- a/src/dataplane/routing/data_plane.hpp
+++ b/src/dataplane/routing/data_plane.hpp
@@ -28,6 +28,8 @@
   ControlLink* link = nullptr;  ///< null without a control plane; not owned
   /// Requests that wait for a server with their model; they are notified of each new directory.
   std::set<std::shared_ptr<RequestRouter>> waiting_for_model;
+  /// All requests that have not finished.
+  std::set<std::shared_ptr<RequestRouter>> in_flight = {};
 };
 
 }  // namespace violetwing
--- a/src/dataplane/routing/request_router.cpp
+++ b/src/dataplane/routing/request_router.cpp
@@ -65,6 +65,7 @@
 
 void RequestRouter::Start() {
   client_->on_disconnect = [self = shared_from_this()] { self->OnClientDisconnected(); };
+  plane_.in_flight.insert(shared_from_this());
   if (!directory_->HasConfiguration()) return Reject(EndReason::kNoConfiguration, kStartupS);
   if (!FindRoute()) return DenyByConfiguration(kNotFound, EndReason::kNoRoute);
   if (!Authorize()) return;
@@ -404,10 +405,20 @@
   deadline_timer_.cancel();
   backoff_timer_.cancel();
   plane_.waiting_for_model.erase(shared_from_this());
+  plane_.in_flight.erase(shared_from_this());
   client_->on_disconnect = nullptr;
   client_->on_drained = nullptr;
 }
 
+void RequestRouter::LogCutOff() const {
+  const auto age = duration_cast<milliseconds>(Clock::now() - request_.arrived);
+  const char* stage = "waiting";
+  if (attempt_.InFlight()) stage = attempt_.exchange->sent() ? "sent" : "connecting";
+  if (client_->head_sent()) stage = "responding";
+  spdlog::warn("request cut off at shutdown id={} age_ms={} stage={} attempts={} upstream={}", request_id_,
+               age.count(), stage, attempt_counter_.sent(), attempt_.server);
+}
+
 // Logs one line per request, at debug level only. Times are in ms since the request arrived.
 void RequestRouter::LogFinished(EndReason reason) const {
   if (!spdlog::should_log(spdlog::level::debug)) return;
--- a/src/dataplane/routing/request_router.hpp
+++ b/src/dataplane/routing/request_router.hpp
@@ -34,6 +34,8 @@
   void OnDirectory();
   /// Reports again that the request waits for its model, as messages to the control plane may be lost.
   void ReportDemand() { CountDemand(ModelState::kMissing); }
+  /// Logs that the process exits before the response is complete, and how far the request had come.
+  void LogCutOff() const;
 
  private:
   using Clock = std::chrono::steady_clock;
