--- a/tests/testing/node_process.hpp
+++ b/tests/testing/node_process.hpp
@@ -13,6 +13,7 @@
 #include <fstream>
 #include <iterator>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <system_error>
 #include <utility>
@@ -22,19 +23,35 @@
 // A violetwing-node process with its own directory and address. The destructor kills it.
 class NodeProcess {
  public:
-  NodeProcess(const std::filesystem::path& folder, std::string role, const nlohmann::json& settings)
+  enum class Begin { kStarted, kStopped };
+
+  NodeProcess(const std::filesystem::path& folder, std::string role, const nlohmann::json& settings,
+              Begin begin = Begin::kStarted)
       : role_(std::move(role)), settings_file_((folder / "settings.json").string()) {
     std::filesystem::create_directories(folder / "data");
     nlohmann::json all = settings;
     all["data_dir"] = (folder / "data").string();
     std::ofstream(settings_file_) << all.dump();
-    Start();
+    if (begin == Begin::kStarted) Start();
+  }
+  std::string data_dir() const {
+    return (std::filesystem::path(settings_file_).parent_path() / "data").string();
   }
   ~NodeProcess() { Kill(); }
   NodeProcess(const NodeProcess&) = delete;
   NodeProcess& operator=(const NodeProcess&) = delete;
 
   void Start() { Spawn("warn", nullptr); }
+  // Starts the process with its log, at level info, appended to the file log_file().
+  void StartWithLog() {
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, 2, log_file().c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    Spawn("info", &actions);
+    posix_spawn_file_actions_destroy(&actions);
+  }
+  std::string log_file() const { return settings_file_ + ".log"; }
+  const std::string& settings_file() const { return settings_file_; }
   // Exit status of a process, and its output on standard error.
   struct Ended {
     int status = -1;  // -1: killed by a signal, or still running after 30 s
@@ -42,7 +59,7 @@
   };
   // Starts the process and waits until it exits by itself.
   Ended StartAndAwaitEnd() {
-    const std::string log = settings_file_ + ".log";
+    const std::string log = log_file();
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, 2, log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
@@ -64,6 +81,17 @@
     return AwaitExit();
   }
 
+  void Signal(int number) const {
+    if (id_ != 0) kill(id_, number);
+  }
+  // Returns the wait status (waitpid(2)) of a process that has ended, once.
+  std::optional<int> TakeEnd() {
+    int status = 0;
+    if (id_ == 0 || waitpid(id_, &status, WNOHANG) != id_) return std::nullopt;
+    id_ = 0;
+    return status;
+  }
+
   pid_t id() const { return id_; }
 
  private:
