Close a client's connection after its last response has been taken

Callers lost the end of a whole answer: a socket that is closed with unread bytes resets the connection, and what the kernel has not sent yet is gone. That happens to a request with bytes behind it, and to a 400, 408, 413 or 431 given before all of a request was read. Cause: ClientConnection::Close was the end of each last response. Class: an end that does not wait for what was promised to be delivered. Change: after a last response the sending side is shut down, further input is discarded for 1 s at most until the client closes. Such connections count as open responses, not as busy.

--- a/src/dataplane/ingress/client_connection.cpp
+++ b/src/dataplane/ingress/client_connection.cpp
@@ -22,6 +22,10 @@
 constexpr milliseconds kBodyTimeout{20'000};
 // Maximum time for the client to accept one write.
 constexpr milliseconds kWriteTimeout{20'000};
+// Maximum time for the client to close its side after the last response.
+constexpr milliseconds kLingerTimeout{1000};
+// Size of the pieces in which input is discarded.
+constexpr std::size_t kDiscardBytes = 16'384;
 
 milliseconds ToMilliseconds(double ms) { return milliseconds(static_cast<long>(ms)); }
 
@@ -192,7 +196,7 @@
     timeout_timer_.cancel();
     // A response that began before the shutdown carries no "Connection: close", but its connection is closed
     // too. A request that arrives at this moment is not read.
-    if (!keep_alive_ || ingress_.closing_) return Close();
+    if (!keep_alive_ || ingress_.closing_) return CloseGracefully();
     --ingress_.busy_;
     phase_ = Phase::kIdle;
     return AwaitRequest();
@@ -213,6 +217,26 @@
   Write();
 }
 
+void ClientConnection::CloseGracefully() {
+  --ingress_.busy_;
+  ++ingress_.lingering_;
+  phase_ = Phase::kLingering;
+  ErrorCode ignored;
+  socket_.shutdown(Tcp::socket::shutdown_send, ignored);
+  ArmTimeout(kLingerTimeout);
+  buffer_.clear();
+  DiscardInput();
+}
+
+void ClientConnection::DiscardInput() {
+  socket_.async_read_some(buffer_.prepare(kDiscardBytes),
+                          [self = shared_from_this()](ErrorCode error, std::size_t) {
+                            if (self->closed_) return;
+                            if (error) return self->Close();
+                            self->DiscardInput();
+                          });
+}
+
 void ClientConnection::CloseIfIdle() {
   if (phase_ == Phase::kIdle) Close();
 }
@@ -221,7 +245,10 @@
   if (std::exchange(closed_, true)) return;
   const auto notify_disconnect = std::exchange(on_disconnect, nullptr);
   on_drained = nullptr;
-  if (phase_ != Phase::kIdle) --ingress_.busy_;
+  if (phase_ == Phase::kLingering)
+    --ingress_.lingering_;
+  else if (phase_ != Phase::kIdle)
+    --ingress_.busy_;
   timeout_timer_.cancel();
   ErrorCode ignored;
   socket_.shutdown(Tcp::socket::shutdown_send, ignored);
--- a/src/dataplane/ingress/client_connection.hpp
+++ b/src/dataplane/ingress/client_connection.hpp
@@ -72,7 +72,8 @@
  private:
   using ErrorCode = boost::system::error_code;
   using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
-  enum class Phase { kIdle, kHead, kBody, kResponding };
+  // kLingering: the last response is written, and the client has not closed its side yet.
+  enum class Phase { kIdle, kHead, kBody, kResponding, kLingering };
 
   void AwaitRequest();
   void ReadHead();
@@ -83,6 +84,10 @@
   void ArmTimeout(std::chrono::milliseconds timeout);
   void Write();
   void OnWritten(ErrorCode error);
+  // Closes the connection after a complete response. What the client still sends is read and discarded, as
+  // closing a socket with unread bytes resets the connection and may destroy the end of the response.
+  void CloseGracefully();
+  void DiscardInput();
 
   Ingress& ingress_;
   Tcp::socket socket_;
--- a/src/dataplane/ingress/ingress.hpp
+++ b/src/dataplane/ingress/ingress.hpp
@@ -37,6 +37,9 @@
   void SetLimits(const configuration::Limits& limits) { limits_ = limits; }
   /// Number of connections on which a request is being read or answered.
   std::size_t busy() const { return busy_; }
+  /// Number of connections on which a request is being read or answered, or whose client has not yet closed
+  /// its side after the last response.
+  std::size_t open_responses() const { return busy_ + lingering_; }
 
  private:
   friend class ClientConnection;
@@ -49,6 +52,7 @@
   configuration::Limits limits_;
   std::set<ClientPtr> connections_;
   std::size_t busy_ = 0;
+  std::size_t lingering_ = 0;
   bool closing_ = false;
 };
 
--- a/tests/dataplane/dataplane_test.cpp
+++ b/tests/dataplane/dataplane_test.cpp
@@ -494,4 +494,24 @@
   REQUIRE(sidecar.Until([&] { return Received(waiting, "bytes"); }));
 }
 
+TEST_CASE("LOST: the end of a response reaches a client whose further bytes are unread at the close") {
+  Sidecar sidecar;
+  const std::string body(1'000'000, 'b');
+  ScriptedServer server(sidecar.io);
+  sidecar.SetServers({&server});
+  auto client = std::make_shared<Peer>(boost::asio::ip::tcp::socket(sidecar.io));
+  client->socket.connect(sidecar.endpoint);
+  client->Write(RequestTo("/once/", "Connection: close\r\n"));
+  REQUIRE(sidecar.Until([&] { return server.requests() == 1; }));
+  client->Write("bytes that the sidecar does not read as a request");
+  server.peers[0]->Write(Reply("200 OK", body, kSigned));
+  // The sidecar has written all of the response and the client has read nothing yet.
+  REQUIRE(sidecar.Until([&] { return sidecar.ingress.busy() == 0; }));
+  client->Read();
+  REQUIRE(sidecar.Until([&] { return client->ended; }));
+  CHECK(client->received.size() > body.size());
+  client->Close();
+  REQUIRE(sidecar.Until([&] { return sidecar.ingress.open_responses() == 0; }));
+}
+
 }  // namespace violetwing
