Begin no attempt in a drain that cannot end before the process does

Cause: nothing tied what a drain lets in to the time that is left; the end of the grace stopped the loop whatever was held. Class: a time limit that is kept by cutting, not by what is let in. Change: DrainSchedule. A request read after the platform has noticed, and from half of the grace on any that is not sent, begins an attempt only if its deadline lies before the end; else it gets 503 at once, so that its client can go elsewhere. The process leaves when responses are delivered, 7.6 s at the latest.

--- a/src/dataplane/edge_service.cpp
+++ b/src/dataplane/edge_service.cpp
@@ -15,11 +15,7 @@
 using std::chrono::steady_clock;
 
 constexpr milliseconds kTickInterval{300};
-// The platform probes readiness every second and sends no new connections after two failed probes.
-constexpr milliseconds kUnreadyNoticeDelay{2600};
 constexpr milliseconds kDrainPollInterval{20};
-// Part of the grace period that is reserved for the process exit itself.
-constexpr milliseconds kExitReserve{400};
 
 std::uint64_t RandomSeed() { return (std::uint64_t{std::random_device()()} << 32U) | std::random_device()(); }
 
@@ -105,8 +101,8 @@
   spdlog::info("sidecar draining node={}", settings_.node_name);
   ingress_.SetClosing();
   stop_began_ = steady_clock::now();
-  stop_deadline_ = stop_began_ + milliseconds(settings_.grace_ms) - kExitReserve;
-  stop_timer_.expires_after(std::min(kUnreadyNoticeDelay, milliseconds(settings_.grace_ms / 2)));
+  plane_.drain = DrainSchedule::Make(stop_began_, milliseconds(settings_.grace_ms));
+  stop_timer_.expires_at(plane_.drain->unready_noticed);
   stop_timer_.async_wait([this](const boost::system::error_code& error) {
     if (error) return;
     ingress_.StopListening();
@@ -115,24 +111,26 @@
 }
 
 void EdgeService::AwaitDrained() {
-  if (ingress_.busy() == 0 || steady_clock::now() >= stop_deadline_) {
-    LogDrained();
-    link_.Stop();
-    load_reports_.Stop();
-    io_.stop();
-    return;
+  const steady_clock::time_point now = steady_clock::now();
+  const auto in_flight = plane_.in_flight;
+  for (const auto& request : in_flight) {
+    if (now >= plane_.drain->requests_end) request->EndAtShutdown();
+    if (now >= plane_.drain->last_attempt) request->OnDrainStage();
   }
+  if (ingress_.open_responses() == 0 || now >= plane_.drain->exit) return EndDrain();
   stop_timer_.expires_after(kDrainPollInterval);
   stop_timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) AwaitDrained();
   });
 }
 
-void EdgeService::LogDrained() const {
+void EdgeService::EndDrain() {
   const auto drained_for = std::chrono::duration_cast<milliseconds>(steady_clock::now() - stop_began_);
   spdlog::info("drain ended node={} drained_ms={} open_connections={}", settings_.node_name,
-               drained_for.count(), ingress_.busy());
-  for (const auto& request : plane_.in_flight) request->LogCutOff();
+               drained_for.count(), ingress_.open_responses());
+  link_.Stop();
+  load_reports_.Stop();
+  io_.stop();
 }
 
 }  // namespace violetwing
--- a/src/dataplane/edge_service.hpp
+++ b/src/dataplane/edge_service.hpp
@@ -36,8 +36,7 @@
   bool IsReady() const;
   void Tick();
   void AwaitDrained();
-  // Logs how the drain ended, and the requests that are cut off by it.
-  void LogDrained() const;
+  void EndDrain();
 
   boost::asio::io_context& io_;
   const NodeSettings settings_;
@@ -49,7 +48,6 @@
   boost::asio::steady_timer tick_timer_;
   boost::asio::steady_timer stop_timer_;
   std::chrono::steady_clock::time_point stop_began_;
-  std::chrono::steady_clock::time_point stop_deadline_;
   bool stopping_ = false;
 };
 
--- a/src/dataplane/routing/data_plane.hpp
+++ b/src/dataplane/routing/data_plane.hpp
@@ -4,12 +4,14 @@
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
+#include <optional>
 #include <set>
 
 #include "common/random.hpp"
 #include "dataplane/control_client/control_link.hpp"
 #include "dataplane/directory/directory.hpp"
 #include "dataplane/load_balancing/load_balancer.hpp"
+#include "dataplane/routing/drain_schedule.hpp"
 #include "dataplane/routing/retry_budget.hpp"
 #include "dataplane/upstream/upstream_pool.hpp"
 
@@ -30,6 +32,8 @@
   std::set<std::shared_ptr<RequestRouter>> waiting_for_model;
   /// All requests that have not finished.
   std::set<std::shared_ptr<RequestRouter>> in_flight = {};
+  /// Set once the sidecar shuts down.
+  std::optional<DrainSchedule> drain = {};
 };
 
 }  // namespace violetwing
--- a/src/dataplane/routing/end_reason.cpp
+++ b/src/dataplane/routing/end_reason.cpp
@@ -44,6 +44,10 @@
       return {"deadline_during_response", ""};
     case EndReason::kClientDisconnected:
       return {"client_disconnected", ""};
+    case EndReason::kShuttingDown:
+      return {"shutting_down", "the sidecar is shutting down"};
+    case EndReason::kCutOffAtShutdown:
+      return {"cut_off_at_shutdown", ""};
   }
   return {};
 }
--- a/src/dataplane/routing/end_reason.hpp
+++ b/src/dataplane/routing/end_reason.hpp
@@ -25,6 +25,8 @@
   kDeadlineExceeded,  ///< the deadline passed, and a server may have executed the request
   kDeadlineDuringResponse,  ///< the deadline passed after the response had begun
   kClientDisconnected,      ///< the client closed the connection
+  kShuttingDown,            ///< the sidecar shuts down, and no attempt can be completed before that
+  kCutOffAtShutdown,        ///< the sidecar exits after the response had begun
 };
 
 /// Name for the log, e.g. "deadline_exceeded".
--- a/src/dataplane/routing/request_router.cpp
+++ b/src/dataplane/routing/request_router.cpp
@@ -165,6 +165,7 @@
 
 void RequestRouter::Dispatch() {
   if (finished_) return;
+  if (!MayBeginAttempt()) return Reject(EndReason::kShuttingDown);
   const DirectoryPtr directory = plane_.directory;  // the latest, for this attempt
   const bool needs_model = backend_->runtime != nullptr && !attributes_.model.empty();
   const std::vector<const Instance*> candidates =
@@ -336,8 +337,17 @@
 
 // ---- Retries ----
 
+bool RequestRouter::MayBeginAttempt() const {
+  return !plane_.drain || plane_.drain->MayBeginAttempt(request_.arrived, deadline_, Clock::now());
+}
+
+void RequestRouter::OnDrainStage() {
+  if (finished_ || attempt_.InFlight() || client_->head_sent() || MayBeginAttempt()) return;
+  Reject(EndReason::kShuttingDown);
+}
+
 bool RequestRouter::ScheduleRetry(RetryCost cost) {
-  if (!attempt_counter_.MayRetry(route_->max_attempts)) return false;
+  if (!attempt_counter_.MayRetry(route_->max_attempts) || !MayBeginAttempt()) return false;
   const Micros backoff = RetryBackoff(attempt_counter_.rejected(), plane_.random);
   if (backoff / 1000 + kMinAttemptMs >= RemainingMs()) return false;
   if (cost == RetryCost::kFromBudget &&
@@ -380,17 +390,26 @@
   Finish(reason);
 }
 
-void RequestRouter::OnDeadline() {
+void RequestRouter::EndEarly(const EarlyEnd& reasons) {
   if (finished_) return;
   const bool sent = attempt_.InFlight() && attempt_.exchange->sent();
   CancelAttempt();
   if (client_->head_sent()) {
     client_->Abort();
-    return Finish(EndReason::kDeadlineDuringResponse);
+    return Finish(reasons.during_response);
   }
   may_have_executed_ = may_have_executed_ || sent;
-  if (may_have_executed_) return Fail(kGatewayTimeout, EndReason::kDeadlineExceeded);
-  Reject(EndReason::kNoCapacityInTime);
+  if (may_have_executed_) return Fail(kGatewayTimeout, reasons.may_have_executed);
+  Reject(reasons.not_executed);
+}
+
+void RequestRouter::OnDeadline() {
+  EndEarly({EndReason::kNoCapacityInTime, EndReason::kDeadlineExceeded, EndReason::kDeadlineDuringResponse});
+}
+
+void RequestRouter::EndAtShutdown() {
+  if (!finished_) LogEndedAtShutdown();
+  EndEarly({EndReason::kShuttingDown, EndReason::kShuttingDown, EndReason::kCutOffAtShutdown});
 }
 
 void RequestRouter::OnClientDisconnected() {
@@ -410,12 +429,12 @@
   client_->on_drained = nullptr;
 }
 
-void RequestRouter::LogCutOff() const {
+void RequestRouter::LogEndedAtShutdown() const {
   const auto age = duration_cast<milliseconds>(Clock::now() - request_.arrived);
   const char* stage = "waiting";
   if (attempt_.InFlight()) stage = attempt_.exchange->sent() ? "sent" : "connecting";
   if (client_->head_sent()) stage = "responding";
-  spdlog::warn("request cut off at shutdown id={} age_ms={} stage={} attempts={} upstream={}", request_id_,
+  spdlog::warn("request ended at shutdown id={} age_ms={} stage={} attempts={} upstream={}", request_id_,
                age.count(), stage, attempt_counter_.sent(), attempt_.server);
 }
 
--- a/src/dataplane/routing/request_router.hpp
+++ b/src/dataplane/routing/request_router.hpp
@@ -34,8 +34,11 @@
   void OnDirectory();
   /// Reports again that the request waits for its model, as messages to the control plane may be lost.
   void ReportDemand() { CountDemand(ModelState::kMissing); }
-  /// Logs that the process exits before the response is complete, and how far the request had come.
-  void LogCutOff() const;
+  /// Rejects the request if it waits for an attempt that may not begin any more, as the sidecar shuts down.
+  void OnDrainStage();
+  /// Ends the request as the process is about to exit: with a response of the sidecar's own, or by cutting
+  /// off a response that has begun.
+  void EndAtShutdown();
 
  private:
   using Clock = std::chrono::steady_clock;
@@ -78,6 +81,8 @@
   void EndAttempt(AttemptResult result);
   void CancelAttempt();
 
+  // False if the sidecar shuts down and an attempt could not be completed before that.
+  bool MayBeginAttempt() const;
   void RetryOrReject();
   void RetryOrFail();
   // Returns false if no further attempt is allowed or fits before the deadline.
@@ -87,10 +92,18 @@
   // until the client can be served.
   void Reject(EndReason reason, double retry_after_s = kDefaultRetryAfterS);
   void Fail(const Status& status, EndReason reason);
+  // Reasons for which a request ends before its attempt has, by how far it had come.
+  struct EarlyEnd {
+    EndReason not_executed;
+    EndReason may_have_executed;
+    EndReason during_response;
+  };
+  void EndEarly(const EarlyEnd& reasons);
   void OnDeadline();
   void OnClientDisconnected();
   void Finish(EndReason reason);
   void LogFinished(EndReason reason) const;
+  void LogEndedAtShutdown() const;
 
   bool IsIdempotent() const { return route_->Repeatable(); }
   std::int64_t RemainingMs() const;
--- a/tests/dataplane/dataplane_test.cpp
+++ b/tests/dataplane/dataplane_test.cpp
@@ -494,6 +494,77 @@
   REQUIRE(sidecar.Until([&] { return Received(waiting, "bytes"); }));
 }
 
+namespace {
+
+constexpr const char* kWaitingForModel =
+    "POST /stream/a HTTP/1.1\r\nHost: a.example\r\nX-Violetwing-Request-Id: r1\r\n"
+    "X-Violetwing-Deadline-Ms: 3000\r\nContent-Length: 0\r\nX-Violetwing-Model: m\r\n\r\n";
+
+// A drain in which each stage lies `before_now` before or, if negative, after the present.
+DrainSchedule DrainAt(std::chrono::milliseconds last_attempt_before_now,
+                      std::chrono::milliseconds requests_end_before_now) {
+  const auto now = std::chrono::steady_clock::now();
+  DrainSchedule drain;
+  drain.unready_noticed = now - last_attempt_before_now;
+  drain.last_attempt = now - last_attempt_before_now;
+  drain.requests_end = now - requests_end_before_now;
+  drain.exit = drain.requests_end + 200ms;
+  return drain;
+}
+
+template <class Action>
+void ForAllInFlight(const Sidecar& sidecar, Action action) {
+  const auto in_flight = sidecar.plane.in_flight;
+  for (const auto& request : in_flight) action(*request);
+}
+
+}  // namespace
+
+TEST_CASE("LOST: a request that waits for a model is rejected as the sidecar stops, not cut off") {
+  Sidecar sidecar;
+  ScriptedServer server(sidecar.io, AlwaysRespond(Reply("200 OK", "bytes", kSigned)));
+  sidecar.SetModelServer(server, {});
+  const auto client = sidecar.SendRequest(kWaitingForModel);
+  REQUIRE(sidecar.Until([&] { return !sidecar.plane.waiting_for_model.empty(); }));
+  sidecar.plane.drain = DrainAt(0ms, -1000ms);
+  ForAllInFlight(sidecar, [](RequestRouter& request) { request.OnDrainStage(); });
+  REQUIRE(sidecar.Until([&] { return Received(client, "HTTP/1.1 503"); }));
+  CHECK(Received(client, "Retry-After"));
+  CHECK(sidecar.plane.in_flight.empty());
+}
+
+TEST_CASE("LOST: a request that is read too late in a drain is rejected, not sent to a server") {
+  Sidecar sidecar;
+  ScriptedServer server(sidecar.io, AlwaysRespond(Reply("200 OK", "bytes", kSigned)));
+  sidecar.SetServers({&server});
+  sidecar.plane.drain = DrainAt(1ms, -1000ms);
+  const auto late = sidecar.SendRequest(RequestTo("/stream/"));
+  REQUIRE(sidecar.Until([&] { return Received(late, "HTTP/1.1 503"); }));
+  CHECK(server.requests() == 0);
+  // The deadline of this route is shorter than what is left.
+  const auto short_enough = sidecar.SendRequest(RequestTo("/short/"));
+  REQUIRE(sidecar.Until([&] { return Received(short_enough, "bytes"); }));
+}
+
+TEST_CASE(
+    "LOST: at the end of a drain a request without a response gets 504, and a begun response is cut off") {
+  Sidecar sidecar;
+  ScriptedServer server(sidecar.io);
+  sidecar.SetServers({&server});
+  const auto waits = sidecar.SendRequest(RequestTo("/stream/"));
+  REQUIRE(sidecar.Until([&] { return server.requests() == 1; }));
+  const auto streams = sidecar.SendRequest(RequestTo("/stream/"));
+  REQUIRE(sidecar.Until([&] { return server.requests() == 2; }));
+  server.peers[1]->Write("HTTP/1.1 200 OK\r\n" + kSigned +
+                         "Transfer-Encoding: chunked\r\n\r\n5\r\npiece\r\n");
+  REQUIRE(sidecar.Until([&] { return Received(streams, "piece"); }));
+  sidecar.plane.drain = DrainAt(100ms, 0ms);
+  ForAllInFlight(sidecar, [](RequestRouter& request) { request.EndAtShutdown(); });
+  REQUIRE(sidecar.Until([&] { return Received(waits, "HTTP/1.1 504") && streams->ended; }));
+  CHECK_FALSE(Received(streams, "\r\n0\r\n\r\n"));
+  CHECK(sidecar.plane.in_flight.empty());
+}
+
 TEST_CASE("LOST: the end of a response reaches a client whose further bytes are unread at the close") {
   Sidecar sidecar;
   const std::string body(1'000'000, 'b');
