Let the control service tell which errors of its store may pass

Change: ControlService::MayStoreErrorPass; StartWithRetry takes the question as an argument. No behavior changes.

--- a/src/control/service/control_service.cpp
+++ b/src/control/service/control_service.cpp
@@ -14,6 +14,7 @@
 #include "common/steady_time.hpp"
 #include "control/api/handlers.hpp"
 #include "control/replication/bootstrap.hpp"
+#include "control/storage/storage_error.hpp"
 
 namespace violetwing {
 namespace {
@@ -114,6 +115,10 @@
   return store_.Open(settings_.data_dir, replica_id);
 }
 
+bool ControlService::MayStoreErrorPass(const std::error_code& error) {
+  return error == StorageErrc::kLocked || error == StorageErrc::kFull || error == StorageErrc::kIoError;
+}
+
 Fallible<void> ControlService::Listen() {
   const auto listen = [&](http::Server& server, const std::string& address) -> Fallible<void> {
     const std::error_code error = server.Listen(address);
--- a/src/control/service/control_service.hpp
+++ b/src/control/service/control_service.hpp
@@ -37,6 +37,9 @@
   /// not vote or answer based on a part of their stored state. Errors: StorageErrc, ControlErrc, and those of
   /// the sockets.
   Fallible<void> Start();
+  /// Whether a store that could not be opened for this error may be opened later: one that another process
+  /// still has open, or one on a full or failing disk.
+  static bool MayStoreErrorPass(const std::error_code& error);
   /// Applies the seeds of a changed settings file; changes of other settings need a restart.
   void Reload(const NodeSettings& settings);
   /// Answers pending calls and ends the event loop after a grace period.
--- a/src/node/roles.cpp
+++ b/src/node/roles.cpp
@@ -113,13 +113,15 @@
     return ExitWith(kExitUsage, settings_path + ": listeners_addr: ingress or readiness is missing");
   std::unique_ptr<Edge> edge;
   std::unique_ptr<EdgeSignals> signals;
-  const Fallible<void> started = StartWithRetry([&] {
-    SetStartupSignalActions();
-    edge = std::make_unique<Edge>(settings);
-    Fallible<void> service_started = edge->service.Start();
-    if (service_started) signals = std::make_unique<EdgeSignals>(*edge, settings_path);
-    return service_started;
-  });
+  const Fallible<void> started = StartWithRetry(
+      [&] {
+        SetStartupSignalActions();
+        edge = std::make_unique<Edge>(settings);
+        Fallible<void> service_started = edge->service.Start();
+        if (service_started) signals = std::make_unique<EdgeSignals>(*edge, settings_path);
+        return service_started;
+      },
+      MayPass);
   if (!started) return ExitWith(kExitFailure, started.error().message);
   edge->io.run();
   // Exits without destructors, which would restore the default actions of signals.
@@ -132,14 +134,19 @@
   if (settings.data_dir.empty()) return ExitWith(kExitUsage, settings_path + ": data_dir: is missing");
   EventBasePtr base(nullptr, &event_base_free);
   std::unique_ptr<ControlService> service;
-  const Fallible<void> started = StartWithRetry([&] {
-    service.reset();
-    base.reset(event_base_new());
-    if (base == nullptr)
-      return Fallible<void>(Failure{std::make_error_code(std::errc::too_many_files_open), "no event loop"});
-    service = std::make_unique<ControlService>(base.get(), settings);
-    return service->Start();
-  });
+  const Fallible<void> started = StartWithRetry(
+      [&] {
+        service.reset();
+        base.reset(event_base_new());
+        if (base == nullptr)
+          return Fallible<void>(
+              Failure{std::make_error_code(std::errc::too_many_files_open), "no event loop"});
+        service = std::make_unique<ControlService>(base.get(), settings);
+        return service->Start();
+      },
+      [](const std::error_code& error) {
+        return MayPass(error) || ControlService::MayStoreErrorPass(error);
+      });
   if (!started) return ExitWith(kExitFailure, started.error().message);
   ControlContext context{*service, settings_path};
   AddControlEvents(base.get(), context);
--- a/src/node/startup.cpp
+++ b/src/node/startup.cpp
@@ -11,8 +11,6 @@
 #include <utility>
 #include <variant>
 
-#include "control/storage/storage_error.hpp"
-
 namespace violetwing::node {
 namespace {
 
@@ -27,8 +25,6 @@
                                         std::errc::no_buffer_space,
                                         std::errc::not_enough_memory,
                                         std::errc::resource_unavailable_try_again};
-constexpr StorageErrc kPassingStorageErrors[] = {StorageErrc::kLocked, StorageErrc::kFull,
-                                                 StorageErrc::kIoError};
 
 void SetAction(int number, void (*handler)(int)) {
   struct sigaction action {};
@@ -62,8 +58,6 @@
 bool MayPass(const std::error_code& error) {
   for (const std::errc passing : kPassingErrors)
     if (error == passing) return true;
-  for (const StorageErrc passing : kPassingStorageErrors)
-    if (error == make_error_code(passing)) return true;
   return false;
 }
 
@@ -82,11 +76,12 @@
 
 }  // namespace
 
-Fallible<void> StartWithRetry(const std::function<Fallible<void>()>& start) {
+Fallible<void> StartWithRetry(const std::function<Fallible<void>()>& start,
+                              const std::function<bool(const std::error_code&)>& may_pass) {
   std::string logged;
   while (true) {
-    const Fallible<void> started = CatchSystemErrors(start);
-    if (started || !MayPass(started.error().code)) return started;
+    Fallible<void> started = CatchSystemErrors(start);
+    if (started || !may_pass(started.error().code)) return started;
     if (std::exchange(logged, started.error().message) != started.error().message)
       spdlog::warn("start failed, will be retried retry_ms={} error={}", kStartRetryDelay.count(),
                    started.error().message);
--- a/src/node/startup.hpp
+++ b/src/node/startup.hpp
@@ -26,13 +26,14 @@
 /// middle of being written.
 SettingsResult ReadSettingsAtStart(const std::string& path);
 
-/// Whether a start that has failed with this error may succeed later without other settings: an address or a
-/// store that a process which is ending still holds, a full or failing disk, a lack of descriptors or memory.
+/// Whether a start that has failed with this error may succeed later without other settings: an address that
+/// a process which is ending still holds, or a lack of descriptors or memory.
 bool MayPass(const std::error_code& error);
 
-/// Calls `start` until it succeeds, with a pause after each error that may pass. Returns the first error that
-/// may not.
-Fallible<void> StartWithRetry(const std::function<Fallible<void>()>& start);
+/// Calls `start` until it succeeds, with a pause after each error for which `may_pass` holds. Returns the
+/// first other error.
+Fallible<void> StartWithRetry(const std::function<Fallible<void>()>& start,
+                              const std::function<bool(const std::error_code&)>& may_pass);
 
 }  // namespace violetwing::node
 
