Keep a read that is under way apart from the input that is discarded

Need: after a 408 the read of the head is still under way while the connection lingers. By reading: discarding into the same buffer could move memory that this read writes to, and a head that came late would be served on a connection that closes. Change: input is discarded into memory of its own; a head that arrives in another phase is passed over. A test sends the rest of a request after its 408. Measured: the test passed before, too, so the fault is not reproduced; it and 22 tests of connections pass now.

--- a/src/dataplane/ingress/client_connection.cpp
+++ b/src/dataplane/ingress/client_connection.cpp
@@ -70,7 +70,7 @@
   parser_->body_limit(static_cast<std::uint64_t>(ingress_.limits_.max_body_bytes));
   http::async_read_header(socket_, buffer_, *parser_,
                           [self = shared_from_this()](ErrorCode error, std::size_t) {
-                            if (self->closed_) return;
+                            if (self->closed_ || self->phase_ != Phase::kHead) return;  // answered with 408
                             if (error) return self->RejectAndClose(error);
                             self->ReadBody();
                           });
@@ -224,12 +224,12 @@
   ErrorCode ignored;
   socket_.shutdown(Tcp::socket::shutdown_send, ignored);
   ArmTimeout(kLingerTimeout);
-  buffer_.clear();
   DiscardInput();
 }
 
 void ClientConnection::DiscardInput() {
-  socket_.async_read_some(buffer_.prepare(kDiscardBytes),
+  discarded_.resize(kDiscardBytes);
+  socket_.async_read_some(asio::buffer(discarded_),
                           [self = shared_from_this()](ErrorCode error, std::size_t) {
                             if (self->closed_) return;
                             if (error) return self->Close();
--- a/src/dataplane/ingress/client_connection.hpp
+++ b/src/dataplane/ingress/client_connection.hpp
@@ -98,6 +98,7 @@
   Phase phase_ = Phase::kIdle;
   std::string pending_output_;
   std::string output_in_flight_;
+  std::string discarded_;  // input while lingering; apart from buffer_, which a read may still use
   bool head_sent_ = false;
   bool chunked_ = false;
   bool keep_alive_ = true;
--- a/tests/dataplane/dataplane_test.cpp
+++ b/tests/dataplane/dataplane_test.cpp
@@ -585,4 +585,22 @@
   REQUIRE(sidecar.Until([&] { return sidecar.ingress.open_responses() == 0; }));
 }
 
+TEST_CASE("A request whose rest arrives after its 408 is not served") {
+  Sidecar sidecar;
+  ScriptedServer server(sidecar.io, AlwaysRespond(Reply("200 OK", "bytes", kSigned)));
+  sidecar.SetServers({&server});
+  configuration::Limits limits;
+  limits.header_timeout_ms = 50;
+  sidecar.ingress.SetLimits(limits);
+  const std::string request = RequestTo("/once/");
+  const auto client = sidecar.SendRequest(request.substr(0, 30));
+  REQUIRE(sidecar.Until([&] { return Received(client, "HTTP/1.1 408"); }));
+  client->Write(request.substr(30));
+  violetwing::sidecar::testing::RunFor(sidecar.io, 200ms);
+  CHECK(server.requests() == 0);
+  CHECK(sidecar.ingress.busy() == 0);
+  client->Close();
+  REQUIRE(sidecar.Until([&] { return sidecar.ingress.open_responses() == 0; }));
+}
+
 }  // namespace violetwing
