Bound what the connections of an edge hold together

Callers saw an edge end, as its platform ends a process over its memory: trailers and chunk extensions were read without a bound, and nothing bounded the sum of what clients hold. Cause: each connection had limits of its own (or, behind the head of a chunked body, none), no figure counted all of them, and neither the memory nor the descriptors of the settings file were read.

Every connection now has a claim on the budget of its listener (common/connection_budget.hpp), which follows limits.memory_mb and limits.max_fds (common/listener_limits.hpp): heads, fields, bodies, unsent output, the buffers of an attempt, and what waits unread in sockets, whose buffers have a fixed size. Who gives way is decided in that one place. Requests are parsed as they are read, so that the memory of one that is rejected is freed at once; a body is no longer copied for each attempt; buffers of idle connections are freed; the allocator returns large blocks.

The options of Connection are looked up in a set: a head of 16 KiB compared each field with each option.

--- a/src/common/node_settings.cpp
+++ b/src/common/node_settings.cpp
@@ -98,6 +98,12 @@
   fields.Read("control_plane", out.control_plane);
 }
 
+void ReadProcessLimits(const json& in, NodeSettings& out, SettingsError& error) {
+  const Fields fields(in, "limits.", error);
+  fields.ReadPositive("memory_mb", out.memory_mb);
+  fields.ReadPositive("max_fds", out.max_descriptors);
+}
+
 void ReadPorts(const json& in, NodeSettings& out, SettingsError& error) {
   constexpr int kMaxPort = 65535;
   const Fields fields(in, "", error);
@@ -132,6 +138,7 @@
   SettingsError error;
   ReadNode(in, out, error);
   ReadListeners(ObjectMember(in, "listeners_addr"), out, error);
+  ReadProcessLimits(ObjectMember(in, "limits"), out, error);
   ReadPorts(in, out, error);
   const Fields tolerance(ObjectMember(in, "fault_tolerance"), "fault_tolerance.", error);
   tolerance.Read("nodes", out.tolerated_nodes);
--- a/src/common/node_settings.hpp
+++ b/src/common/node_settings.hpp
@@ -25,6 +25,9 @@
   std::int64_t heartbeat_ms = 1000;
   int tolerated_nodes = 1;  ///< control processes whose simultaneous loss is tolerated
 
+  std::int64_t memory_mb = 256;         ///< the platform ends a process that holds more
+  std::int64_t max_descriptors = 4096;  ///< `limits.max_fds`
+
   std::int64_t grace_ms = 8000;  ///< time from SIGTERM to SIGKILL
   double retry_ratio = 0.2;      ///< retries allowed per request within the window
   double retry_window_s = 10;
--- a/src/dataplane/edge_service.cpp
+++ b/src/dataplane/edge_service.cpp
@@ -6,6 +6,7 @@
 #include <random>
 #include <utility>
 
+#include "common/listener_limits.hpp"
 #include "common/steady_time.hpp"
 
 namespace violetwing {
@@ -29,16 +30,17 @@
           std::make_shared<const Directory>(),
           LoadBalancer(RandomSeed()),
           RetryBudget(settings_.retry_ratio, settings_.retry_slack, settings_.retry_window_s, SteadyMicros()),
-          UpstreamPool(io),
+          UpstreamPool(io, EdgeLimitsOf(settings_).max_idle_upstream_connections),
           Random(RandomSeed()),
           nullptr,
           {}},
-      ingress_(io,
+      ingress_(io, EdgeLimitsOf(settings_).ingress,
                [this](const ClientPtr& client, ClientRequest request) {
                  std::make_shared<RequestRouter>(plane_, client, std::move(request))->Start();
                }),
-      readiness_(io, [this](const ClientPtr& client,
-                            const ClientRequest& request) { OnReadiness(client, request); }),
+      readiness_(
+          io, EdgeLimitsOf(settings_).readiness,
+          [this](const ClientPtr& client, const ClientRequest& request) { OnReadiness(client, request); }),
       load_reports_(io, settings_.node_name, plane_.load_balancer),
       link_(io, settings_, [this](DirectoryPtr directory) { OnDirectory(std::move(directory)); }),
       tick_timer_(io),
--- a/src/dataplane/http/http_text.cpp
+++ b/src/dataplane/http/http_text.cpp
@@ -4,6 +4,7 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <charconv>
+#include <set>
 
 namespace violetwing {
 namespace {
@@ -26,17 +27,17 @@
 }
 
 FieldList EndToEndFields(const boost::beast::http::fields& fields) {
-  std::vector<std::string> connection_options;
+  // A set, as a client may name as many options as it sends fields.
+  std::set<std::string, boost::beast::iless> connection_options;
   const auto [begin, end] = fields.equal_range(boost::beast::http::field::connection);
   for (auto it = begin; it != end; ++it)
-    for (const auto token : boost::beast::http::token_list(it->value()))
-      connection_options.emplace_back(token);
+    for (const auto token : boost::beast::http::token_list(it->value())) connection_options.emplace(token);
   FieldList out;
   for (const auto& field : fields) {
     const std::string_view name(field.name_string().data(), field.name_string().size());
     const auto same = [&](std::string_view other) { return FieldNamesEqual(name, other); };
     if (std::any_of(std::begin(kNotForwarded), std::end(kNotForwarded), same)) continue;
-    if (std::any_of(connection_options.begin(), connection_options.end(), same)) continue;
+    if (connection_options.count(std::string(name)) > 0) continue;
     out.push_back({std::string(name), std::string(field.value().data(), field.value().size())});
   }
   return out;
--- a/src/dataplane/ingress/client_connection.hpp
+++ b/src/dataplane/ingress/client_connection.hpp
@@ -1,5 +1,6 @@
 // HTTP/1.1 server side of client connections. The requests of a connection are handled one at a time; each is
-// read completely first. Responses are streamed.
+// read completely first. Responses are streamed. What a connection holds counts for the budget of its
+// listener.
 #ifndef VIOLETWING_DATAPLANE_INGRESS_CLIENT_CONNECTION_HPP_
 #define VIOLETWING_DATAPLANE_INGRESS_CLIENT_CONNECTION_HPP_
 
@@ -15,6 +16,7 @@
 #include <string>
 #include <string_view>
 
+#include "common/connection_budget.hpp"
 #include "dataplane/http/http_text.hpp"
 
 namespace violetwing {
@@ -56,8 +58,9 @@
   void Answer(int status, const std::string& reason, const FieldList& fields, const std::string& body);
   /// Closes the connection, so that the client does not take the response as complete. Skips `on_disconnect`.
   void Abort();
-  /// Number of response bytes that are not yet written to the socket.
-  std::size_t unsent() const { return pending_output_.size() + output_in_flight_.size(); }
+  /// True if the response should not be continued before the next `on_drained`: too much of it is unsent, for
+  /// this client or for what all clients may hold together.
+  bool output_full() const;
   /// True once SendHead was called for the current request.
   bool head_sent() const { return head_sent_; }
 
@@ -77,9 +80,21 @@
 
   void AwaitRequest();
   void ReadHead();
-  void ReadBody();
+  void ReadMore();
+  void OnInput(ErrorCode error, std::size_t size);
+  // Parses what has been read, and goes on reading until the request is complete.
+  void Parse();
+  void OnHeadComplete();
   void OnRequest();
-  void RejectAndClose(ErrorCode error);
+  void Reject(ErrorCode error);
+  // Rejects a request for which there is no memory. Guarantees that it was not executed.
+  void RejectOverloaded();
+  void RejectWith(int status, const std::string& reason, const FieldList& fields);
+  void GiveWay(Eviction eviction);
+  // Sets the bytes that this connection holds. False if there is no room for them.
+  bool Hold(std::size_t bytes);
+  void HoldOutput();
+  void ReleaseBuffers();
   void WatchForDisconnect();
   void ArmTimeout(std::chrono::milliseconds timeout);
   void Write();
@@ -92,8 +107,12 @@
   Ingress& ingress_;
   Tcp::socket socket_;
   boost::asio::steady_timer timeout_timer_;
+  ConnectionClaim claim_;
   boost::beast::flat_buffer buffer_;
   std::unique_ptr<Parser> parser_;
+  std::size_t head_bytes_ = 0;     // that the head of the current request holds
+  std::size_t request_bytes_ = 0;  // that the current request holds, without its response
+  bool output_held_ = true;        // false: there was no room for the unsent output
   FieldList fields_;  // end-to-end fields of the request's header section; excludes those of its trailer
   Phase phase_ = Phase::kIdle;
   std::string pending_output_;
--- a/src/dataplane/ingress/ingress.cpp
+++ b/src/dataplane/ingress/ingress.cpp
@@ -4,6 +4,8 @@
 #include <utility>
 
 #include "common/http_client.hpp"
+#include "common/listener_limits.hpp"
+#include "common/steady_time.hpp"
 
 namespace violetwing {
 namespace {
@@ -14,8 +16,8 @@
 
 }  // namespace
 
-Ingress::Ingress(asio::io_context& io, Handler handler)
-    : io_(io), handler_(std::move(handler)), acceptor_(io), accept_retry_timer_(io) {}
+Ingress::Ingress(asio::io_context& io, ConnectionBudget::Limits budget, Handler handler)
+    : io_(io), handler_(std::move(handler)), budget_(budget), acceptor_(io), accept_retry_timer_(io) {}
 
 std::error_code Ingress::Listen(const std::string& address) {
   const auto endpoint = ParseEndpoint(address);
@@ -23,6 +25,10 @@
   boost::system::error_code error;
   acceptor_.open(endpoint->protocol(), error);
   if (!error) acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+  // Accepted connections inherit the sizes.
+  boost::system::error_code ignored;
+  acceptor_.set_option(asio::socket_base::receive_buffer_size(kReceiveBufferBytes), ignored);
+  acceptor_.set_option(asio::socket_base::send_buffer_size(kSendBufferBytes), ignored);
   if (!error) acceptor_.bind(*endpoint, error);
   if (!error) acceptor_.listen(asio::socket_base::max_listen_connections, error);
   if (error) return {error.value(), std::generic_category()};
@@ -40,13 +46,18 @@
       });
       return;
     }
-    const auto connection = std::make_shared<ClientConnection>(*this, std::move(socket));
-    connections_.insert(connection);
-    connection->Start();
+    OnAccepted(std::move(socket));
     Accept();
   });
 }
 
+void Ingress::OnAccepted(asio::ip::tcp::socket socket) {
+  if (!budget_.AdmitConnection(SteadyMicros())) return;  // closes the socket
+  const auto connection = std::make_shared<ClientConnection>(*this, std::move(socket));
+  connections_.insert(connection);
+  connection->Start();
+}
+
 void Ingress::StopListening() {
   boost::system::error_code ignored;
   acceptor_.close(ignored);
--- a/src/dataplane/ingress/ingress.hpp
+++ b/src/dataplane/ingress/ingress.hpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <system_error>
 
+#include "common/connection_budget.hpp"
 #include "control/configuration/reader.hpp"
 #include "dataplane/ingress/client_connection.hpp"
 
@@ -22,8 +23,8 @@
   /// Called with each request; responds through the connection.
   using Handler = std::function<void(const ClientPtr&, ClientRequest)>;
 
-  /// Opens no socket; Listen does.
-  Ingress(boost::asio::io_context& io, Handler handler);
+  /// Opens no socket; Listen does. `budget`: what the connections may hold together.
+  Ingress(boost::asio::io_context& io, ConnectionBudget::Limits budget, Handler handler);
   /// Listens on `address` ("host:port"). Returns std::errc::invalid_argument for an invalid address, else the
   /// error of the socket.
   std::error_code Listen(const std::string& address);
@@ -44,9 +45,11 @@
  private:
   friend class ClientConnection;
   void Accept();
+  void OnAccepted(boost::asio::ip::tcp::socket socket);
 
   boost::asio::io_context& io_;
   const Handler handler_;
+  ConnectionBudget budget_;  // outlives the connections
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer accept_retry_timer_;
   configuration::Limits limits_;
--- a/src/dataplane/routing/request_router.cpp
+++ b/src/dataplane/routing/request_router.cpp
@@ -20,8 +20,6 @@
 
 // An attempt that is canceled after this time without a first byte counts as a failure of its server.
 constexpr milliseconds kFirstByteTimeout{1500};
-// Reading from the server is paused while more bytes than this are unsent to the client.
-constexpr std::size_t kMaxUnsentBytes = 262'144;
 // A retry is scheduled only if more than this time remains for it before the deadline.
 constexpr std::int64_t kMinAttemptMs = 5;
 // Time in which a sidecar or control process recovers its state after a start.
@@ -222,7 +220,8 @@
   request.request_id = request_id_;
   const UpstreamIdentity identity{directory_->api_keys().IsRequired(),
                                   tenant_ == nullptr ? std::string() : tenant_->name};
-  request.text = BuildUpstreamRequest(request_, instance.id, RemainingMs(), identity);
+  request.head = BuildUpstreamHead(request_, instance.id, RemainingMs(), identity);
+  request.body = std::shared_ptr<const std::string>(shared_from_this(), &request_.body);
   request.head_only = request_.method == "HEAD";
   request.may_send = [&plane = plane_, id = instance.id] {
     const Instance* latest = plane.directory->Find(id);
@@ -275,7 +274,7 @@
 void RequestRouter::OnData(std::string_view data) {
   if (attempt_.IsRejected() || finished_) return;
   client_->SendData(data);
-  if (client_->unsent() > kMaxUnsentBytes && attempt_.InFlight()) attempt_.exchange->Pause();
+  if (client_->output_full() && attempt_.InFlight()) attempt_.exchange->Pause();
 }
 
 void RequestRouter::OnExchangeEnd(ExchangeEnd end) {
--- a/src/dataplane/routing/upstream_request.cpp
+++ b/src/dataplane/routing/upstream_request.cpp
@@ -8,7 +8,7 @@
 
 // Decoding one token takes as long as prefilling this number of tokens.
 constexpr double kPrefillTokensPerDecodedToken = 10;
-// Space reserved for the head in addition to the body, to avoid reallocations.
+// Space reserved for the head, to avoid reallocations.
 constexpr std::size_t kExpectedHeadBytes = 1024;
 
 // Whether a field of the client is not forwarded: the sidecar sets its own value or, for Expect, has already
@@ -21,10 +21,10 @@
 
 }  // namespace
 
-std::string BuildUpstreamRequest(const ClientRequest& request, const std::string& instance_id,
-                                 std::int64_t remaining_ms, const UpstreamIdentity& identity) {
+std::string BuildUpstreamHead(const ClientRequest& request, const std::string& instance_id,
+                              std::int64_t remaining_ms, const UpstreamIdentity& identity) {
   std::string text;
-  text.reserve(request.body.size() + kExpectedHeadBytes);
+  text.reserve(kExpectedHeadBytes);
   text += request.method + " " + request.target + " HTTP/1.1\r\n";
   for (const Field& header : request.fields) {
     const bool strip_authorization =
@@ -37,7 +37,6 @@
   if (request.has_length || !request.body.empty())
     AppendField(text, "Content-Length", std::to_string(request.body.size()));
   text += "\r\n";
-  text += request.body;
   return text;
 }
 
--- a/src/dataplane/routing/upstream_request.hpp
+++ b/src/dataplane/routing/upstream_request.hpp
@@ -17,11 +17,11 @@
   std::string tenant;              ///< empty for none
 };
 
-/// Head and body of the client's request as it is sent to an instance: with the deadline set to
+/// The head of the client's request as it is sent to an instance: with the deadline set to
 /// `remaining_ms` (at least 1), the id of the expected instance, and the authenticated tenant in place of any
-/// that the client gives.
-std::string BuildUpstreamRequest(const ClientRequest& request, const std::string& instance_id,
-                                 std::int64_t remaining_ms, const UpstreamIdentity& identity);
+/// that the client gives. The body follows unchanged.
+std::string BuildUpstreamHead(const ClientRequest& request, const std::string& instance_id,
+                              std::int64_t remaining_ms, const UpstreamIdentity& identity);
 
 /// Parses X-Violetwing-Server-Load, "running,waiting,slots"; missing or malformed values are 0.
 ServerLoad ParseServerLoad(const std::string& text);
--- a/src/dataplane/upstream/upstream_exchange.cpp
+++ b/src/dataplane/upstream/upstream_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <chrono>
 #include <cstdlib>
@@ -9,6 +10,7 @@
 #include <utility>
 
 #include "common/http_client.hpp"
+#include "common/listener_limits.hpp"
 #include "dataplane/upstream/upstream_pool.hpp"
 
 namespace violetwing {
@@ -23,6 +25,9 @@
 // TCP_USER_TIMEOUT; detects a machine that lost power, which sends no reset.
 constexpr int kTcpUserTimeoutMs = 4000;
 constexpr std::uint32_t kMaxHeadBytes = 64 * 1024;
+// Bounds what is read and not parsed yet: after the head, the header of a chunk, or a trailer.
+constexpr std::size_t kMaxBufferedHeadBytes = kMaxHeadBytes + 4096;
+constexpr std::size_t kMaxBufferedBodyBytes = 32 * 1024;
 // Time for which a connection is kept idle if the server sends no Keep-Alive timeout, and the fraction of
 // that timeout otherwise: less than all of it, so that no request races with the server's close.
 constexpr milliseconds kDefaultIdleTimeout{1500};
@@ -35,6 +40,15 @@
   setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
 }
 
+// Before the connection is established, as the size of the receive window depends on it. Asio opens a socket
+// that is not open yet as it connects.
+void LimitBuffers(asio::ip::tcp::socket& socket) {
+  boost::system::error_code ignored;
+  socket.open(asio::ip::tcp::v4(), ignored);
+  socket.set_option(asio::socket_base::receive_buffer_size(kReceiveBufferBytes), ignored);
+  socket.set_option(asio::socket_base::send_buffer_size(kSendBufferBytes), ignored);
+}
+
 // Time for which the connection may be kept idle; empty if it is not persistent.
 std::optional<milliseconds> IdleTimeout(const beast::http::response<beast::http::buffer_body>& message) {
   if (!message.keep_alive()) return std::nullopt;
@@ -77,6 +91,7 @@
     if (error || self->finished_ || self->sent_) return;
     self->Finish(ExchangeEnd::kUnreachable);
   });
+  LimitBuffers(*socket_);
   socket_->async_connect(*endpoint, [self = shared_from_this()](ErrorCode error) {
     if (self->finished_) return;
     if (error) return self->Finish(ExchangeEnd::kUnreachable);
@@ -89,17 +104,20 @@
   if (request_.may_send && !request_.may_send()) return Finish(ExchangeEnd::kNotAllowed);
   if (!reused_) SetOptions(*socket_);
   sent_ = true;
-  asio::async_write(*socket_, asio::buffer(request_.text),
-                    [self = shared_from_this()](ErrorCode error, std::size_t) {
-                      if (!error) self->request_written_ = true;
-                      // Write errors are ignored: a server may respond and close before it has read the whole
-                      // request. The read that is in progress detects the outcome.
-                    });
+  const std::array<asio::const_buffer, 2> request{
+      asio::buffer(request_.head),
+      request_.body == nullptr ? asio::const_buffer() : asio::buffer(*request_.body)};
+  asio::async_write(*socket_, request, [self = shared_from_this()](ErrorCode error, std::size_t) {
+    if (!error) self->request_written_ = true;
+    // Write errors are ignored: a server may respond and close before it has read the whole
+    // request. The read that is in progress detects the outcome.
+  });
   ReadHead();
 }
 
 void UpstreamExchange::ReadHead() {
   parser_ = std::make_unique<Parser>();
+  buffer_.max_size(kMaxBufferedHeadBytes);
   parser_->header_limit(kMaxHeadBytes);
   parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
   if (request_.head_only) parser_->skip(true);
@@ -134,6 +152,8 @@
   if (parser_->is_done()) return Finish(ExchangeEnd::kComplete);
   if (paused_) return;
   reading_ = true;
+  // More than that may have come with the head.
+  buffer_.max_size(std::max(kMaxBufferedBodyBytes, buffer_.size()));
   auto& body = parser_->get().body();
   body.data = chunk_.data();
   body.size = chunk_.size();
--- a/src/dataplane/upstream/upstream_exchange.hpp
+++ b/src/dataplane/upstream/upstream_exchange.hpp
@@ -47,8 +47,9 @@
     std::string instance;  ///< instance id; an idle connection is reused only for the same instance
     std::string address;   ///< "host:port"
     std::string request_id;
-    std::string text;        ///< serialized head and body
-    bool head_only = false;  ///< the method is HEAD: the response has no body
+    std::string head;                         ///< serialized, with the empty line that ends it
+    std::shared_ptr<const std::string> body;  ///< not copied, as several attempts share it; null for none
+    bool head_only = false;                   ///< the method is HEAD: the response has no body
     /// Called once, right before the first byte is written; if it returns false, the exchange
     /// ends with kNotAllowed. Empty: always send.
     std::function<bool()> may_send;
--- a/src/dataplane/upstream/upstream_pool.cpp
+++ b/src/dataplane/upstream/upstream_pool.cpp
@@ -54,8 +54,12 @@
 
 void UpstreamPool::PutIdle(const std::string& instance, std::shared_ptr<Tcp::socket> socket,
                            milliseconds idle_timeout) {
-  std::deque<IdleConnection>& connections = idle_[instance];
   boost::system::error_code ignored;
+  if (CountIdle() >= max_idle_) {
+    socket->close(ignored);
+    return;
+  }
+  std::deque<IdleConnection>& connections = idle_[instance];
   if (connections.size() >= kMaxIdlePerServer) {
     connections.front().socket->close(ignored);
     connections.pop_front();
@@ -64,6 +68,12 @@
   connections.push_back({std::move(socket), steady_clock::now() + idle_timeout});
 }
 
+std::size_t UpstreamPool::CountIdle() const {
+  std::size_t count = 0;
+  for (const auto& [instance, connections] : idle_) count += connections.size();
+  return count;
+}
+
 // Closes an idle connection on any event: unexpected data, an end or an error of the stream.
 void UpstreamPool::WatchIdle(const std::string& instance, const std::shared_ptr<Tcp::socket>& socket) {
   socket->async_wait(Tcp::socket::wait_read,
--- a/src/dataplane/upstream/upstream_pool.hpp
+++ b/src/dataplane/upstream/upstream_pool.hpp
@@ -18,8 +18,8 @@
 /// Starts exchanges and keeps idle connections for each server. Must outlive its exchanges.
 class UpstreamPool {
  public:
-  /// All members and callbacks run on the thread of `io`.
-  explicit UpstreamPool(boost::asio::io_context& io) : io_(io) {}
+  /// All members and callbacks run on the thread of `io`. `max_idle`: idle connections to all servers.
+  UpstreamPool(boost::asio::io_context& io, std::size_t max_idle) : io_(io), max_idle_(max_idle) {}
 
   /// Starts an exchange on an idle connection, or on a new one if there is none. No callback is called before
   /// this returns.
@@ -46,7 +46,10 @@
                std::chrono::milliseconds idle_timeout);
   void WatchIdle(const std::string& instance, const std::shared_ptr<Tcp::socket>& socket);
 
+  std::size_t CountIdle() const;
+
   boost::asio::io_context& io_;
+  const std::size_t max_idle_;
   std::map<std::string, std::deque<IdleConnection>> idle_;  // by instance id; the oldest first
 };
 
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -69,6 +69,7 @@
 
 int main(int argc, char** argv) {
   violetwing::node::SetStartupSignalActions();
+  violetwing::node::SetAllocatorOptions();
   try {
     return Run(argc, argv);
   } catch (const std::exception& error) {
--- a/src/node/startup.cpp
+++ b/src/node/startup.cpp
@@ -1,5 +1,6 @@
 #include "node/startup.hpp"
 
+#include <malloc.h>
 #include <signal.h>
 #include <spdlog/spdlog.h>
 #include <unistd.h>
@@ -17,6 +18,7 @@
 constexpr std::chrono::milliseconds kStartRetryDelay{100};
 constexpr std::chrono::milliseconds kSettingsRetryDelay{50};
 constexpr int kSettingsRetries = 20;
+constexpr int kLargeBlockBytes = 128 * 1024;
 
 constexpr std::errc kPassingErrors[] = {std::errc::address_in_use,
                                         std::errc::address_not_available,
@@ -46,6 +48,11 @@
   for (const int number : {SIGTERM, SIGINT}) SetAction(number, [](int) { _exit(0); });
 }
 
+void SetAllocatorOptions() {
+  // A fixed threshold: by default it rises with the size of the blocks that were freed.
+  mallopt(M_MMAP_THRESHOLD, kLargeBlockBytes);
+}
+
 SettingsResult ReadSettingsAtStart(const std::string& path) {
   for (int retry = 0; retry < kSettingsRetries; ++retry) {
     SettingsResult read = ReadNodeSettings(path);
--- a/src/node/startup.hpp
+++ b/src/node/startup.hpp
@@ -22,6 +22,9 @@
 /// SIGPIPE and SIGXFSZ for good, so that writes fail with an error instead.
 void SetStartupSignalActions();
 
+/// Makes the allocator return large blocks, such as the bodies of requests, to the system as they are freed.
+void SetAllocatorOptions();
+
 /// Reads the settings. Reads a file that is missing or invalid again for up to a second, as it may be in the
 /// middle of being written.
 SettingsResult ReadSettingsAtStart(const std::string& path);
--- a/tests/dataplane/dataplane_test.cpp
+++ b/tests/dataplane/dataplane_test.cpp
@@ -52,6 +52,9 @@
 const std::string kNotExecuted = "X-Violetwing-Not-Executed: 1\r\n";
 const std::string kSigned = "X-Violetwing-Response-Signature: sig\r\nX-Violetwing-Request-Id: r1\r\n";
 
+constexpr std::size_t kMaxConnections = 1000;
+constexpr std::size_t kMaxBytes = std::size_t{256} * 1024 * 1024;
+
 std::string RequestTo(const std::string& path, const std::string& extra_fields = "",
                       const std::string& body = "hello") {
   return "POST " + path +
@@ -68,11 +71,11 @@
               std::make_shared<const Directory>(),
               LoadBalancer(1),
               RetryBudget(1, 100, 10, -100'000'000),
-              UpstreamPool(io),
+              UpstreamPool(io, kMaxConnections),
               Random(1),
               nullptr,
               {}},
-        ingress(io, [this](const ClientPtr& client, ClientRequest request) {
+        ingress(io, {kMaxConnections, kMaxBytes}, [this](const ClientPtr& client, ClientRequest request) {
           std::make_shared<RequestRouter>(plane, client, std::move(request))->Start();
         }) {
     boost::asio::ip::tcp::acceptor port_finder(io, {boost::asio::ip::make_address("127.0.0.1"), 0});
--- a/tests/dataplane/routing/authentication_test.cpp
+++ b/tests/dataplane/routing/authentication_test.cpp
@@ -60,12 +60,12 @@
   request.target = "/x/";
   request.fields = {
       {"Authorization", "Bearer key-a1"}, {"x-violetwing-tenant", "mallory"}, {"Other", "kept"}};
-  const std::string text = BuildUpstreamRequest(request, "i-1", 100, {true, "alice"});
+  const std::string text = BuildUpstreamHead(request, "i-1", 100, {true, "alice"});
   CHECK(text.find("key-a1") == std::string::npos);
   CHECK(text.find("mallory") == std::string::npos);
   CHECK(text.find("X-Violetwing-Tenant: alice\r\n") != std::string::npos);
   CHECK(text.find("Other: kept\r\n") != std::string::npos);
-  const std::string without = BuildUpstreamRequest(request, "i-1", 100, {});
+  const std::string without = BuildUpstreamHead(request, "i-1", 100, {});
   CHECK(without.find("X-Violetwing-Tenant") == std::string::npos);
   CHECK(without.find("Authorization: Bearer key-a1") != std::string::npos);
 }
--- a/tests/testing/node_process.hpp
+++ b/tests/testing/node_process.hpp
@@ -1,5 +1,5 @@
 // Starts and stops violetwing-node processes for tests and scale tests. The macro VIOLETWING_NODE_PROGRAM is
-// the path of the binary.
+// the path of the binary; the environment variable NODE_PROGRAM names another one, such as an earlier version.
 #ifndef VIOLETWING_TESTS_TESTING_NODE_PROCESS_HPP_
 #define VIOLETWING_TESTS_TESTING_NODE_PROCESS_HPP_
 
@@ -9,6 +9,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
@@ -99,10 +100,15 @@
   void Spawn(const char* log_level, const posix_spawn_file_actions_t* actions) {
     const std::string variable = "VIOLETWING_SETTINGS=" + settings_file_;
     char* environment[] = {const_cast<char*>(variable.c_str()), nullptr};
-    const char* arguments[] = {VIOLETWING_NODE_PROGRAM, role_.c_str(), "--log-level", log_level, nullptr};
-    const int error = posix_spawn(&id_, VIOLETWING_NODE_PROGRAM, actions, nullptr,
+    const char* const program = Program();
+    const char* arguments[] = {program, role_.c_str(), "--log-level", log_level, nullptr};
+    const int error = posix_spawn(&id_, program, actions, nullptr,
                                   const_cast<char**>(arguments), environment);
-    if (error != 0) throw std::system_error(error, std::generic_category(), VIOLETWING_NODE_PROGRAM);
+    if (error != 0) throw std::system_error(error, std::generic_category(), program);
+  }
+  static const char* Program() {
+    const char* const other = std::getenv("NODE_PROGRAM");
+    return other == nullptr ? VIOLETWING_NODE_PROGRAM : other;
   }
   int AwaitExit() {
     constexpr unsigned kMaxWaitSeconds = 30;
