Bound what the callers of a control process hold together

Callers saw a control process end: 40 bodies just short of 16 MiB took 661 MB of 256. Cause: evhttp reads a body whole, tells nothing before, and bounds one connection at most: not the line of a chunk, not what waits unread in its sockets or is not read by the peer, and never the sum.

The server of control processes now runs on bufferevents and Beast's parser (control/api/server_connection.hpp), as the client for duties does already, under a budget for each of its two listeners. Each call has a bound for its body: a document a 64th of the memory, 16 MiB at most; a heartbeat 256 KiB; an exchange 16 MiB. A change counts five times, as command, in the log and in messages. Where descriptors are used up, accepting pauses in place of a loop that spins. Responses of servers and peers are bounded, too.

Evidence: the 13 tests of the control process in tests/node/crowd_test.cpp.

--- a/bench/http_stacks.cpp
+++ b/bench/http_stacks.cpp
@@ -1,7 +1,7 @@
-// Processor time of a whole request on the server's side in the two HTTP stacks of this project: libevent's
-// evhttp, which carries control calls, and Boost.Beast, which carries clients' requests. A child process
-// answers each request with 800 bytes; the parent asks over kept connections, one request at a time on each,
-// and prints what the child spent.
+// Processor time of a whole request on the server's side in the two HTTP servers of this project: the one
+// over libevent, which takes control calls, and the one over Boost.Asio, which takes clients' requests. A
+// child process answers each request with 800 bytes; the parent asks over kept connections, one request at a
+// time on each, and prints what the child spent.
 #include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -29,30 +29,34 @@
 
 constexpr std::size_t kAnswerBytes = 800;
 constexpr int kConnections = 8;
+constexpr violetwing::ConnectionBudget::Limits kBudget{100, 64'000'000};
 constexpr int kWarmUp = 2'000;
-constexpr const char* kEvhttpAddress = "127.0.0.1:18431";
-constexpr const char* kBeastAddress = "127.0.0.1:18432";
+constexpr const char* kLibeventAddress = "127.0.0.1:18431";
+constexpr const char* kAsioAddress = "127.0.0.1:18432";
 constexpr const char* kRequest =
     "POST /lohu930/2f HTTP/1.1\r\nHost: ficu95.example\r\nX-Violetwing-Request-Id: 9c41d07be2a35f68\r\n"
     "X-Violetwing-Model: daka510000\r\nX-Violetwing-Token-Count: 1460,80\r\n"
     "X-Violetwing-Deadline-Ms: 5000\r\nContent-Length: 40\r\n\r\n0123456789012345678901234567890123456789";
 
-void ServeByEvhttp() {
+void ServeByLibevent() {
   event_base* base = event_base_new();
   violetwing::http::Server server(
-      base, [](const violetwing::http::Request&, const violetwing::http::Responder& respond) {
+      base, kBudget,
+      [](const std::string&, const std::string&) { return violetwing::http::BodyRule{kAnswerBytes}; },
+      [](const violetwing::http::Request&, const violetwing::http::Responder& respond) {
         respond({200, std::string(kAnswerBytes, 'x'), {}});
       });
-  if (server.Listen(kEvhttpAddress)) std::_Exit(1);
+  if (server.Listen(kLibeventAddress)) std::_Exit(1);
   event_base_dispatch(base);
 }
 
-void ServeByBeast() {
+void ServeByAsio() {
   asio::io_context io(1);
-  violetwing::Ingress ingress(io, [](const violetwing::ClientPtr& client, const violetwing::ClientRequest&) {
-    client->Answer(200, "OK", {}, std::string(kAnswerBytes, 'x'));
-  });
-  if (ingress.Listen(kBeastAddress)) std::_Exit(1);
+  violetwing::Ingress ingress(io, kBudget,
+                              [](const violetwing::ClientPtr& client, const violetwing::ClientRequest&) {
+                                client->Answer(200, "OK", {}, std::string(kAnswerBytes, 'x'));
+                              });
+  if (ingress.Listen(kAsioAddress)) std::_Exit(1);
   io.run();
 }
 
@@ -127,8 +131,8 @@
     return 2;
   }
   try {
-    Report("evhttp", ServeByEvhttp, kEvhttpAddress, requests);
-    Report("beast", ServeByBeast, kBeastAddress, requests);
+    Report("evhttp", ServeByLibevent, kLibeventAddress, requests);
+    Report("beast", ServeByAsio, kAsioAddress, requests);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "http_stacks: %s\n", error.what());
     return 1;
--- a/src/control/api/guarded_client.cpp
+++ b/src/control/api/guarded_client.cpp
@@ -21,6 +21,8 @@
 
 constexpr int kHttp11 = 11;
 constexpr std::uint64_t kMaxResponseBytes = std::uint64_t{1024} * 1024;
+// What is read and not parsed yet: the beginning of a head, of a chunk's header, or of a trailer.
+constexpr std::size_t kMaxBufferedBytes = 65'536;
 
 struct BufferEventDeleter {
   void operator()(bufferevent* owned) const { bufferevent_free(owned); }
@@ -139,7 +141,7 @@
           parser_->put(boost::asio::buffer(evbuffer_pullup(input, -1), available), error);
       evbuffer_drain(input, used);
       available -= used;
-      if (error == beast_http::error::need_more) return;
+      if (error == beast_http::error::need_more && available <= kMaxBufferedBytes) return;
       if (error) return Fail();
       if (used == 0) break;
     }
--- a/src/control/api/handlers.cpp
+++ b/src/control/api/handlers.cpp
@@ -17,6 +17,18 @@
 constexpr const char* kConfigurationPath = "/api/configuration";
 constexpr const char* kInstancesPath = "/api/instances/";
 
+// Of a server's description: its models and adapters.
+constexpr std::size_t kMaxHeartbeatBytes = std::size_t{256} * 1024;
+// A change is held as the call's body, as a command, in the log, and as messages to the peers.
+constexpr std::size_t kDocumentCopies = 5;
+// An exchange carries entries of the log, each with one document, or a piece of a snapshot.
+constexpr std::size_t kMaxExchangeBytes = std::size_t{16} * 1024 * 1024;
+// Demand and watches name models and versions.
+constexpr std::size_t kMaxSidecarCallBytes = std::size_t{1024} * 1024;
+constexpr std::size_t kDecodedCopies = 2;
+// Calls without a body of their own may still have one, which is ignored.
+constexpr std::size_t kMaxIgnoredBytes = std::size_t{4} * 1024;
+
 http::Response Success() { return {http::kOk, "{}", {}}; }
 
 // `problem` may quote the request, which may not be UTF-8.
@@ -155,6 +167,19 @@
   respond(NotFound(request));
 }
 
+http::BodyRule PublicBodyRule(const std::string& method, const std::string& path,
+                              std::size_t max_document_bytes) {
+  const bool is_change = method == "PUT" || method == "PATCH";
+  if (path == kConfigurationPath && is_change) return {max_document_bytes, kDocumentCopies};
+  if (path.rfind(kInstancesPath, 0) == 0 && is_change) return {kMaxHeartbeatBytes, kDecodedCopies};
+  return {kMaxIgnoredBytes, 1};
+}
+
+http::BodyRule InternalBodyRule(const std::string& path) {
+  if (path == kExchangePath) return {kMaxExchangeBytes, kDecodedCopies};
+  return {kMaxSidecarCallBytes, kDecodedCopies};
+}
+
 void HandleInternal(ControlCore& core, const http::Request& request, Micros now,
                     const http::Responder& respond) {
   if (request.path == kExchangePath) return HandleExchange(core, request, now, respond);
--- a/src/control/api/handlers.hpp
+++ b/src/control/api/handlers.hpp
@@ -3,6 +3,9 @@
 #ifndef VIOLETWING_CONTROL_API_HANDLERS_HPP_
 #define VIOLETWING_CONTROL_API_HANDLERS_HPP_
 
+#include <cstddef>
+#include <string>
+
 #include "common/time.hpp"
 #include "control/api/messages.hpp"
 #include "control/core/control_core.hpp"
@@ -18,6 +21,12 @@
 void HandleInternal(ControlCore& core, const http::Request& request, Micros now,
                     const http::Responder& respond);
 
+/// The rule for the body of a request to HandlePublic. `max_document_bytes`: of a configuration or patch.
+http::BodyRule PublicBodyRule(const std::string& method, const std::string& path,
+                              std::size_t max_document_bytes);
+/// Likewise for HandleInternal.
+http::BodyRule InternalBodyRule(const std::string& path);
+
 }  // namespace violetwing
 
 #endif  // VIOLETWING_CONTROL_API_HANDLERS_HPP_
--- a/src/control/api/http_client.cpp
+++ b/src/control/api/http_client.cpp
@@ -13,6 +13,16 @@
 
 namespace violetwing::http {
 
+namespace {
+
+constexpr ev_ssize_t kMaxHeadBytes = 65'536;
+// 16 MiB, for replies of control processes.
+constexpr ev_ssize_t kMaxBodyBytes = 16'777'216;
+// What is read and not parsed yet. A chunk is parsed once it is complete.
+constexpr std::size_t kMaxBufferedBytes = std::size_t{1024} * 1024;
+
+}  // namespace
+
 Client::~Client() {
   for (auto& [address, connection] : connections_) evhttp_connection_free(connection->handle);
 }
@@ -25,6 +35,11 @@
   if (!parsed) return nullptr;
   auto connection = std::make_shared<Connection>();
   connection->handle = evhttp_connection_base_new(base_, nullptr, parsed->host.c_str(), parsed->port);
+  evhttp_connection_set_max_headers_size(connection->handle, kMaxHeadBytes);
+  evhttp_connection_set_max_body_size(connection->handle, kMaxBodyBytes);
+  // Bounds the line of a chunk that has no end.
+  bufferevent_setwatermark(evhttp_connection_get_bufferevent(connection->handle), EV_READ, 0,
+                           kMaxBufferedBytes);
   connections_.emplace(address, connection);
   return connection;
 }
--- a/src/control/api/http_server.cpp
+++ b/src/control/api/http_server.cpp
@@ -1,85 +1,114 @@
 #include "control/api/http_server.hpp"
 
-#include <event2/buffer.h>
-#include <event2/keyvalq_struct.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <cerrno>
-#include <optional>
 #include <utility>
 
-#include "control/api/evhttp_message.hpp"
+#include "common/listener_limits.hpp"
+#include "common/steady_time.hpp"
 #include "control/api/host_port.hpp"
-#include "control/api/http_status.hpp"
 
 namespace violetwing::http {
 namespace {
 
-// 16 MiB, for bodies from the operator or from another control process.
-constexpr ev_ssize_t kMaxBodyBytes = 16'777'216;
-constexpr ev_ssize_t kMaxHeaderBytes = 65'536;
-// A connection without traffic for this time is closed.
-constexpr int kIdleTimeoutSeconds = 60;
-
-void Send(evhttp_request* request, const Response& response) {
-  evkeyvalq* headers = evhttp_request_get_output_headers(request);
-  evhttp_add_header(headers, "Content-Type", ContentType(response.type));
-  for (const auto& [name, value] : response.headers) evhttp_add_header(headers, name.c_str(), value.c_str());
-  evbuffer* out = evbuffer_new();
-  evbuffer_add(out, response.body.data(), response.body.size());
-  if (response.type == BodyType::kJson) evbuffer_add(out, "\n", 1);  // for readability in a terminal
-  evhttp_send_reply(request, response.status, ReasonPhrase(response.status), out);
-  evbuffer_free(out);
+constexpr int kBacklog = 512;
+constexpr timeval kAcceptRetryDelay{0, 50'000};
+
+std::error_code LastError() { return {errno, std::generic_category()}; }
+
+void SetOption(int socket, int option, int value) {
+  setsockopt(socket, SOL_SOCKET, option, &value, sizeof value);
+}
+
+// A socket that is bound to the address. Accepted connections inherit the sizes of its buffers.
+int Bind(const sockaddr* address, int size, std::error_code& error) {
+  const int bound = socket(address->sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (bound < 0) {
+    error = LastError();
+    return -1;
+  }
+  SetOption(bound, SO_REUSEADDR, 1);
+  SetOption(bound, SO_RCVBUF, kReceiveBufferBytes);
+  SetOption(bound, SO_SNDBUF, kSendBufferBytes);
+  if (bind(bound, address, static_cast<socklen_t>(size)) == 0) return bound;
+  error = LastError();
+  close(bound);
+  return -1;
 }
 
 }  // namespace
 
-Server::Server(event_base* base, Handler handler) : http_(evhttp_new(base)), handler_(std::move(handler)) {
-  evhttp_set_gencb(http_, &Server::OnRequest, this);
-  evhttp_set_allowed_methods(
-      http_, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_PATCH);
-  evhttp_set_max_body_size(http_, kMaxBodyBytes);
-  evhttp_set_max_headers_size(http_, kMaxHeaderBytes);
-  evhttp_set_timeout(http_, kIdleTimeoutSeconds);
-}
+Server::Server(event_base* base, ConnectionBudget::Limits limits, BodyRules body_rules, Handler handler)
+    : budget_(limits),
+      context_{base, &budget_, std::move(body_rules), std::move(handler), std::make_shared<std::size_t>(0)},
+      accept_retry_(event_new(
+          base, -1, 0,
+          [](evutil_socket_t, short, void* self) {
+            auto* const server = static_cast<Server*>(self);
+            if (server->listener_ != nullptr) evconnlistener_enable(server->listener_.get());
+          },
+          this)),
+      release_(event_new(
+          base, -1, 0,
+          [](evutil_socket_t, short, void* self) { static_cast<Server*>(self)->closed_.clear(); }, this)) {}
 
-Server::~Server() { evhttp_free(http_); }
+Server::~Server() {
+  const auto connections = connections_;
+  for (const auto& connection : connections) connection->Close();
+}
 
 std::error_code Server::Listen(const std::string& address) {
-  const std::optional<HostPort> parsed = ParseHostPort(address);
-  if (!parsed) return std::make_error_code(std::errc::invalid_argument);
+  sockaddr_storage to{};
+  int size = sizeof to;
+  auto* const generic = reinterpret_cast<sockaddr*>(&to);
+  if (!ParseHostPort(address) || evutil_parse_sockaddr_port(address.c_str(), generic, &size) != 0)
+    return std::make_error_code(std::errc::invalid_argument);
+  std::error_code error;
+  const int socket = Bind(generic, size, error);
+  if (socket < 0) return error;
   errno = 0;
-  evhttp_bound_socket* socket = evhttp_bind_socket_with_handle(http_, parsed->host.c_str(), parsed->port);
-  // libevent does not report every error in errno.
-  if (socket == nullptr)
-    return errno == 0 ? std::make_error_code(std::errc::address_not_available)
-                      : std::error_code(errno, std::generic_category());
-  sockets_.push_back(socket);
+  listener_.reset(evconnlistener_new(
+      context_.base,
+      [](evconnlistener*, evutil_socket_t accepted, sockaddr*, int, void* self) {
+        static_cast<Server*>(self)->OnAccepted(accepted);
+      },
+      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC, kBacklog, socket));
+  if (listener_ == nullptr) {
+    error = LastError();
+    close(socket);
+    return error ? error : std::make_error_code(std::errc::address_not_available);
+  }
+  evconnlistener_set_error_cb(
+      listener_.get(), [](evconnlistener*, void* self) { static_cast<Server*>(self)->OnAcceptError(); });
   return {};
 }
 
-void Server::StopListening() {
-  for (evhttp_bound_socket* socket : sockets_) evhttp_del_accept_socket(http_, socket);
-  sockets_.clear();
+void Server::StopListening() { listener_.reset(); }
+
+void Server::OnAccepted(evutil_socket_t socket) {
+  if (!budget_.AdmitConnection(SteadyMicros())) {
+    close(socket);
+    return;
+  }
+  const auto connection = std::make_shared<ServerConnection>(
+      context_, socket,
+      [this](const std::shared_ptr<ServerConnection>& closed) { OnConnectionClosed(closed); });
+  connections_.insert(connection);
+  connection->Start();
+}
+
+void Server::OnAcceptError() {
+  evconnlistener_disable(listener_.get());
+  event_add(accept_retry_.get(), &kAcceptRetryDelay);
 }
 
-void Server::OnRequest(evhttp_request* request, void* self) {
-  auto* server = static_cast<Server*>(self);
-  Request message;
-  message.method = MethodName(evhttp_request_get_command(request));
-  const char* uri = evhttp_request_get_uri(request);
-  message.path = uri == nullptr ? "" : uri;
-  message.path = message.path.substr(0, message.path.find('?'));
-  const char* if_match = evhttp_find_header(evhttp_request_get_input_headers(request), "If-Match");
-  if (if_match != nullptr) message.if_match = if_match;
-  message.body = TakeBody(request);
-  auto unanswered = server->unanswered_;
-  ++*unanswered;
-  auto answered = std::make_shared<bool>(false);
-  server->handler_(std::move(message), [request, unanswered, answered](const Response& response) {
-    if (std::exchange(*answered, true)) return;
-    --*unanswered;
-    Send(request, response);
-  });
+// Deferred, as the connection may still be in one of its functions.
+void Server::OnConnectionClosed(const std::shared_ptr<ServerConnection>& connection) {
+  closed_.insert(connection);
+  connections_.erase(connection);
+  event_active(release_.get(), EV_TIMEOUT, 0);
 }
 
 }  // namespace violetwing::http
--- a/src/control/api/http_status.cpp
+++ b/src/control/api/http_status.cpp
@@ -14,6 +14,10 @@
       return "Not Found";
     case kPreconditionFailed:
       return "Precondition Failed";
+    case kContentTooLarge:
+      return "Content Too Large";
+    case kRequestHeaderFieldsTooLarge:
+      return "Request Header Fields Too Large";
     case kServiceUnavailable:
       return "Service Unavailable";
     default:
--- a/src/control/api/http_status.hpp
+++ b/src/control/api/http_status.hpp
@@ -9,6 +9,8 @@
 inline constexpr int kBadRequest = 400;
 inline constexpr int kNotFound = 404;
 inline constexpr int kPreconditionFailed = 412;
+inline constexpr int kContentTooLarge = 413;
+inline constexpr int kRequestHeaderFieldsTooLarge = 431;
 inline constexpr int kServiceUnavailable = 503;
 
 /// The reason phrase for the status line; "Answer" for a status that is not listed above.
--- a/src/control/api/messages.hpp
+++ b/src/control/api/messages.hpp
@@ -2,6 +2,7 @@
 #ifndef VIOLETWING_CONTROL_API_MESSAGES_HPP_
 #define VIOLETWING_CONTROL_API_MESSAGES_HPP_
 
+#include <cstddef>
 #include <functional>
 #include <string>
 #include <utility>
@@ -20,6 +21,12 @@
   std::string if_match;  ///< the header If-Match; empty if it is absent
 };
 
+/// What the body of a request may hold.
+struct BodyRule {
+  std::size_t max_bytes = 0;
+  std::size_t copies = 1;  ///< in which the body is held while the request is handled, the first one included
+};
+
 /// The type of a body; kBinary: protocol buffers, in calls between the processes of the system.
 enum class BodyType { kJson, kBinary };
 
--- a/src/control/service/control_service.cpp
+++ b/src/control/service/control_service.cpp
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "common/json_text.hpp"
+#include "common/listener_limits.hpp"
 #include "common/steady_time.hpp"
 #include "control/api/handlers.hpp"
 #include "control/replication/bootstrap.hpp"
@@ -66,14 +67,21 @@
     : base_(base),
       settings_(std::move(settings)),
       incarnation_(settings_.node_name + "/" + RandomId().substr(0, 8)),
-      public_api_(base,
-                  [this](const http::Request& request, const http::Responder& respond) {
-                    HandlePublic(*core_, request, SteadyMicros(), respond);
-                  }),
-      internal_api_(base,
-                    [this](const http::Request& request, const http::Responder& respond) {
-                      HandleInternal(*core_, request, SteadyMicros(), respond);
-                    }),
+      public_api_(
+          base, ControlLimitsOf(settings_).public_api,
+          [max_document_bytes = ControlLimitsOf(settings_).max_document_bytes](const std::string& method,
+                                                                               const std::string& path) {
+            return PublicBodyRule(method, path, max_document_bytes);
+          },
+          [this](const http::Request& request, const http::Responder& respond) {
+            HandlePublic(*core_, request, SteadyMicros(), respond);
+          }),
+      internal_api_(
+          base, ControlLimitsOf(settings_).internal_api,
+          [](const std::string&, const std::string& path) { return InternalBodyRule(path); },
+          [this](const http::Request& request, const http::Responder& respond) {
+            HandleInternal(*core_, request, SteadyMicros(), respond);
+          }),
       client_(base),
       duty_client_(base) {}
 
--- a/tests/node/crowd_test.cpp
+++ b/tests/node/crowd_test.cpp
@@ -95,6 +95,18 @@
   CHECK(system.Serves());
 }
 
+enum class ControlListener { kPublic, kInternal };
+
+void CheckControl(ControlListener listener, int size, const Script& script) {
+  SmallSystem system;
+  const std::string& address =
+      listener == ControlListener::kPublic ? system.control_address : system.internal_address;
+  const Crowd crowd(system.io, size, script, address);
+  CheckUsage(*system.control, system.Measure(*system.control, crowd));
+  CHECK(system.ControlServes());
+  CHECK(system.Serves());
+}
+
 }  // namespace
 
 // ---- Ingress, what clients send ----
@@ -168,4 +180,87 @@
   CheckReadiness(kConnections, {});
 }
 
+// ---- Control process ----
+
+TEST_CASE("Crowd: a control process bounds changes that stop short of their end", "[crowd]") {
+  const std::string head =
+      "PUT /api/configuration HTTP/1.1\r\nHost: a\r\nIf-Match: 1\r\n" + Length(4 * kMaxBodyBytes) + "\r\n";
+  CheckControl(ControlListener::kPublic, kBodies / 4,
+               {head, kPiece, 4 * kMaxBodyBytes / kPieceBytes - 1, std::string(kPieceBytes - 1, 'x')});
+}
+
+TEST_CASE("Crowd: a control process bounds smaller changes that stop short of their end", "[crowd]") {
+  const std::string head =
+      "PUT /api/configuration HTTP/1.1\r\nHost: a\r\nIf-Match: 1\r\n" + Length(kMaxBodyBytes) + "\r\n";
+  CheckControl(ControlListener::kPublic, kBodies,
+               {head, kPiece, kMaxBodyBytes / kPieceBytes - 1, std::string(kPieceBytes - 1, 'x')});
+}
+
+TEST_CASE("Crowd: a control process bounds heartbeats that stop short of their end", "[crowd]") {
+  const std::string head = "PUT /api/instances/i-2 HTTP/1.1\r\nHost: a\r\n" + kChunked + "\r\n";
+  CheckControl(ControlListener::kPublic, kBodies,
+               {head, Chunk(kPiece), kMaxBodyBytes / kPieceBytes, "0\r\n"});
+}
+
+TEST_CASE("Crowd: a control process bounds whole changes", "[crowd]") {
+  std::string change = nlohmann::json{{"version", 1000000}, {"routes", nlohmann::json::array()}}.dump();
+  change.append(kMaxBodyBytes - change.size(), ' ');
+  CheckControl(ControlListener::kPublic, kBodies,
+               {"PUT /api/configuration HTTP/1.1\r\nHost: a\r\nIf-Match: 999999\r\n" + Length(change.size()) +
+                    "\r\n" + change,
+                "", 0, ""});
+}
+
+TEST_CASE("Crowd: a control process bounds a change of many values", "[crowd]") {
+  std::string change = R"({"version":1000000,"routes":[],"more":[0)";
+  while (change.size() < 3 * kMaxBodyBytes) change += ",0";
+  change += "]}";
+  CheckControl(ControlListener::kPublic, 1,
+               {"PUT /api/configuration HTTP/1.1\r\nHost: a\r\nIf-Match: 999999\r\n" + Length(change.size()) +
+                    "\r\n" + change,
+                "", 0, ""});
+}
+
+TEST_CASE("Crowd: a control process bounds the trailers of a chunked body", "[crowd]") {
+  CheckControl(ControlListener::kPublic, 1, EndlessTrailers(PostHead("/api/configuration", kChunked)));
+}
+
+TEST_CASE("Crowd: a control process bounds the line of a chunk", "[crowd]") {
+  CheckControl(ControlListener::kPublic, 1, EndlessChunkExtension(PostHead("/api/configuration", kChunked)));
+}
+
+TEST_CASE("Crowd: a control process bounds responses that are not read", "[crowd]") {
+  SmallSystem system;
+  constexpr int kRoutes = 4000;  // a document of some 700 kB
+  system.UseRoutes(kRoutes);
+  const Script script{"GET /api/configuration HTTP/1.1\r\nHost: a\r\n\r\n", "", 0, "", /*reads=*/false};
+  constexpr int kReaders = 300;
+  const Crowd crowd(system.io, kReaders, script, system.control_address);
+  CheckUsage(*system.control, system.Measure(*system.control, crowd));
+  CHECK(system.ControlServes());
+}
+
+TEST_CASE("Crowd: a control process bounds what follows a request", "[crowd]") {
+  CheckControl(ControlListener::kPublic, kConnections,
+               {"GET /api/configuration HTTP/1.1\r\nHost: a\r\n\r\n", kPiece, 16, "", /*reads=*/false});
+}
+
+TEST_CASE("Crowd: a control process bounds the descriptors of callers that send nothing", "[crowd]") {
+  CheckControl(ControlListener::kPublic, kConnections, {});
+}
+
+// ---- Between processes ----
+
+TEST_CASE("Crowd: a control process bounds bodies at its internal address", "[crowd]") {
+  CheckControl(ControlListener::kInternal, kBodies, ShortOfEnd("/internal/exchange", kMaxBodyBytes));
+}
+
+TEST_CASE("Crowd: a control process bounds the trailers of bodies at its internal address", "[crowd]") {
+  CheckControl(ControlListener::kInternal, 1, EndlessTrailers(PostHead("/internal/exchange", kChunked)));
+}
+
+TEST_CASE("Crowd: a control process bounds the descriptors at its internal address", "[crowd]") {
+  CheckControl(ControlListener::kInternal, kConnections, {});
+}
+
 }  // namespace violetwing::testing::crowd
