Bound what the prompt and the model names of requests leave behind

Callers could make an edge hold memory, and spend processor time, by a head inside the limits: each part of X-Violetwing-Prompt-Prefix was kept under a key that repeats all parts before it, so that a head of 16 KiB with some 4,000 parts made some 32 MB of keys for each server considered, and parts of no tokens were never evicted. Adapters that no configuration names were reported to the control processes, which kept each name for good.

A request for an adapter that the configuration does not have gets its 503 at once. The figures are by the code; the tests "Parts of no tokens ..." and "Only the first parts ..." show the bounds.

--- a/src/dataplane/load_balancing/prefix_cache.cpp
+++ b/src/dataplane/load_balancing/prefix_cache.cpp
@@ -1,18 +1,21 @@
 #include "dataplane/load_balancing/prefix_cache.hpp"
 
+#include <xxhash.h>
+
 namespace violetwing {
-namespace {
 
-// The key of a part includes all parts before it, so the same part behind another prefix is another entry.
-std::string ExtendKey(const std::string& prefix_key, const PromptPart& part) {
-  return prefix_key + "," + part.id;
+PrefixCache::Key PrefixCache::WeightsHash(const std::string& weights_key) {
+  return XXH64(weights_key.data(), weights_key.size(), 0);
 }
 
-}  // namespace
+// The same part behind another prefix is another entry.
+PrefixCache::Key PrefixCache::ExtendKey(Key prefix_key, const PromptPart& part) {
+  return XXH64(part.id.data(), part.id.size(), prefix_key);
+}
 
 double PrefixCache::CachedTokens(const std::string& weights_key, const std::vector<PromptPart>& parts) const {
   double cached_tokens = 0;
-  std::string key = weights_key;
+  Key key = WeightsHash(weights_key);
   for (const PromptPart& part : parts) {
     key = ExtendKey(key, part);
     if (by_key_.find(key) == by_key_.end()) break;
@@ -23,7 +26,7 @@
 
 void PrefixCache::Insert(const std::string& weights_key, const std::vector<PromptPart>& parts,
                          double capacity_tokens) {
-  std::string key = weights_key;
+  Key key = WeightsHash(weights_key);
   for (const PromptPart& part : parts) {
     key = ExtendKey(key, part);
     const auto it = by_key_.find(key);
@@ -35,7 +38,7 @@
     by_key_[key] = lru_.begin();
     tokens_ += part.tokens;
   }
-  while (tokens_ > capacity_tokens && !lru_.empty()) {
+  while ((tokens_ > capacity_tokens || lru_.size() > kMaxEntries) && !lru_.empty()) {
     tokens_ -= lru_.back().tokens;
     by_key_.erase(lru_.back().key);
     lru_.pop_back();
--- a/src/dataplane/load_balancing/prompt_parts.cpp
+++ b/src/dataplane/load_balancing/prompt_parts.cpp
@@ -7,7 +7,7 @@
 
 std::vector<PromptPart> ParsePromptParts(std::string_view text) {
   std::vector<PromptPart> parts;
-  while (!text.empty()) {
+  while (!text.empty() && parts.size() < kMaxPromptParts) {
     const std::size_t comma = text.find(',');
     const std::string_view item = text.substr(0, comma);
     const std::size_t colon = item.find(':');
--- a/src/dataplane/load_balancing/prompt_parts.hpp
+++ b/src/dataplane/load_balancing/prompt_parts.hpp
@@ -2,6 +2,7 @@
 #ifndef VIOLETWING_DATAPLANE_LOAD_BALANCING_PROMPT_PARTS_HPP_
 #define VIOLETWING_DATAPLANE_LOAD_BALANCING_PROMPT_PARTS_HPP_
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -14,8 +15,11 @@
   double tokens = 0;  ///< length, a non-negative integer
 };
 
-/// Parses "5c1e07a2:800,91bd3f06:410" (id:tokens), parts in prompt order. Parsing stops at a malformed entry;
-/// the entries before it are returned.
+/// The parts of a prompt that count. They are kept for each request, and matched with what each server keeps.
+inline constexpr std::size_t kMaxPromptParts = 256;
+
+/// Parses "5c1e07a2:800,91bd3f06:410" (id:tokens), parts in prompt order. Parsing stops at a malformed entry,
+/// and after kMaxPromptParts; the entries before that are returned.
 std::vector<PromptPart> ParsePromptParts(std::string_view text);
 
 /// The inverse of ParsePromptParts.
--- a/src/dataplane/routing/request_router.cpp
+++ b/src/dataplane/routing/request_router.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <charconv>
 #include <cstdio>
 #include <optional>
 #include <utility>
@@ -38,11 +39,22 @@
   return not_executed && MayMeanNotExecuted(head.status) ? Rejection::kServerBusy : Rejection::kNone;
 }
 
-std::optional<double> ModelLoadMs(const configuration::Backend& backend, const std::string& name) {
-  std::optional<double> load_ms;
+const configuration::Model* FindModel(const configuration::Backend& backend, const std::string& name) {
+  const configuration::Model* found = nullptr;
   for (const configuration::Model& model : backend.runtime->models)
-    if (model.name == name) load_ms = model.load_time_s * 1000;
-  return load_ms;
+    if (model.name == name) found = &model;
+  return found;
+}
+
+// Whether the configuration has the adapter: those of a model are named a1, a2 and so on (PROTOCOL.md, "Model
+// placement"). An empty name stands for the model alone.
+bool HasAdapter(const configuration::Model& model, const std::string& adapter) {
+  if (adapter.empty()) return true;
+  int number = 0;
+  const char* const end = adapter.data() + adapter.size();
+  const auto [parsed_to, error] = std::from_chars(adapter.data() + 1, end, number);
+  return adapter[0] == 'a' && error == std::errc() && parsed_to == end && number >= 1 &&
+         number <= model.adapters;
 }
 
 }  // namespace
@@ -186,14 +198,16 @@
     plane_.waiting_for_model.insert(shared_from_this());
     return;
   }
-  const std::optional<double> load_ms = ModelLoadMs(*backend_, attributes_.model);
-  if (!load_ms || *load_ms < 0) return Reject(EndReason::kUnknownModel);
+  const configuration::Model* model = FindModel(*backend_, attributes_.model);
+  if (model == nullptr || model->load_time_s < 0 || !HasAdapter(*model, attributes_.adapter))
+    return Reject(EndReason::kUnknownModel);
+  const double load_ms = model->load_time_s * 1000;
   CountDemand(ModelState::kMissing);
   const double remaining_ms = std::min(static_cast<double>(RemainingMs()), FirstEventTimeoutMs(*route_));
-  const double wait_ms = MaxModelWaitMs(*load_ms, remaining_ms);
+  const double wait_ms = MaxModelWaitMs(load_ms, remaining_ms);
   // The load time applies to models. That of an adapter alone is unknown, so requests for adapters always
   // wait.
-  if (attributes_.adapter.empty() && wait_ms < *load_ms) return Reject(EndReason::kModelLoadTooSlow);
+  if (attributes_.adapter.empty() && wait_ms < load_ms) return Reject(EndReason::kModelLoadTooSlow);
   plane_.waiting_for_model.insert(shared_from_this());
   backoff_timer_.expires_after(microseconds(static_cast<std::int64_t>(wait_ms * 1000)));
   backoff_timer_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
--- a/tests/dataplane/load_balancing/prefix_cache_test.cpp
+++ b/tests/dataplane/load_balancing/prefix_cache_test.cpp
@@ -19,4 +19,22 @@
   CHECK(ParsePromptParts("a:-1").empty());
 }
 
+TEST_CASE("Parts of no tokens do not fill the cache without a bound") {
+  PrefixCache cache;
+  const auto first = ParsePromptParts("first:0");
+  const auto last = ParsePromptParts("last:1");
+  cache.Insert("m", first, 1000);
+  for (std::size_t i = 0; i < PrefixCache::kMaxEntries; ++i)
+    cache.Insert("m", ParsePromptParts("part-" + std::to_string(i) + ":0"), 1000);
+  cache.Insert("m", last, 1000);
+  CHECK(cache.entries() <= PrefixCache::kMaxEntries);
+  CHECK(cache.CachedTokens("m", last) == 1);
+}
+
+TEST_CASE("Only the first parts of a prompt count") {
+  std::string text = "p:1";
+  for (std::size_t i = 0; i < 2 * kMaxPromptParts; ++i) text += ",p:1";
+  CHECK(ParsePromptParts(text).size() == kMaxPromptParts);
+}
+
 }  // namespace violetwing
