Let clients that do not behave join the soak

Beside the ordinary clients, 30 others (SOAK_CROWD) play trailers and chunk extensions without an end, bodies that stop short, that exceed every limit, or that follow each other, half heads and responses that they do not read, at all listeners, while processes stop, start, reload and are reconfigured. A third test judges what each process holds.

--- a/tests/node/crowd/crowd_client.hpp
+++ b/tests/node/crowd/crowd_client.hpp
@@ -47,6 +47,7 @@
   }
   /// The peer has closed the connection, or everything is sent.
   bool done() const { return ended_ || sent_; }
+  bool ended() const { return ended_; }
   /// The first bytes that the peer has sent.
   const std::string& response() const { return response_; }
 
--- a/tests/node/soak/fleet.hpp
+++ b/tests/node/soak/fleet.hpp
@@ -27,6 +27,9 @@
 namespace violetwing::testing::soak {
 
 inline constexpr std::chrono::milliseconds kGrace{8000};
+/// `limits` of each process's settings file.
+inline constexpr int kMemoryMb = 64;
+inline constexpr int kMaxDescriptors = 600;
 
 /// A process of the fleet and what the platform knows of it.
 struct Machine {
@@ -130,6 +133,7 @@
             {"ephemeral_ports", {kInternalPort, kInternalPort + 15}},
             {"heartbeat_ms", 500},
             {"fault_tolerance", {{"nodes", 1}}},
+            {"limits", {{"memory_mb", kMemoryMb}, {"max_fds", kMaxDescriptors}}},
             {"timeouts", {{"grace_s", static_cast<double>(kGrace.count()) / 1000}, {"lease_ms", 500}}}};
   }
   void AddControl(int i) {
--- a/tests/node/stop_soak_test.cpp
+++ b/tests/node/stop_soak_test.cpp
@@ -1,6 +1,6 @@
 // A soak with real processes: edges and control processes are stopped, started, reloaded and reconfigured in
-// series that overlap, while clients keep using their connections. SOAK_SEED, SOAK_SECONDS, SOAK_EDGES and
-// SOAK_CLIENTS set its size.
+// series that overlap, while clients keep using their connections, and others do not behave. SOAK_SEED,
+// SOAK_SECONDS, SOAK_EDGES, SOAK_CLIENTS and SOAK_CROWD (clients that do not behave) set its size.
 #include <catch2/catch.hpp>
 #include <cstdlib>
 #include <iostream>
@@ -9,6 +9,7 @@
 #include "node/soak/client.hpp"
 #include "node/soak/fleet.hpp"
 #include "node/soak/judge.hpp"
+#include "node/soak/misbehaving_crowd.hpp"
 #include "node/soak/model_server.hpp"
 #include "sidecar/scripted_peers.hpp"
 
@@ -118,8 +119,11 @@
 
 class Soak {
  public:
-  Soak(std::uint64_t seed, int edges, int clients)
-      : random_(seed), fleet_(io_, kControls, edges, seed), operator_(io_, fleet_.control_addresses()) {
+  Soak(std::uint64_t seed, int edges, int clients, int crowd)
+      : random_(seed),
+        fleet_(io_, kControls, edges, seed),
+        operator_(io_, fleet_.control_addresses()),
+        crowd_size_(crowd) {
     for (int i = 0; i < kServers; ++i) AddServer(i);
     const std::vector<RequestKind> kinds{{"/red/", {"m1", "m1", "m2", "m3", "m4"}, 12s, 4s},
                                          {"/red/", {"m1"}, 12s, 12s},
@@ -135,6 +139,7 @@
     REQUIRE(RunUntil(
         io_, [&] { return operator_.accepted() > 0 && fleet_.ready_edges() == fleet_.edges().size(); }));
     for (const auto& client : clients_) client->Start();
+    crowd_ = std::make_unique<MisbehavingCrowd>(io_, fleet_, crowd_size_, random_());
     RunFor(io_, 3s);
     const Clock::time_point end = Clock::now() + length;
     while (Clock::now() < end) {
@@ -157,6 +162,7 @@
     return losses;
   }
   Fleet& fleet() { return fleet_; }
+  std::vector<std::string> Excesses() const { return crowd_->Excesses(); }
   std::string Summary() const {
     std::size_t complete = 0;
     std::size_t served = 0;
@@ -165,7 +171,9 @@
       served += outcome.complete && outcome.status == 200 ? 1 : 0;
     }
     return std::to_string(outcomes_.size()) + " requests, " + std::to_string(complete) + " answered, " +
-           std::to_string(served) + " served, " + std::to_string(stops_) + " stops";
+           std::to_string(served) + " served, " + std::to_string(stops_) + " stops, at most " +
+           std::to_string(crowd_->peak().memory_mb) + " MB and " +
+           std::to_string(crowd_->peak().descriptors) + " descriptors";
   }
 
  private:
@@ -218,6 +226,8 @@
   Operator operator_;
   std::vector<std::unique_ptr<ModelServer>> servers_;
   std::vector<std::unique_ptr<Client>> clients_;
+  const int crowd_size_;
+  std::unique_ptr<MisbehavingCrowd> crowd_;
   int stops_ = 0;
 };
 
@@ -232,11 +242,13 @@
 std::unique_ptr<Soak> Play() {
   const auto seed = static_cast<std::uint64_t>(FromEnvironment("SOAK_SEED", 1));
   auto soak = std::make_unique<Soak>(seed, static_cast<int>(FromEnvironment("SOAK_EDGES", 3)),
-                                     static_cast<int>(FromEnvironment("SOAK_CLIENTS", 40)));
+                                     static_cast<int>(FromEnvironment("SOAK_CLIENTS", 40)),
+                                     static_cast<int>(FromEnvironment("SOAK_CROWD", 30)));
   soak->Run(std::chrono::seconds(FromEnvironment("SOAK_SECONDS", 40)));
   std::cout << "soak seed " << seed << ": " << soak->Summary() << "\n";
   Report("lost", soak->Losses());
   Report("failed", soak->fleet().failures());
+  Report("exceeded", soak->Excesses());
   return soak;
 }
 
@@ -250,4 +262,9 @@
   CHECK(Play()->fleet().failures().empty());
 }
 
+// One that holds more is ended by its platform.
+TEST_CASE("FAULT: no process holds more than its limits while clients do not behave", "[soak]") {
+  CHECK(Play()->Excesses().empty());
+}
+
 }  // namespace violetwing::testing::soak
