Reject a change whose reading would take more memory than a process has

Cause: the form of a change was checked for its depth alone, and each element is kept as a parsed value, as a message, as a part of the configuration, and each invalid one as a finding; every process that has the entry in its log paid for it.

The check of the form, which takes no memory for an element, estimates what reading takes and rejects with 400 what is over a quarter of the memory, before the log. A list of findings ends after 100. The test "FAULT: a change of small elements ..." shows the bound.

--- a/src/common/connection_budget.hpp
+++ b/src/common/connection_budget.hpp
@@ -48,6 +48,7 @@
   /// The connection is closed: it no longer counts.
   void Release();
 
+  /// The bytes that the connection holds.
   std::size_t bytes() const { return bytes_; }
 
  private:
@@ -81,6 +82,7 @@
     std::size_t max_bytes = 0;
   };
 
+  /// Nothing is held yet.
   explicit ConnectionBudget(Limits limits) : limits_(limits) {}
 
   /// Makes room for one more connection: one that is closing, idle, or overdue, in this order, is closed.
@@ -89,7 +91,9 @@
 
   /// The largest number of bytes that one connection can hold.
   std::size_t max_claim_bytes() const { return limits_.max_bytes / 4 * 3; }
+  /// The number of claims that are not released.
   std::size_t connections() const { return connections_; }
+  /// The sum of all claims.
   std::size_t bytes() const { return bytes_; }
 
  private:
--- a/src/common/listener_limits.hpp
+++ b/src/common/listener_limits.hpp
@@ -26,6 +26,7 @@
   ConnectionBudget::Limits readiness;
   std::size_t max_idle_upstream_connections = 0;
 };
+/// The limits that follow from the settings of an edge.
 EdgeLimits EdgeLimitsOf(const NodeSettings& settings);
 
 /// Limits of a control process.
@@ -34,6 +35,7 @@
   ConnectionBudget::Limits internal_api;
   std::size_t max_document_bytes = 0;  ///< of a configuration, or of a patch to it
 };
+/// The limits that follow from the settings of a control process.
 ControlLimits ControlLimitsOf(const NodeSettings& settings);
 
 }  // namespace violetwing
--- a/src/control/configuration/change_form.hpp
+++ b/src/control/configuration/change_form.hpp
@@ -19,12 +19,14 @@
   kNotJson,         ///< the body is not JSON in UTF-8; no version of this program has accepted such a change
   kNestsTooDeep,    ///< containers nest deeper than kMaxChangeDepth
   kDeletesNonName,  ///< a list in a patch's `delete` holds something that is not a name
+  kTooLarge,        ///< reading the change would take more memory than is allowed
 };
 
 /// Returns the first problem of a change's form that makes it invalid on every version of the configuration;
-/// empty if there is none. Stricter than `State::Apply`, which must still accept each change that an earlier
-/// version of this program has accepted.
-std::optional<FormProblem> CheckForm(const Change& change);
+/// empty if there is none. `max_parsed_bytes`: the memory that reading the change may take, which for a body
+/// of small values is many times its size. Stricter than `State::Apply`, which must still accept each change
+/// that an earlier version of this program has accepted.
+std::optional<FormProblem> CheckForm(const Change& change, std::size_t max_parsed_bytes);
 
 /// Describes the problem for the operator, without any text of the change.
 std::string ToText(FormProblem problem);
--- a/src/control/configuration/validator.cpp
+++ b/src/control/configuration/validator.cpp
@@ -11,6 +11,9 @@
 namespace violetwing::configuration {
 namespace {
 
+// One answer lists no more; the operator sends the document again in any case.
+constexpr std::size_t kMaxFindings = 100;
+
 // Returns the path of a field of a list item, for example "routes[3].name".
 std::string FieldPath(const char* list, int index, const char* field) {
   return std::string(list) + "[" + std::to_string(index) + "]." + field;
@@ -34,7 +37,7 @@
 
  private:
   void AddFinding(FindingCode code, std::string path, std::string message) {
-    findings_.push_back({code, std::move(path), std::move(message)});
+    if (findings_.size() < kMaxFindings) findings_.push_back({code, std::move(path), std::move(message)});
   }
 
   void AddBackend(int index) {
--- a/src/control/core/control_core.cpp
+++ b/src/control/core/control_core.cpp
@@ -217,7 +217,8 @@
 void ControlCore::Change(const configuration::Change& change, Micros now, const ChangeCallback& done) {
   now_ = now;
   // Checked before it is submitted, so that the log holds valid JSON only.
-  const std::optional<configuration::FormProblem> problem = configuration::CheckForm(change);
+  const std::optional<configuration::FormProblem> problem =
+      configuration::CheckForm(change, MaxParsedBytes());
   if (problem == configuration::FormProblem::kNotJson) return done(InvalidChange(*problem));
   if (IsIsolated()) return done(ControlErrc::kNoQuorum);
   if (problem)
@@ -227,6 +228,12 @@
   Flush();
 }
 
+std::size_t ControlCore::MaxParsedBytes() const {
+  constexpr std::size_t kBytesPerMb = 1'000'000;
+  constexpr std::size_t kShare = 4;  // of the memory, for one change at a time
+  return static_cast<std::size_t>(settings_.memory_mb) * kBytesPerMb / kShare;
+}
+
 configuration::ChangeOutcome ControlCore::InvalidChange(configuration::FormProblem problem) const {
   return {configuration::ChangeStatus::kInvalid, configuration().version(), ToText(problem)};
 }
--- a/src/control/core/control_core.hpp
+++ b/src/control/core/control_core.hpp
@@ -150,6 +150,8 @@
   void LogDeparture(const std::string& id, Phase phase, Micros announced_at, Acceptance acceptance) const;
   // The outcome of a departure whose command is committed.
   Acceptance DepartureAcceptance() const;
+  // The memory that reading a change may take.
+  std::size_t MaxParsedBytes() const;
   configuration::ChangeOutcome InvalidChange(configuration::FormProblem problem) const;
   void RejectChange(const configuration::Change& change, configuration::FormProblem problem,
                     const ChangeCallback& done);
--- a/tests/control/configuration/change_form_test.cpp
+++ b/tests/control/configuration/change_form_test.cpp
@@ -6,8 +6,14 @@
 namespace violetwing::configuration {
 namespace {
 
-std::optional<FormProblem> CheckPatch(const std::string& body) { return CheckForm({true, 1, body}); }
-std::optional<FormProblem> CheckPut(const std::string& body) { return CheckForm({false, 1, body}); }
+constexpr std::size_t kMaxParsedBytes = 64'000'000;
+
+std::optional<FormProblem> CheckPatch(const std::string& body) {
+  return CheckForm({true, 1, body}, kMaxParsedBytes);
+}
+std::optional<FormProblem> CheckPut(const std::string& body) {
+  return CheckForm({false, 1, body}, kMaxParsedBytes);
+}
 
 }  // namespace
 
@@ -49,4 +55,19 @@
   }
 }
 
+TEST_CASE("FAULT: a change of small elements is rejected before it is read into memory") {
+  const auto list_of = [](const std::string& element, std::size_t body_bytes) {
+    std::string body = R"({"version":1,"routes":[)" + element;
+    while (body.size() < body_bytes) body += "," + element;
+    return body + "]}";
+  };
+  CHECK(CheckPut(list_of("{}", 4'000'000)) == FormProblem::kTooLarge);
+  CHECK(CheckPatch(list_of("[]", 4'000'000)) == FormProblem::kTooLarge);
+  CHECK(CheckPut(list_of("0", 4'000'000)) == FormProblem::kTooLarge);
+  const std::string route =
+      R"({"name":"r","hostname":"a.example","path_prefix":"/x/","type":"streaming","timeout_ms":5000,)"
+      R"("target_latency_ms":800,"priority":1,"backend":"huvo11a","max_attempts":1})";
+  CHECK_FALSE(CheckPut(list_of(route, 4'000'000)));
+}
+
 }  // namespace violetwing::configuration
--- a/tests/control/drawn_input_test.cpp
+++ b/tests/control/drawn_input_test.cpp
@@ -19,6 +19,8 @@
 namespace violetwing {
 namespace {
 
+constexpr std::size_t kMaxParsedBytes = 64'000'000;
+
 using nlohmann::json;
 using testing::VirtualSystem;
 
@@ -157,7 +159,7 @@
   for (std::uint64_t draw = 0; draw < Draws(); ++draw) {
     const configuration::Change change = DrawChange(random, state.version());
     INFO("draw " << draw << ", patch " << change.patch << ": " << change.body);
-    CHECK_NOTHROW(configuration::CheckForm(change));
+    CHECK_NOTHROW(configuration::CheckForm(change, kMaxParsedBytes));
     const std::string before = state.Save();
     const configuration::ChangeOutcome outcome = state.Apply(change);
     CHECK(IsUtf8(outcome.message));
--- a/tests/testing/node_process.hpp
+++ b/tests/testing/node_process.hpp
@@ -1,5 +1,6 @@
 // Starts and stops violetwing-node processes for tests and scale tests. The macro VIOLETWING_NODE_PROGRAM is
-// the path of the binary; the environment variable NODE_PROGRAM names another one, such as an earlier version.
+// the path of the binary; the environment variable NODE_PROGRAM names another one, such as an earlier
+// version.
 #ifndef VIOLETWING_TESTS_TESTING_NODE_PROCESS_HPP_
 #define VIOLETWING_TESTS_TESTING_NODE_PROCESS_HPP_
 
@@ -102,8 +103,8 @@
     char* environment[] = {const_cast<char*>(variable.c_str()), nullptr};
     const char* const program = Program();
     const char* arguments[] = {program, role_.c_str(), "--log-level", log_level, nullptr};
-    const int error = posix_spawn(&id_, program, actions, nullptr,
-                                  const_cast<char**>(arguments), environment);
+    const int error =
+        posix_spawn(&id_, program, actions, nullptr, const_cast<char**>(arguments), environment);
     if (error != 0) throw std::system_error(error, std::generic_category(), program);
   }
   static const char* Program() {
