--- a/src/control/api/server_connection.cpp
+++ b/src/control/api/server_connection.cpp
@@ -198,7 +198,9 @@
 void ServerConnection::Respond(std::uint64_t request_number, Response response) {
   const bool is_pending = on_closed_ != nullptr && phase_ == Phase::kServing;
   if (!is_pending || request_number != request_number_) return;
-  if (!Hold(response.body.size() + kReadingBytes + kMaxUnreadBytes)) return RejectWith(kServiceUnavailable);
+  // An acknowledgement never holds more than its request did.
+  if (!Hold(std::max(response.body.size(), kReadingBytes) + kMaxUnreadBytes))
+    return RejectWith(kServiceUnavailable);
   Write(std::move(response));
 }
 
--- a/src/dataplane/upstream/upstream_exchange.cpp
+++ b/src/dataplane/upstream/upstream_exchange.cpp
@@ -27,7 +27,7 @@
 constexpr std::uint32_t kMaxHeadBytes = 64 * 1024;
 // Bounds what is read and not parsed yet: after the head, the header of a chunk, or a trailer.
 constexpr std::size_t kMaxBufferedHeadBytes = kMaxHeadBytes + 4096;
-constexpr std::size_t kMaxBufferedBodyBytes = 32 * 1024;
+constexpr std::size_t kMaxBufferedBodyBytes = std::size_t{32} * 1024;
 // Time for which a connection is kept idle if the server sends no Keep-Alive timeout, and the fraction of
 // that timeout otherwise: less than all of it, so that no request races with the server's close.
 constexpr milliseconds kDefaultIdleTimeout{1500};
