Play the crowd of the soak in a process of its own

With the crowd in the process that watches the system, soaks reported edges that "still run at the end of the grace period" (7 of 7 beside a load of 20): the edges' own logs show the end of each drain 7.60 to 7.62 s after SIGTERM, but the watcher, busy with what the crowd sends and with reading /proc/net/tcp for each process, looked after 8 s. The check is as it was. The crowd is a forked process now, and the table is read once for all processes.

--- a/tests/node/crowd/process_usage.hpp
+++ b/tests/node/crowd/process_usage.hpp
@@ -10,6 +10,7 @@
 #include <filesystem>
 #include <fstream>
 #include <limits>
+#include <map>
 #include <set>
 #include <sstream>
 #include <string>
@@ -47,10 +48,12 @@
   return inodes;
 }
 
-/// Bytes that wait unread in these TCP sockets.
-inline double UnreadBytes(const std::set<std::string>& inodes) {
+/// Bytes that wait unread in the TCP sockets of this machine, by inode.
+using UnreadBySocket = std::map<std::string, double>;
+
+inline UnreadBySocket ReadUnreadBytes() {
   std::ifstream table("/proc/net/tcp");
-  double unread = 0;
+  UnreadBySocket unread;
   std::string line;
   std::getline(table, line);
   while (std::getline(table, line)) {
@@ -58,16 +61,21 @@
     std::string slot, local, remote, state, queues, timer, retransmits, user, timeout, inode;
     fields >> slot >> local >> remote >> state >> queues >> timer >> retransmits >> user >> timeout >> inode;
     constexpr const char* kListening = "0A";  // its queue counts connections
-    if (state == kListening || inodes.count(inode) == 0) continue;
-    unread += static_cast<double>(std::strtoul(queues.substr(queues.find(':') + 1).c_str(), nullptr, 16));
+    const auto bytes =
+        static_cast<double>(std::strtoul(queues.substr(queues.find(':') + 1).c_str(), nullptr, 16));
+    if (state != kListening && bytes > 0) unread[inode] += bytes;
   }
   return unread;
 }
 
-inline ProcessUsage MeasureUsage(pid_t id) {
+inline ProcessUsage MeasureUsage(pid_t id, const UnreadBySocket& unread = ReadUnreadBytes()) {
   ProcessUsage usage;
-  const std::set<std::string> inodes = SocketInodes(id, usage.descriptors);
-  usage.memory_mb = (ResidentBytes(id) + UnreadBytes(inodes)) / 1e6;
+  double bytes = ResidentBytes(id);
+  for (const std::string& inode : SocketInodes(id, usage.descriptors)) {
+    const auto it = unread.find(inode);
+    if (it != unread.end()) bytes += it->second;
+  }
+  usage.memory_mb = bytes / 1e6;
   return usage;
 }
 
--- a/tests/node/soak/fleet.hpp
+++ b/tests/node/soak/fleet.hpp
@@ -115,6 +115,11 @@
     return {edge, edges_[edge]->address};
   }
 
+  /// The address of a machine for calls between processes.
+  static std::string InternalAddress(const Machine& machine) {
+    return machine.settings["ip"].get<std::string>() + ":" + std::to_string(kInternalPort);
+  }
+
   std::size_t ready_edges() const {
     std::size_t count = 0;
     for (const auto& edge : edges_) count += edge->missed_probes == 0 ? 1 : 0;
--- a/tests/node/soak/misbehaving_crowd.hpp
+++ b/tests/node/soak/misbehaving_crowd.hpp
@@ -3,12 +3,21 @@
 #ifndef VIOLETWING_TESTS_NODE_SOAK_MISBEHAVING_CROWD_HPP_
 #define VIOLETWING_TESTS_NODE_SOAK_MISBEHAVING_CROWD_HPP_
 
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
 #include <boost/asio.hpp>
+#include <cerrno>
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <random>
 #include <string>
+#include <system_error>
+#include <utility>
 #include <vector>
 
 #include "node/crowd/crowd_client.hpp"
@@ -17,62 +26,57 @@
 
 namespace violetwing::testing::soak {
 
-/// Must be used on the thread of `io` only, and outlive it.
+/// Clients that do not behave, in a process of their own, so that what they send does not delay those who
+/// watch the system.
 class MisbehavingCrowd {
  public:
-  MisbehavingCrowd(boost::asio::io_context& io, Fleet& fleet, int size, std::uint64_t seed)
-      : io_(io), fleet_(fleet), random_(seed), timer_(io), members_(static_cast<std::size_t>(size)) {
-    Poll();
-  }
+  /// Where the clients go to.
+  struct Target {
+    std::string ingress;
+    std::string readiness;
+    std::string control_plane;
+    std::string internal;  ///< of the same control process
+  };
+
+  MisbehavingCrowd(std::vector<Target> targets, int size, std::uint64_t seed);
   ~MisbehavingCrowd() {
-    for (const Member& member : members_)
-      if (member.client != nullptr) member.client->Close();
+    kill(process_, SIGKILL);
+    waitpid(process_, nullptr, 0);
   }
   MisbehavingCrowd(const MisbehavingCrowd&) = delete;
   MisbehavingCrowd& operator=(const MisbehavingCrowd&) = delete;
 
-  /// Processes that held more than their limits, one line each.
-  std::vector<std::string> Excesses() const {
-    std::vector<std::string> excesses;
-    for (const auto& [name, peak] : peaks_) {
-      const bool too_large = kMeasuresMemory && peak.memory_mb > kMemoryMb;
-      if (!too_large && peak.descriptors <= kMaxDescriptors) continue;
-      excesses.push_back(name + " held " + std::to_string(peak.memory_mb) + " MB and " +
-                         std::to_string(peak.descriptors) + " descriptors");
-    }
-    return excesses;
-  }
-  /// The largest figures of all processes.
-  crowd::ProcessUsage peak() const {
-    crowd::ProcessUsage peak;
-    for (const auto& [name, usage] : peaks_) peak = crowd::Peak(peak, usage);
-    return peak;
-  }
-
  private:
-#ifdef __SANITIZE_ADDRESS__
-  static constexpr bool kMeasuresMemory = false;  // most of it is the sanitizers' own
-#else
-  static constexpr bool kMeasuresMemory = true;
-#endif
   static constexpr std::uint64_t kPieceBytes = 65'536;
   static constexpr std::uint64_t kBodyPieces = 16;
   static constexpr std::uint64_t kEndlessPieces = 512;
 
+  class Players;
+
+  const pid_t process_;
+};
+
+class MisbehavingCrowd::Players {
+ public:
+  Players(boost::asio::io_context& io, std::vector<Target> targets, int size, std::uint64_t seed)
+      : io_(io),
+        targets_(std::move(targets)),
+        random_(seed),
+        timer_(io),
+        members_(static_cast<std::size_t>(size)) {
+    Poll();
+  }
+
+ private:
   struct Member {
     std::shared_ptr<crowd::CrowdClient> client;
     Clock::time_point until;
   };
 
-  // Every 100 ms: replaces clients whose time is over or whose peer has closed, and measures the processes.
+  // Every 100 ms: replaces clients whose time is over or whose peer has closed.
   void Poll() {
     for (Member& member : members_)
       if (member.client == nullptr || member.client->ended() || Clock::now() >= member.until) Replace(member);
-    for (const auto* group : {&fleet_.edges(), &fleet_.controls()})
-      for (const auto& machine : *group)
-        if (machine->process->id() != 0)
-          peaks_[machine->name] =
-              crowd::Peak(peaks_[machine->name], crowd::MeasureUsage(machine->process->id()));
     timer_.expires_after(std::chrono::milliseconds(100));
     timer_.async_wait([this](boost::system::error_code error) {
       if (!error) Poll();
@@ -91,25 +95,24 @@
 
   // Draws a script and the address that it is played at.
   std::string Draw(crowd::Script& script) {
-    const Machine& edge = *fleet_.edges()[random_() % fleet_.edges().size()];
-    const Machine& control = *fleet_.controls()[random_() % fleet_.controls().size()];
+    const Target& target = targets_[random_() % targets_.size()];
     switch (random_() % 8) {
       case 0:
         DrawBody(script, "PUT /api/configuration");
-        return control.address;
+        return target.control_plane;
       case 1:
         DrawBody(script, "POST /internal/exchange");
-        return control.address.substr(0, control.address.find(':')) + ":7660";
+        return target.internal;
       case 2:
         DrawBody(script, "GET /api/readyz");
-        return edge.readiness;
+        return target.readiness;
       case 3:
         script.begin = "GET /api/configuration HTTP/1.1\r\nHost: a\r\n\r\n";
         script.reads = false;
-        return control.address;
+        return target.control_plane;
       default:
         DrawBody(script, "POST /red/");
-        return edge.address;
+        return target.ingress;
     }
   }
 
@@ -149,10 +152,70 @@
   }
 
   boost::asio::io_context& io_;
-  Fleet& fleet_;
+  const std::vector<Target> targets_;
   std::mt19937_64 random_;
   boost::asio::steady_timer timer_;
   std::vector<Member> members_;
+};
+
+inline MisbehavingCrowd::MisbehavingCrowd(std::vector<Target> targets, int size, std::uint64_t seed)
+    : process_(fork()) {
+  if (process_ < 0) throw std::system_error(errno, std::generic_category(), "fork");
+  if (process_ > 0) return;
+  // None of the connections of the process that it comes from may stay open here.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  close_range(3, ~0U, 0);
+  boost::asio::io_context io;
+  Players players(io, std::move(targets), size, seed);
+  io.run();
+  _exit(0);
+}
+
+/// Measures what the processes of a fleet hold, while the event loop runs.
+class UsageMonitor {
+ public:
+  UsageMonitor(boost::asio::io_context& io, Fleet& fleet) : fleet_(fleet), timer_(io) { Poll(); }
+
+  /// Processes that held more than their limits, one line each.
+  std::vector<std::string> Excesses() const {
+    std::vector<std::string> excesses;
+    for (const auto& [name, peak] : peaks_) {
+      const bool too_large = kMeasuresMemory && peak.memory_mb > kMemoryMb;
+      if (!too_large && peak.descriptors <= kMaxDescriptors) continue;
+      excesses.push_back(name + " held " + std::to_string(peak.memory_mb) + " MB and " +
+                         std::to_string(peak.descriptors) + " descriptors");
+    }
+    return excesses;
+  }
+  /// The largest figures of all processes.
+  crowd::ProcessUsage peak() const {
+    crowd::ProcessUsage peak;
+    for (const auto& [name, usage] : peaks_) peak = crowd::Peak(peak, usage);
+    return peak;
+  }
+
+ private:
+#ifdef __SANITIZE_ADDRESS__
+  static constexpr bool kMeasuresMemory = false;  // most of it is the sanitizers' own
+#else
+  static constexpr bool kMeasuresMemory = true;
+#endif
+
+  void Poll() {
+    const crowd::UnreadBySocket unread = crowd::ReadUnreadBytes();
+    for (const auto* group : {&fleet_.edges(), &fleet_.controls()})
+      for (const auto& machine : *group)
+        if (machine->process->id() != 0)
+          peaks_[machine->name] =
+              crowd::Peak(peaks_[machine->name], crowd::MeasureUsage(machine->process->id(), unread));
+    timer_.expires_after(std::chrono::milliseconds(250));
+    timer_.async_wait([this](boost::system::error_code error) {
+      if (!error) Poll();
+    });
+  }
+
+  Fleet& fleet_;
+  boost::asio::steady_timer timer_;
   std::map<std::string, crowd::ProcessUsage> peaks_;  // by name of the machine
 };
 
--- a/tests/node/stop_soak_test.cpp
+++ b/tests/node/stop_soak_test.cpp
@@ -139,7 +139,8 @@
     REQUIRE(RunUntil(
         io_, [&] { return operator_.accepted() > 0 && fleet_.ready_edges() == fleet_.edges().size(); }));
     for (const auto& client : clients_) client->Start();
-    crowd_ = std::make_unique<MisbehavingCrowd>(io_, fleet_, crowd_size_, random_());
+    monitor_ = std::make_unique<UsageMonitor>(io_, fleet_);
+    const MisbehavingCrowd crowd(CrowdTargets(), crowd_size_, random_());
     RunFor(io_, 3s);
     const Clock::time_point end = Clock::now() + length;
     while (Clock::now() < end) {
@@ -162,7 +163,7 @@
     return losses;
   }
   Fleet& fleet() { return fleet_; }
-  std::vector<std::string> Excesses() const { return crowd_->Excesses(); }
+  std::vector<std::string> Excesses() const { return monitor_->Excesses(); }
   std::string Summary() const {
     std::size_t complete = 0;
     std::size_t served = 0;
@@ -172,13 +173,23 @@
     }
     return std::to_string(outcomes_.size()) + " requests, " + std::to_string(complete) + " answered, " +
            std::to_string(served) + " served, " + std::to_string(stops_) + " stops, at most " +
-           std::to_string(crowd_->peak().memory_mb) + " MB and " +
-           std::to_string(crowd_->peak().descriptors) + " descriptors";
+           std::to_string(monitor_->peak().memory_mb) + " MB and " +
+           std::to_string(monitor_->peak().descriptors) + " descriptors";
   }
 
  private:
   const std::vector<std::unique_ptr<Machine>>& edges() const { return const_cast<Fleet&>(fleet_).edges(); }
 
+  std::vector<MisbehavingCrowd::Target> CrowdTargets() {
+    std::vector<MisbehavingCrowd::Target> targets;
+    for (std::size_t i = 0; i < fleet_.edges().size(); ++i) {
+      const Machine& edge = *fleet_.edges()[i];
+      const Machine& control = *fleet_.controls()[i % fleet_.controls().size()];
+      targets.push_back({edge.address, edge.readiness, control.address, Fleet::InternalAddress(control)});
+    }
+    return targets;
+  }
+
   void AddServer(int i) {
     ModelServer::Settings settings;
     settings.id = "i-" + std::to_string(i);
@@ -227,7 +238,7 @@
   std::vector<std::unique_ptr<ModelServer>> servers_;
   std::vector<std::unique_ptr<Client>> clients_;
   const int crowd_size_;
-  std::unique_ptr<MisbehavingCrowd> crowd_;
+  std::unique_ptr<UsageMonitor> monitor_;
   int stops_ = 0;
 };
 
