--- a/tests/node/crowd/small_system.hpp
+++ b/tests/node/crowd/small_system.hpp
@@ -185,26 +185,20 @@
     if (status == 200) ++version_;
     return status;
   }
-  int Register() {
-    return Call(control_address, "PUT", "/api/instances/i-1", "",
-                nlohmann::json{{"backend", "s"},
-                               {"address", backend_.address()},
-                               {"zone", "here"},
-                               {"capacity", 64},
-                               {"phase", "ready"},
-                               {"sequence", ++heartbeats_}}
-                    .dump());
+  std::string Heartbeat() {
+    return nlohmann::json{{"backend", "s"},   {"address", backend_.address()},
+                          {"zone", "here"},   {"capacity", 64},
+                          {"phase", "ready"}, {"sequence", ++heartbeats_}}
+        .dump();
   }
+  int Register() { return Call(control_address, "PUT", "/api/instances/i-1", "", Heartbeat()); }
   // Sends a heartbeat each second while the event loop runs.
   void KeepRegistered() {
     HttpExchange::Call call;
     call.to = *ParseEndpoint(control_address);
     call.method = "PUT";
     call.target = "/api/instances/i-1";
-    call.body = nlohmann::json{{"backend", "s"},   {"address", backend_.address()},
-                               {"zone", "here"},   {"capacity", 64},
-                               {"phase", "ready"}, {"sequence", ++heartbeats_}}
-                    .dump();
+    call.body = Heartbeat();
     HttpExchange::Start(io, std::move(call), {});
     heartbeat_timer_.expires_after(1s);
     heartbeat_timer_.async_wait([this](boost::system::error_code error) {
