Bound what load reports of unknown servers leave behind

By reading: an edge takes datagrams of its neighbors on its internal port, and kept a state for each server that one names, known or not, until the next tick removes it. At most 4,096 servers are kept now; the test "Reports of servers that do not exist ..." shows the bound.

--- a/src/dataplane/load_balancing/load_balancer.cpp
+++ b/src/dataplane/load_balancing/load_balancer.cpp
@@ -17,6 +17,8 @@
 // Capacity of the modeled prefix cache of one server: the part of the server's memory that this sidecar
 // assumes to hold the prompts it knows of.
 constexpr double kPrefixCacheTokens = 150'000;
+// Servers of which something is known. Reports come as datagrams, whose sender is not known.
+constexpr std::size_t kMaxServers = 4096;
 // Prompts with at least this prefill time are reported to other sidecars immediately.
 constexpr double kImmediateReportMs = 30;
 // Keeps a report within one datagram; further prompts are not reported.
@@ -224,6 +226,8 @@
   for (const SentPrompt& prompt : report.prompts) {
     const bool plausible = prompt.read_ms >= 0 && prompt.read_ms <= kMaxReportedPrefillMs;
     if (!plausible) continue;  // also skips NaN
+    const bool is_new = servers_.find(prompt.server) == servers_.end();
+    if (is_new && servers_.size() >= kMaxServers) continue;
     prefill_queue_.Enqueue(prompt.server, prompt.read_ms * sidecars_per_report_, now);
     servers_[prompt.server].prefix_cache().Insert(prompt.weights, ParsePromptParts(prompt.parts),
                                                   kPrefixCacheTokens);
--- a/src/dataplane/load_balancing/load_balancer.hpp
+++ b/src/dataplane/load_balancing/load_balancer.hpp
@@ -81,6 +81,9 @@
   /// Number of this sidecar's requests in flight at an instance.
   int InFlight(const std::string& id) const;
 
+  /// The number of servers of which something is known.
+  std::size_t known_servers() const { return servers_.size(); }
+
  private:
   class CheapestServer;
 
--- a/tests/dataplane/load_balancing/load_report_test.cpp
+++ b/tests/dataplane/load_balancing/load_report_test.cpp
@@ -232,4 +232,18 @@
   CHECK_FALSE(Decode<WatchReply>(without("changed")));
 }
 
+TEST_CASE("Reports of servers that do not exist do not fill the memory") {
+  LoadBalancer load_balancer(1);
+  constexpr int kReports = 10'000;
+  constexpr std::size_t kMostServers = 5000;
+  for (int i = 0; i < kReports; ++i) {
+    LoadReport report;
+    report.prompts.push_back({"i-" + std::to_string(i), "m", "p:100", 1});
+    load_balancer.OnPeerReport(report, kSecond);
+  }
+  CHECK(load_balancer.known_servers() <= kMostServers);
+  load_balancer.RemoveUnlistedServers(Directory(), kSecond);
+  CHECK(load_balancer.known_servers() == 0);
+}
+
 }  // namespace violetwing
