--- a/src/dataplane/upstream/upstream_exchange.cpp
+++ b/src/dataplane/upstream/upstream_exchange.cpp
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "common/http_client.hpp"
+#include "common/http_response.hpp"
 #include "common/listener_limits.hpp"
 #include "dataplane/upstream/upstream_pool.hpp"
 
@@ -128,10 +129,11 @@
 }
 
 void UpstreamExchange::OnHead(ErrorCode error) {
+  if (!error) error = CheckResponseHead(parser_->get());
   if (error) return Finish(ExchangeEnd::kReset);
   const auto& message = parser_->get();
+  if (IsInterimResponse(message)) return ReadHead();
   head_.status = static_cast<int>(message.result_int());
-  if (head_.status / 100 == 1) return ReadHead();  // interim response
   head_.reason = std::string(message.reason());
   head_.fields = EndToEndFields(message);
   const std::string* id = FindField(head_.fields, field::kRequestId);
