MIXED: take a response in a transfer coding other than chunked for a failed attempt

Callers saw: a body that is not the server's. For "Transfer-Encoding: gzip, chunked" the edge removed the field, as it frames the body anew, and passed the compressed bytes on as if they were the content; for "Transfer-Encoding: gzip" beside a Content-Length it framed by the length, which RFC 9112, section 6.3, overrides; chunks of an HTTP/1.0 server were decoded though section 6.1 calls such framing faulty.

Cause: Beast's parser looks only for "chunked" at the end of one Transfer-Encoding field, ignores all other codings, and does not look at the version. The edge sends no TE, so that a server may use chunked alone.

Content-Length beside chunked, and two lengths that differ, were 502 before, too.

--- a/tests/dataplane/invalid_response_test.cpp
+++ b/tests/dataplane/invalid_response_test.cpp
@@ -57,6 +57,18 @@
     Response("HTTP/1.1 200 OK", "X-Bare: a\rb\r\n"),
     Response("HTTP/1.1 200 OK", "X-Bare: a\nX-Other: b\r\n"),
 };
+const std::vector<std::string> kInvalidFraming{
+    ChunkedResponse("HTTP/1.1", "Transfer-Encoding: gzip, chunked\r\n"),
+    ChunkedResponse("HTTP/1.1", "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n"),
+    ChunkedResponse("HTTP/1.1", "Transfer-Encoding: chunked;q=1\r\n"),
+    ChunkedResponse("HTTP/1.0", "Transfer-Encoding: chunked\r\n"),
+    Response("HTTP/1.1 200 OK", "Transfer-Encoding: gzip\r\n"),
+    Response("HTTP/1.1 200 OK", "Transfer-Encoding: chunked, gzip\r\n"),
+    Response("HTTP/1.1 200 OK", "Transfer-Encoding: identity\r\n"),
+    Response("HTTP/1.1 200 OK", "Transfer-Encoding: chunked\r\n"),
+    Response("HTTP/1.1 200 OK", "Content-Length: 4\r\n"),
+};
+
 // Only the server under test: the client gets 502 and nothing of the server's response.
 void CheckNothingIsForwarded(const std::vector<std::string>& responses) {
   for (const std::string& response : responses) {
@@ -120,10 +132,15 @@
   CheckNothingIsForwarded(kMalformedField);
 }
 
+TEST_CASE("MIXED: a response with ambiguous framing or an unsupported transfer coding is not forwarded") {
+  CheckNothingIsForwarded(kInvalidFraming);
+}
+
 TEST_CASE("MIXED: an invalid response is a failed attempt: retried if idempotent, counted, and no promise") {
   const std::string response =
       GENERATE(Response("HTTP/1.1 000 OK"), Response("HTTP/1.1 999 OK", "X-Violetwing-Not-Executed: 1\r\n"),
-               Response("HTTP/1.1 503 No", "X-Violetwing-Not-Executed: 1\r\nX Blank: 1\r\n"));
+               Response("HTTP/1.1 503 No", "X-Violetwing-Not-Executed: 1\r\nX Blank: 1\r\n"),
+               Response("HTTP/1.1 503 No", "X-Violetwing-Not-Executed: 1\r\nTransfer-Encoding: gzip\r\n"));
   CheckCountsAsFailedAttempt(response);
   CheckIsNoPromise(response);
 }
