MIXED: take an unrequested switch of protocols for a failed attempt

Callers saw: what a server sent after a 101 as the answer to their request, signature and all, though the bytes behind a 101 are not HTTP any more.

Cause: the edge skipped 101 like any other interim response. It never forwards Upgrade, so that a server must not answer with 101 (RFC 9110, section 7.8).

Change: CheckResponseHead refuses 101; other interim responses (100, 102, 103, and unassigned ones) are skipped as before, with a test.

--- a/src/common/http_response.cpp
+++ b/src/common/http_response.cpp
@@ -22,6 +22,8 @@
     switch (static_cast<ResponseErrc>(error)) {
       case ResponseErrc::kStatusOutOfRange:
         return "the status of the response is not in 100 to 599";
+      case ResponseErrc::kUnrequestedUpgrade:
+        return "the response switches protocols, which was not requested";
       case ResponseErrc::kUnsupportedTransferCoding:
         return "the transfer coding of the response is not supported";
     }
@@ -60,6 +62,7 @@
 boost::system::error_code CheckResponseHead(const http::response_header<>& head) {
   const unsigned status = head.result_int();
   if (status < kMinStatus || status > kMaxStatus) return ResponseErrc::kStatusOutOfRange;
+  if (head.result() == http::status::switching_protocols) return ResponseErrc::kUnrequestedUpgrade;
   if (!HasSupportedTransferCoding(head)) return ResponseErrc::kUnsupportedTransferCoding;
   return {};
 }
--- a/src/common/http_response.hpp
+++ b/src/common/http_response.hpp
@@ -13,6 +13,8 @@
 /// Why a message with valid syntax is not a response to a request.
 enum class ResponseErrc {
   kStatusOutOfRange = 1,  ///< the status is not in 100 to 599 (RFC 9110, section 15)
+  /// The server switches protocols (101), which no request asks for (RFC 9110, section 7.8).
+  kUnrequestedUpgrade,
   /// A transfer coding other than chunked, chunked with parameters or more than once, or any transfer coding
   /// in an HTTP/1.0 message, whose framing is then unknown (RFC 9112, sections 6.1 and 7).
   kUnsupportedTransferCoding,
@@ -24,7 +26,7 @@
 boost::system::error_code make_error_code(ResponseErrc error);  // NOLINT(readability-identifier-naming)
 
 /// Checks the head of a response that a parser has accepted, final or interim. Returns a ResponseErrc if it
-/// is not a response to a request that accepts no transfer coding but chunked.
+/// is not a response to a request that asks for no upgrade and accepts no transfer coding but chunked.
 boost::system::error_code CheckResponseHead(const boost::beast::http::response_header<>& head);
 
 /// Whether a checked head is that of an interim response (1xx), after which the final one follows.
--- a/tests/common/http_response_test.cpp
+++ b/tests/common/http_response_test.cpp
@@ -24,12 +24,14 @@
 
 }  // namespace
 
-TEST_CASE("A response has a status from 100 to 599, registered or not") {
+TEST_CASE("A response has a status from 100 to 599, registered or not, but not 101") {
   for (unsigned status = 0; status <= 999; ++status) {
     CAPTURE(status);
     const boost::system::error_code error = CheckResponseHead(Head(status));
     if (status < 100 || status > 599)
       CHECK(error == ResponseErrc::kStatusOutOfRange);
+    else if (status == 101)
+      CHECK(error == ResponseErrc::kUnrequestedUpgrade);
     else
       CHECK_FALSE(error);
   }
--- a/tests/dataplane/invalid_response_test.cpp
+++ b/tests/dataplane/invalid_response_test.cpp
@@ -68,6 +68,10 @@
     Response("HTTP/1.1 200 OK", "Transfer-Encoding: chunked\r\n"),
     Response("HTTP/1.1 200 OK", "Content-Length: 4\r\n"),
 };
+const std::vector<std::string> kUnrequestedUpgrade{
+    "HTTP/1.1 101 Switching Protocols\r\n" + kSigned + "Upgrade: x\r\nConnection: upgrade\r\n\r\n" +
+        Response("HTTP/1.1 200 OK"),
+};
 
 // Only the server under test: the client gets 502 and nothing of the server's response.
 void CheckNothingIsForwarded(const std::vector<std::string>& responses) {
@@ -136,6 +140,10 @@
   CheckNothingIsForwarded(kInvalidFraming);
 }
 
+TEST_CASE("MIXED: bytes after a switch of protocols that nobody requested are not forwarded") {
+  CheckNothingIsForwarded(kUnrequestedUpgrade);
+}
+
 TEST_CASE("MIXED: an invalid response is a failed attempt: retried if idempotent, counted, and no promise") {
   const std::string response =
       GENERATE(Response("HTTP/1.1 000 OK"), Response("HTTP/1.1 999 OK", "X-Violetwing-Not-Executed: 1\r\n"),
