Sidecar in service: take responses that are no HTTP responses for errors

Callers saw: a request whose server answered with a status from 000 to 099 waited until its time limit; the sidecar read that answer as an interim one, its body into memory, and went on waiting for the final one. With a transfer coding besides chunked they got the coded bytes as the body, and after a 101 whatever followed it.

Change: Upstream passes each head to CheckResponseHead and treats an error like one of the syntax (Result::kError, no promise that the request was not executed). src/sidecar may include src/common, the lowest folder, for this: what a response is must be one decision for all programs, and tools/check-includes listed no use of it so far.

Malformed heads were errors before, too.

--- a/src/sidecar/upstream.cpp
+++ b/src/sidecar/upstream.cpp
@@ -12,6 +12,8 @@
 #include <optional>
 #include <utility>
 
+#include "common/http_response.hpp"
+
 namespace violetwing::sidecar {
 namespace {
 
@@ -240,7 +242,7 @@
     Read();
   }
 
-  // Returns false if the data is not valid HTTP, a limit is exceeded, or the body of an unsuccessful response
+  // Returns false if the data is not an HTTP response, a limit is exceeded, or the body of an unsuccessful response
   // is too long.
   bool Parse() {
     while (buffer_.size() > 0 && !parser_->is_done()) {
@@ -253,7 +255,8 @@
       if (error == http::error::need_more) return buffer_.size() + kReadSize <= buffer_.max_size();
       if (error) return false;
       if (!parser_->is_header_done()) continue;
-      if (parser_->get().result_int() < 200) {  // 1xx: the final response follows
+      if (!had_head && CheckResponseHead(parser_->get())) return false;
+      if (IsInterimResponse(parser_->get())) {
         ExpectFinalResponse();
         continue;
       }
--- a/tests/sidecar/upstream_test.cpp
+++ b/tests/sidecar/upstream_test.cpp
@@ -77,6 +77,57 @@
   EXPECT_EQ(responses.back().body->DataFrom(0), "later");
 }
 
+TEST_F(UpstreamTest, StatusOutsideOfItsRangeIsAnErrorAtOnce) {
+  for (const char* status : {"000 OK", "001 OK", "099 OK", "600 OK", "999 OK"}) {
+    for (const std::string& response : {Reply(status, "body"), Reply(status, "", "Srv-Declined: 1\r\n"),
+                                        Reply(status, "body") + Reply("200 OK", "later")}) {
+      SCOPED_TRACE(response);
+      ASSERT_EQ(ResultOfReply(response), Result::kError);
+    }
+  }
+}
+
+TEST_F(UpstreamTest, MalformedHeadIsAnErrorAtOnce) {
+  for (const std::string& response :
+       {Reply("200 OK", "body", "X Blank: 1\r\n"), Reply("200 OK", "body", "X-Blank : 1\r\n"),
+        Reply("200 OK", "body",
+              "X\x01"
+              "Control: 1\r\n"),
+        Reply("200 OK", "body", "Content-Length : 4\r\n"), Reply("20 OK", "body"), Reply("2000 OK", "body"),
+        Reply(" 200 OK", "body")}) {
+    SCOPED_TRACE(response);
+    ASSERT_EQ(ResultOfReply(response), Result::kError);
+  }
+}
+
+TEST_F(UpstreamTest, UnsupportedTransferCodingIsAnError) {
+  const std::string chunks = "\r\n4\r\nbody\r\n0\r\n\r\n";
+  for (const std::string& response : {"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n" + chunks,
+                                      "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + chunks,
+                                      Reply("200 OK", "body", "Transfer-Encoding: gzip\r\n")}) {
+    SCOPED_TRACE(response);
+    EXPECT_EQ(ResultOfReply(response), Result::kError);
+  }
+}
+
+TEST_F(UpstreamTest, UnrequestedUpgradeIsAnError) {
+  EXPECT_EQ(
+      ResultOfReply("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + Reply("200 OK", "later")),
+      Result::kError);
+}
+
+TEST_F(UpstreamTest, AcceptsUnusualResponses) {
+  for (const std::string& response :
+       {Reply("200 ", "body"), Reply("200 OK", "body", "X-Empty:\r\nX-High: \x80\xff\r\n"),
+        std::string("HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\nbody"),
+        std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"),
+        "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 199 Other\r\n\r\n" + Reply("200 OK", "body")}) {
+    SCOPED_TRACE(response);
+    EXPECT_EQ(ResultOfReply(response), Result::kSuccess);
+    EXPECT_EQ(responses.back().body->DataFrom(0), "body");
+  }
+}
+
 // A response over the size limit must be rejected whether Content-Length or a chunk size exceeds the limit,
 // and wherever the data is split.
 TEST_F(UpstreamTest, ResponseOverSizeLimitFailsAttemptAtOnce) {
