Sidecar in service: take lists only from HTTP responses

Seen, by test: the watch of discovery took a list whose transfer coding it does not decode, or whose HTTP/1.0 framing is unknown (two of five heads in TakesNoListFromAResponseThatIsNotHttp, generation 42 in place of 43), and ended on an interim response, which is legal, though the list followed it (SkipsInterimResponses).

Cause: the same as for servers' answers; and the first head was taken for the final one.

Change: the stream asks CheckResponseHead, ends the watch on an error, and reads on behind an interim response.

Result: both tests failed on the sources before and pass now; the 12 other tests of discovery pass.

--- a/src/sidecar/discovery.cpp
+++ b/src/sidecar/discovery.cpp
@@ -12,6 +12,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "common/http_response.hpp"
+
 namespace violetwing::sidecar {
 namespace {
 
@@ -180,12 +182,17 @@
       ErrorCode failed;
       self->socket_.non_blocking(true, failed);
       if (failed) return self->End(failed.message());
-      self->parser_.body_limit(boost::none);
+      self->ExpectResponse();
       self->request_sent_ = true;
       self->WaitUntilReadable();
     });
   }
 
+  void ExpectResponse() {
+    parser_.emplace();
+    parser_->body_limit(boost::none);
+  }
+
   void WaitUntilReadable() {
     socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](ErrorCode error) {
       if (error) return self->End(error.message());
@@ -196,25 +203,31 @@
 
   // Returns false if no more data is available now or the watch ended.
   bool ReadSome() {
-    if (parser_.is_done()) {
+    if (parser_->is_done()) {
       End("the watch ended");
       return false;
     }
-    const bool had_header = parser_.is_header_done();
-    auto& body = parser_.get().body();
+    const bool had_header = parser_->is_header_done();
+    auto& body = parser_->get().body();
     body.data = read_data_.data();
     body.size = read_data_.size();
     body.more = true;
     ErrorCode error;
-    http::read_some(socket_, buffer_, parser_, error);
+    http::read_some(socket_, buffer_, *parser_, error);
     if (error == asio::error::would_block) return false;
     if (error == http::error::need_buffer) error = {};
+    const bool has_read_header = !had_header && parser_->is_header_done();
+    if (!error && has_read_header) error = CheckResponseHead(parser_->get());
     if (error) {
       End(error.message());
       return false;
     }
     RestartSilenceTimer();
-    if (!had_header && parser_.is_header_done() && parser_.get().result() != http::status::ok) {
+    if (has_read_header && IsInterimResponse(parser_->get())) {
+      ExpectResponse();
+      return true;
+    }
+    if (has_read_header && parser_->get().result() != http::status::ok) {
       End("response status is not 200");
       return false;
     }
@@ -223,7 +236,7 @@
   }
 
   void HandleReadData() {
-    partial_line_.append(read_data_.data(), read_data_.size() - parser_.get().body().size);
+    partial_line_.append(read_data_.data(), read_data_.size() - parser_->get().body().size);
     std::size_t begin = 0;
     for (std::size_t end = partial_line_.find('\n'); end != std::string::npos;
          end = partial_line_.find('\n', begin)) {
@@ -262,7 +275,7 @@
   asio::steady_timer silence_timer_;
   beast::flat_buffer buffer_{kMaxUnparsedBytes};
   http::request<http::empty_body> request_;
-  http::response_parser<http::buffer_body> parser_;
+  std::optional<http::response_parser<http::buffer_body>> parser_;
   std::array<char, kReadSize> read_data_{};
   std::string partial_line_;   // received without its end so far
   std::string indented_list_;  // lines of an incomplete indented list
--- a/tests/sidecar/discovery_test.cpp
+++ b/tests/sidecar/discovery_test.cpp
@@ -128,6 +128,43 @@
   }
 }
 
+// Runs discovery whose first watch gets `response`, and each later one the list of generation 43. Returns the
+// first generation that it takes.
+std::int64_t FirstGenerationAfter(const std::string& response, const bench_adapter::WireSettings& names) {
+  asio::io_context io;
+  const std::string line = List(43, false, {Entry("s-b", {asio::ip::make_address("127.0.0.1"), 80})}).dump();
+  ScriptedServer server(io, [&](Peer& peer) {
+    if (peer.requests() != 1) return;
+    const std::string valid = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Chunk(line + "\n");
+    peer.Write(server.peers.size() == 1 ? response : valid);
+  });
+  Discovery::Timing timing;
+  timing.backoff_base = timing.backoff_max = 2'000;
+  std::int64_t first = 0;
+  Discovery discovery(
+      io, {server.address}, names, timing, 1,
+      {{}, [&](const EndpointList& list) { first = first > 0 ? first : list.generation; }, [] {}});
+  discovery.Watch(41);
+  EXPECT_TRUE(RunUntil(io, [&] { return first > 0; }));
+  return first;
+}
+
+TEST_F(DiscoveryTest, TakesNoListFromAResponseThatIsNotHttp) {
+  const std::string list = "\r\n" + Chunk(Line(42, "s-a"));
+  for (const char* head : {"HTTP/1.1 000 OK\r\nTransfer-Encoding: chunked\r\n",
+                           "HTTP/1.1 600 OK\r\nTransfer-Encoding: chunked\r\n",
+                           "HTTP/1.1 200 OK\r\nX Blank: 1\r\nTransfer-Encoding: chunked\r\n",
+                           "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n",
+                           "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n"})
+    EXPECT_EQ(FirstGenerationAfter(head + list, names), 43) << head;
+}
+
+TEST_F(DiscoveryTest, SkipsInterimResponses) {
+  const std::string head =
+      "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  EXPECT_EQ(FirstGenerationAfter(head + Chunk(Line(42, "s-a")), names), 42);
+}
+
 // Lists count as delivered 6 s after a watch fell silent. Of these, one second is for the module's wait and
 // one for the response.
 TEST(DiscoveryTiming, LeavesTimeToReopenAndReceiveTheList) {
