MIXED: take from a call between programs only what an HTTP response holds

Seen, by test: HttpExchange, which registries, their agents and the lab call each other with, delivered the status and the lines of a body for a status of 000, 099, 600 or 999, for a body in an unknown transfer coding and behind a 101; a registry reads another one's standing from such lines. A legal interim response ended the call as if it were final.

Cause: each reader decided by itself, with Beast's parser alone, what a response is.

Malformed status lines and field names were errors before, too.

--- a/src/common/http_client.cpp
+++ b/src/common/http_client.cpp
@@ -5,6 +5,8 @@
 #include <limits>
 #include <utility>
 
+#include "common/http_response.hpp"
+
 namespace violetwing {
 
 namespace asio = boost::asio;
@@ -66,33 +68,40 @@
 void HttpExchange::ReadHeader() {
   // The length of a line is limited, that of the body is not. Disabling the limit with boost::none would make
   // Beast 1.74 reject every Content-Length.
-  parser_.body_limit(std::numeric_limits<std::uint64_t>::max());
-  http::async_read_header(stream_, buffer_, parser_,
+  parser_.emplace();
+  parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+  http::async_read_header(stream_, buffer_, *parser_,
                           [self = shared_from_this()](ErrorCode error, std::size_t) {
-                            if (self->finished_) return;
-                            if (error) return self->Finish(error.message());
-                            self->status_ = static_cast<int>(self->parser_.get().result_int());
-                            self->ReadBody();
+                            if (!self->finished_) self->OnHeader(error);
                           });
 }
 
+void HttpExchange::OnHeader(ErrorCode error) {
+  if (!error) error = CheckResponseHead(parser_->get());
+  if (error) return Finish(error.message());
+  if (IsInterimResponse(parser_->get())) return ReadHeader();
+  status_ = static_cast<int>(parser_->get().result_int());
+  ReadBody();
+}
+
 void HttpExchange::ReadBody() {
-  if (parser_.is_done()) return Finish("");
+  if (parser_->is_done()) return Finish("");
   stream_.expires_after(call_.idle_timeout);
-  auto& body = parser_.get().body();
+  auto& body = parser_->get().body();
   body.data = chunk_.data();
   body.size = chunk_.size();
   body.more = true;
-  http::async_read_some(stream_, buffer_, parser_, [self = shared_from_this()](ErrorCode error, std::size_t) {
-    if (self->finished_) return;
-    if (error == http::error::need_buffer) error = {};
-    if (error) return self->Finish(error.message());
-    self->OnBodyChunk();
-  });
+  http::async_read_some(stream_, buffer_, *parser_,
+                        [self = shared_from_this()](ErrorCode error, std::size_t) {
+                          if (self->finished_) return;
+                          if (error == http::error::need_buffer) error = {};
+                          if (error) return self->Finish(error.message());
+                          self->OnBodyChunk();
+                        });
 }
 
 void HttpExchange::OnBodyChunk() {
-  line_.append(chunk_.data(), chunk_.size() - parser_.get().body().size);
+  line_.append(chunk_.data(), chunk_.size() - parser_->get().body().size);
   std::size_t begin = 0;
   for (std::size_t end = line_.find('\n'); end != std::string::npos; end = line_.find('\n', begin)) {
     const std::string line = line_.substr(begin, end - begin);
--- a/src/common/http_client.hpp
+++ b/src/common/http_client.hpp
@@ -40,8 +40,8 @@
   struct Events {
     /// Called with each line of the body that is not blank, for any status.
     std::function<void(const std::string& line)> on_line;
-    /// Called once, unless Stop is called first. `status` is 0 if no response header arrived. `error` is
-    /// empty if the response is complete.
+    /// Called once, unless Stop is called first. `status` is 0 if no response header arrived, or one that
+    /// CheckResponseHead refuses. `error` is empty if the response is complete.
     std::function<void(int status, const std::string& error)> on_end;
   };
 
@@ -57,6 +57,7 @@
   void Connect();
   void SendRequest();
   void ReadHeader();
+  void OnHeader(ErrorCode error);
   void ReadBody();
   void OnBodyChunk();
   void Finish(const std::string& error);
@@ -67,7 +68,7 @@
   boost::beast::tcp_stream stream_;
   boost::beast::flat_buffer buffer_;
   boost::beast::http::request<boost::beast::http::string_body> request_;
-  boost::beast::http::response_parser<boost::beast::http::buffer_body> parser_;
+  std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> parser_;
   std::array<char, 8192> chunk_{};
   std::string line_;
   int status_ = 0;
