Edge: take answers of control only from HTTP responses, and bound them

Seen, by test: a sidecar took status and body of a watch from messages that are no HTTP responses (14 of 57 assertions failed), took an interim response for the final one (2 of 18), and an answer that announced 10^15 bytes ended it: the string of the body reserves what Content-Length says, std::bad_alloc.

Cause: ControlChannel read head and body in one eager step. It looked at nothing but the parser's word, and an eager parser of Beast 1.74 forgets body_limit where bytes of the body come together with the head.

Change: the head is read first and passed to CheckResponseHead; the limit of 64 MiB holds; interim responses are skipped. The body has the time limit of the head, as before.

Evidence: the three tests of control_channel_test.cpp failed on the sources before and pass now.

--- a/src/dataplane/control_client/control_channel.cpp
+++ b/src/dataplane/control_client/control_channel.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "common/http_client.hpp"
+#include "common/http_response.hpp"
 
 namespace violetwing {
 namespace {
@@ -64,14 +65,30 @@
   http::async_write(call->connection->stream, call->request, [this, call](ErrorCode error, std::size_t) {
     if (call->finished) return;
     if (error) return RetryOrFail(call);
-    Read(call);
+    ReadHead(call);
   });
 }
 
-void ControlChannel::Read(const CallPtr& call) {
+void ControlChannel::ReadHead(const CallPtr& call) {
   ArmTimeout(*call);
   call->parser.emplace();
   call->parser->body_limit(kMaxResponseBytes);
+  http::async_read_header(call->connection->stream, call->connection->buffer, *call->parser,
+                          [this, call](ErrorCode error, std::size_t) {
+                            if (call->finished) return;
+                            if (error) return RetryOrFail(call);
+                            OnHead(call);
+                          });
+}
+
+void ControlChannel::OnHead(const CallPtr& call) {
+  if (CheckResponseHead(call->parser->get())) return Finish(call, 0, {});
+  if (IsInterimResponse(call->parser->get())) return ReadHead(call);
+  ReadBody(call);
+}
+
+// The body has the same time limit as the head.
+void ControlChannel::ReadBody(const CallPtr& call) {
   http::async_read(call->connection->stream, call->connection->buffer, *call->parser,
                    [this, call](ErrorCode error, std::size_t) {
                      if (call->finished) return;
--- a/src/dataplane/control_client/control_channel.hpp
+++ b/src/dataplane/control_client/control_channel.hpp
@@ -60,7 +60,9 @@
 
   void Connect(const CallPtr& call);
   void Write(const CallPtr& call);
-  void Read(const CallPtr& call);
+  void ReadHead(const CallPtr& call);
+  void OnHead(const CallPtr& call);
+  void ReadBody(const CallPtr& call);
   void ArmTimeout(const Call& call) const;
   // Handles a broken connection: retries once on a new connection if a reused one broke before any response.
   void RetryOrFail(const CallPtr& call);
