violetwing: take answers only from HTTP responses

Seen, by test: "violetwing registry get" printed a list from an answer whose transfer coding it had not decoded and ended with 0; by reading, an interim response was taken for the answer, and 101, 000 and 600 for a status like any other.

Cause: the command decided by itself, with Beast's parser alone, what an answer is.

Change: one function reads the head for single calls and for watches, asks CheckResponseHead, and skips interim responses; an error is "nobody answers" (exit status 1, one line). A watch that is answered with another status than 200 and a body says that status now; without a limit Beast 1.74 refuses each Content-Length.

--- a/src/cli/http_call.cpp
+++ b/src/cli/http_call.cpp
@@ -8,10 +8,12 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
+#include <limits>
 #include <optional>
 #include <stdexcept>
 
 #include "common/http_client.hpp"
+#include "common/http_response.hpp"
 
 namespace violetwing::cli {
 namespace {
@@ -50,13 +52,27 @@
     Run();
   }
 
+  // Reads the head of the final response into a new parser.
+  template <class Body>
+  void ReadHead(std::optional<http::response_parser<Body>>& parser, std::uint64_t body_limit) {
+    do {
+      parser.emplace();
+      parser->body_limit(body_limit);
+      stream_.expires_after(kPatience);
+      http::async_read_header(stream_, buffer_, *parser, [this, &parser](ErrorCode error, std::size_t) {
+        error_ = error ? error : CheckResponseHead(parser->get());
+      });
+      Run();
+    } while (IsInterimResponse(parser->get()));
+  }
+
   HttpAnswer Read() {
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(kMostAnswer);
+    std::optional<http::response_parser<http::string_body>> parser;
+    ReadHead(parser, kMostAnswer);
     stream_.expires_after(kPatience);
-    http::async_read(stream_, buffer_, parser, [this](ErrorCode error, std::size_t) { error_ = error; });
+    http::async_read(stream_, buffer_, *parser, [this](ErrorCode error, std::size_t) { error_ = error; });
     Run();
-    return {static_cast<int>(parser.get().result_int()), parser.get().body()};
+    return {static_cast<int>(parser->get().result_int()), parser->get().body()};
   }
 
   // The next piece of a long answer; nothing at its end.
@@ -103,12 +119,12 @@
             const std::function<bool(const std::string&)>& take) {
   Connection connection(at);
   connection.Send("GET", target, "");
-  http::response_parser<http::buffer_body> parser;
-  parser.body_limit(boost::none);
+  std::optional<http::response_parser<http::buffer_body>> parser;
+  connection.ReadHead(parser, std::numeric_limits<std::uint64_t>::max());
+  if (parser->get().result() != http::status::ok)
+    throw Unreachable(at + ": answered with " + std::to_string(parser->get().result_int()));
   std::string line;
-  while (const auto piece = connection.ReadPiece(parser)) {
-    if (parser.is_header_done() && parser.get().result() != http::status::ok)
-      throw Unreachable(at + ": answered with " + std::to_string(parser.get().result_int()));
+  while (const auto piece = connection.ReadPiece(*parser)) {
     line += *piece;
     for (std::size_t end = line.find('\n'); end != std::string::npos; end = line.find('\n')) {
       if (!take(line.substr(0, end))) return;
