FAULT: bound the answers to orders and platform calls that announce a length

Seen, by test: a server or the platform that answered an order with a Content-Length of 10^15 and some of the body ended the control process with std::bad_alloc.

Cause: an eager parser of Beast 1.74 goes on behind the error body_limit if bytes follow the head, and the string of the body reserves what the length says.

Change: the parser of GuardedClient is not eager; the loop around it feeds it part by part anyway. Such a call ends as unanswered.

Evidence: "a guarded call ends as unanswered if its peer announces more than a process can hold" ended with std::bad_alloc on the sources before, and passes now with the other tests of guarded calls.

--- a/src/control/api/guarded_client.cpp
+++ b/src/control/api/guarded_client.cpp
@@ -76,7 +76,8 @@
     done_ = std::move(done);
     sent_ = false;
     parser_.emplace();
-    parser_->eager(true);
+    // Not eager: an eager parser forgets that Content-Length exceeds the limit if bytes of the body arrive
+    // together with the head, and reserves as much memory as the peer announces.
     parser_->body_limit(kMaxResponseBytes);
     ArmTimeout();
     connected_ ? DeferSend() : Connect(call.address);
--- a/tests/control/api/guarded_client_test.cpp
+++ b/tests/control/api/guarded_client_test.cpp
@@ -18,6 +18,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kTimeout{60};
+constexpr milliseconds kResponseTimeout{10'000};
 constexpr const char* kResponse = "HTTP/1.1 202 Accepted\r\nContent-Length: 2\r\n\r\n{}";
 
 // A listener whose first connection the test reads and writes.
@@ -54,14 +55,14 @@
 // A client with its event loop, and the result of its latest call.
 class Caller {
  public:
-  void Start(const std::string& address, GuardedClient::Guard may_send) {
+  void Start(const std::string& address, GuardedClient::Guard may_send, milliseconds timeout = kTimeout) {
     result_.reset();
     GuardedClient::Call call;
     call.address = address;
     call.path = "/api/order";
     call.headers = {{"X-Violetwing-Expected-Instance", "i-1"}};
     call.body = R"({"operation":"load_model"})";
-    call.timeout = kTimeout;
+    call.timeout = timeout;
     client_.Start(call, std::move(may_send), [this](const GuardedResult& result) {
       REQUIRE_FALSE(result_);
       result_ = result;
@@ -143,6 +144,25 @@
   CHECK(caller.AwaitResult().outcome == Outcome::kNotSent);
 }
 
+namespace {
+
+// The result of a call whose peer sends `response`.
+GuardedResult ResultOfResponse(const std::string& response) {
+  ScriptedPeer server;
+  Caller caller;
+  caller.Start(server.address(), Always, kResponseTimeout);
+  while (server.ReadReceived().empty()) caller.RunLoopOnce();
+  server.Write(response);
+  return caller.AwaitResult();
+}
+
+}  // namespace
+
+TEST_CASE("FAULT: a guarded call ends as unanswered if its peer announces more than a process can hold") {
+  CHECK(ResultOfResponse("HTTP/1.1 200 OK\r\nContent-Length: 1000000000000000\r\n\r\nx").outcome ==
+        Outcome::kUnanswered);
+}
+
 TEST_CASE("A response to a guarded call that cannot be parsed ends it as unanswered") {
   for (const std::string bytes : {"nonsense\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n"}) {
     ScriptedPeer server;
