Control: take answers only from HTTP responses, with one client for all calls

Seen, by test: a control process took status and body of what is no HTTP response: status 600 or 999, "2000", "+200", names of fields with a blank or a control byte, bare line feeds, unknown transfer codings and 101, from servers' reports and from other control processes (33 of 95 assertions failed); a placement order or platform call answered with 600, 999 or an unknown coding counted as answered (10 of 133). A legal interim response made an order or platform call unanswered (2 of 42), and was the answer to any other call (2 of 30).

Cause: two clients with a decision each. evhttp reads a status with atoi, splits a field at its colon and checks nothing else; GuardedClient took any status from 200 on.

Change: GuardedClient, which parses with Beast, asks CheckResponseHead, skips interim responses, and carries all calls; Client is its form for calls without a guard, whose time limit restarts with each byte sent or received, as with evhttp. The end of the stream still completes a response without a length. The connection of a failed call is closed at once rather than in a later iteration of the event loop; one with an unsent rest of its request is not reused.

Evidence: the tests of invalid and of unusual responses failed on the sources before and pass now; those of the reset, of ONE and of the end of the stream passed before, too.

--- a/src/control/api/guarded_client.cpp
+++ b/src/control/api/guarded_client.cpp
@@ -3,7 +3,9 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <sys/socket.h>
+#include <sys/uio.h>
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
@@ -11,7 +13,7 @@
 #include <utility>
 #include <vector>
 
-#include "control/api/evhttp_message.hpp"
+#include "common/http_response.hpp"
 #include "control/api/host_port.hpp"
 
 namespace violetwing::http {
@@ -20,7 +22,7 @@
 namespace beast_http = boost::beast::http;
 
 constexpr int kHttp11 = 11;
-constexpr std::uint64_t kMaxResponseBytes = std::uint64_t{1024} * 1024;
+constexpr std::uint32_t kMaxHeadBytes = 65'536;
 // What is read and not parsed yet: the beginning of a head, of a chunk's header, or of a trailer.
 constexpr std::size_t kMaxBufferedBytes = 65'536;
 
@@ -31,16 +33,15 @@
   void operator()(event* owned) const { event_free(owned); }
 };
 
-std::string SerializeRequest(const GuardedClient::Call& call) {
-  beast_http::request<beast_http::string_body> request(beast_http::string_to_verb(call.method), call.path,
-                                                       kHttp11);
+std::string SerializeHead(const GuardedClient::Call& call, std::size_t body_bytes) {
+  const beast_http::verb method = beast_http::string_to_verb(call.method);
+  beast_http::request<beast_http::empty_body> request(method, call.path, kHttp11);
   request.set(beast_http::field::host, call.address);
-  request.set(beast_http::field::content_type, ContentType(BodyType::kJson));
   for (const auto& [name, value] : call.headers) request.set(name, value);
-  request.body() = call.body;
-  request.prepare_payload();
+  if (body_bytes > 0) request.set(beast_http::field::content_type, ContentType(call.type));
+  if (body_bytes > 0 || method != beast_http::verb::get) request.content_length(body_bytes);
   std::ostringstream text;
-  text << request;
+  text << request.base();
   return text.str();
 }
 
@@ -64,37 +65,61 @@
         socket_.get(), [](bufferevent*, void* self) { static_cast<Connection*>(self)->OnReadable(); },
         nullptr, [](bufferevent*, short what, void* self) { static_cast<Connection*>(self)->OnEvent(what); },
         this);
+    evbuffer_add_cb(bufferevent_get_output(socket_.get()), &Connection::OnOutputChange, this);
   }
+  // Closes the socket at once. The bufferevent would close it in a later iteration of the event loop.
+  ~Connection() {
+    const evutil_socket_t socket = bufferevent_getfd(socket_.get());
+    evbuffer_remove_cb(bufferevent_get_output(socket_.get()), &Connection::OnOutputChange, this);
+    bufferevent_setcb(socket_.get(), nullptr, nullptr, nullptr, nullptr);
+    bufferevent_disable(socket_.get(), EV_READ | EV_WRITE);
+    bufferevent_setfd(socket_.get(), -1);
+    if (socket >= 0) evutil_closesocket(socket);
+  }
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
 
   bool IsIdle() const { return done_ == nullptr; }
   std::chrono::steady_clock::time_point last_used_at() const { return last_used_at_; }
 
-  void Start(const Call& call, Guard may_send, Callback done) {
-    request_text_ = SerializeRequest(call);
-    timeout_duration_ = call.timeout;
+  void Start(Call call, Guard may_send, Callback done) {
+    call_ = std::move(call);
     may_send_ = std::move(may_send);
     done_ = std::move(done);
     sent_ = false;
-    parser_.emplace();
-    // Not eager: an eager parser forgets that Content-Length exceeds the limit if bytes of the body arrive
-    // together with the head, and reserves as much memory as the peer announces.
-    parser_->body_limit(kMaxResponseBytes);
+    ExpectResponse();
     ArmTimeout();
-    connected_ ? DeferSend() : Connect(call.address);
+    connected_ ? DeferSend() : Connect();
   }
 
  private:
   void ArmTimeout() {
-    const timeval span = ToTimeval(timeout_duration_);
+    const timeval span = ToTimeval(call_.timeout);
     event_add(timeout_.get(), &span);
   }
 
-  void Connect(const std::string& address) {
+  static void OnOutputChange(evbuffer*, const evbuffer_cb_info* change, void* self) {
+    if (change->n_deleted > 0) static_cast<Connection*>(self)->OnProgress();
+  }
+
+  void OnProgress() {
+    if (!IsIdle() && sent_ && call_.timeout_scope == TimeoutScope::kProgress) ArmTimeout();
+  }
+
+  // The parser is not eager: an eager one forgets that Content-Length exceeds the limit if bytes of the body
+  // arrive together with the head, and reserves as much memory as the peer announces.
+  void ExpectResponse() {
+    parser_.emplace();
+    parser_->header_limit(kMaxHeadBytes);
+    parser_->body_limit(call_.max_response_bytes);
+  }
+
+  void Connect() {
     sockaddr_storage to{};
     int size = sizeof to;
     const bool parsed =
-        ParseHostPort(address) &&
-        evutil_parse_sockaddr_port(address.c_str(), reinterpret_cast<sockaddr*>(&to), &size) == 0;
+        ParseHostPort(call_.address) &&
+        evutil_parse_sockaddr_port(call_.address.c_str(), reinterpret_cast<sockaddr*>(&to), &size) == 0;
     const bool connecting =
         parsed && bufferevent_socket_connect(socket_.get(), reinterpret_cast<sockaddr*>(&to), size) == 0;
     // The failure is reported from the event loop, like any other result.
@@ -107,57 +132,100 @@
   }
 
   void Send() {
+    std::string body = std::move(call_.body);
     if (!may_send_()) {
       is_reusable_ = true;
-      return Finish({GuardedResult::Outcome::kNotSent, 0});
+      return Finish({GuardedResult::Outcome::kNotSent, 0, {}});
     }
     sent_ = true;
     ArmTimeout();
-    // Writes to the socket directly, because the bufferevent would write in a later iteration of the event
-    // loop.
-    const ssize_t size =
-        send(bufferevent_getfd(socket_.get()), request_text_.data(), request_text_.size(), MSG_NOSIGNAL);
-    const std::size_t written = size < 0 ? 0 : static_cast<std::size_t>(size);
-    // The bufferevent sends the rest of a partly written request.
-    if (written > 0 && written < request_text_.size())
-      bufferevent_write(socket_.get(), request_text_.data() + written, request_text_.size() - written);
-    if (written == 0) Fail();
+    std::string head = SerializeHead(call_, body.size());
+    std::size_t written = WriteToSocket(head, body);
+    if (written == 0) return Fail();
+    for (const std::string& part : {std::cref(head), std::cref(body)}) {
+      const std::size_t written_of_part = std::min(written, part.size());
+      written -= written_of_part;
+      BufferRest(part, written_of_part);
+    }
+  }
+
+  // Writes to the socket directly, because the bufferevent would write in a later iteration of the event
+  // loop. Returns how many bytes were written, 0 on an error.
+  std::size_t WriteToSocket(std::string& head, std::string& body) {
+    iovec parts[] = {{head.data(), head.size()}, {body.data(), body.size()}};
+    msghdr message{};
+    message.msg_iov = parts;
+    message.msg_iovlen = std::size(parts);
+    const ssize_t size = sendmsg(bufferevent_getfd(socket_.get()), &message, MSG_NOSIGNAL);
+    return size < 0 ? 0 : static_cast<std::size_t>(size);
+  }
+
+  // The bufferevent sends the rest of a partly written request.
+  void BufferRest(const std::string& part, std::size_t written) {
+    if (written < part.size()) bufferevent_write(socket_.get(), part.data() + written, part.size() - written);
   }
 
   void OnEvent(short what) {
+    if ((what & BEV_EVENT_EOF) != 0) return OnEndOfStream();
     if ((what & BEV_EVENT_CONNECTED) == 0) return Fail();
     connected_ = true;
     bufferevent_enable(socket_.get(), EV_READ);
     if (!IsIdle() && !sent_) Send();
   }
 
+  // The end of the stream completes a response without a length and a transfer coding (RFC 9112,
+  // section 6.3).
+  void OnEndOfStream() {
+    boost::system::error_code error;
+    const bool has_head = !IsIdle() && sent_ && parser_->is_header_done();
+    if (has_head) parser_->put_eof(error);
+    has_head && !error ? Complete() : Fail();
+  }
+
   // Data that arrives before a request was sent belongs to no call, so the connection cannot be used.
   void OnReadable() {
     if (IsIdle() || !sent_) return Fail();
+    OnProgress();
     evbuffer* input = bufferevent_get_input(socket_.get());
-    std::size_t available = evbuffer_get_length(input);
-    while (available > 0 && !parser_->is_done()) {
-      boost::system::error_code error;
-      const std::size_t used =
-          parser_->put(boost::asio::buffer(evbuffer_pullup(input, -1), available), error);
-      evbuffer_drain(input, used);
-      available -= used;
-      if (error == beast_http::error::need_more && available <= kMaxBufferedBytes) return;
-      if (error) return Fail();
-      if (used == 0) break;
+    while (evbuffer_get_length(input) > 0 && !parser_->is_done()) {
+      const ParseResult result = ParseSome(input);
+      if (result == ParseResult::kInvalid) return Fail();
+      if (result == ParseResult::kNeedsMore) return;
     }
-    if (!parser_->is_done()) return;
-    const bool is_final = parser_->get().result_int() >= 200;
-    if (!is_final) return Fail();
-    is_reusable_ = parser_->keep_alive() && available == 0;
-    Finish({GuardedResult::Outcome::kAnswered, static_cast<int>(parser_->get().result_int())});
+    if (parser_->is_done()) Complete();
+  }
+
+  void Complete() {
+    const bool is_request_written = evbuffer_get_length(bufferevent_get_output(socket_.get())) == 0;
+    is_reusable_ = parser_->keep_alive() && is_request_written &&
+                   evbuffer_get_length(bufferevent_get_input(socket_.get())) == 0;
+    const int status = static_cast<int>(parser_->get().result_int());
+    Finish({GuardedResult::Outcome::kAnswered, status, std::move(parser_->get().body())});
+  }
+
+  enum class ParseResult { kParsed, kNeedsMore, kInvalid };
+
+  // Parses one part of the input: the head, or a piece of the body. Skips interim responses.
+  ParseResult ParseSome(evbuffer* input) {
+    const std::size_t available = evbuffer_get_length(input);
+    const bool had_head = parser_->is_header_done();
+    boost::system::error_code error;
+    const std::size_t used = parser_->put(boost::asio::buffer(evbuffer_pullup(input, -1), available), error);
+    evbuffer_drain(input, used);
+    if (error == beast_http::error::need_more)
+      return available - used <= kMaxBufferedBytes ? ParseResult::kNeedsMore : ParseResult::kInvalid;
+    if (!error && used == 0) return ParseResult::kNeedsMore;
+    if (!error && !had_head && parser_->is_header_done()) error = CheckResponseHead(parser_->get());
+    if (error) return ParseResult::kInvalid;
+    if (parser_->is_header_done() && IsInterimResponse(parser_->get())) ExpectResponse();
+    return ParseResult::kParsed;
   }
 
   void OnTimeout() { Fail(); }
 
   void Fail() {
     is_reusable_ = false;
-    Finish({sent_ ? GuardedResult::Outcome::kUnanswered : GuardedResult::Outcome::kNotSent, 0});
+    Finish({sent_ ? GuardedResult::Outcome::kUnanswered : GuardedResult::Outcome::kNotSent, 0, {}});
   }
 
   // Without the reset, the kernel would still send the request after the close, once the network path is
@@ -168,20 +236,19 @@
     if (socket >= 0) setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset_on_close, sizeof reset_on_close);
   }
 
-  void Finish(const GuardedResult& result) {
+  void Finish(GuardedResult result) {
     event_del(timeout_.get());
     last_used_at_ = std::chrono::steady_clock::now();
     const Callback done = std::exchange(done_, nullptr);
     if (result.outcome == GuardedResult::Outcome::kUnanswered) ResetOnClose();
     if (!std::exchange(is_reusable_, false)) client_.Remove(this);  // destroys this object
-    if (done != nullptr) done(result);
+    if (done != nullptr) done(std::move(result));
   }
 
   GuardedClient& client_;
   const std::unique_ptr<bufferevent, BufferEventDeleter> socket_;
   const std::unique_ptr<event, EventDeleter> timeout_;
-  std::string request_text_;
-  std::chrono::milliseconds timeout_duration_{0};
+  Call call_;  // the current call
   Guard may_send_;
   Callback done_;  // null while idle
   std::optional<beast_http::response_parser<beast_http::string_body>> parser_;
@@ -195,12 +262,12 @@
 
 GuardedClient::~GuardedClient() = default;
 
-void GuardedClient::Start(const Call& call, Guard may_send, Callback done) {
+void GuardedClient::Start(Call call, Guard may_send, Callback done) {
   const auto [begin, end] = connections_.equal_range(call.address);
   for (auto it = begin; it != end; ++it)
-    if (it->second->IsIdle()) return it->second->Start(call, std::move(may_send), std::move(done));
+    if (it->second->IsIdle()) return it->second->Start(std::move(call), std::move(may_send), std::move(done));
   const auto added = connections_.emplace(call.address, std::make_unique<Connection>(*this));
-  added->second->Start(call, std::move(may_send), std::move(done));
+  added->second->Start(std::move(call), std::move(may_send), std::move(done));
 }
 
 void GuardedClient::Remove(Connection* connection) {
--- a/src/control/api/guarded_client.hpp
+++ b/src/control/api/guarded_client.hpp
@@ -8,6 +8,7 @@
 #include <event2/event.h>
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -20,12 +21,19 @@
 /// How a guarded call ended.
 struct GuardedResult {
   enum class Outcome {
-    kAnswered,    ///< a complete response arrived
+    kAnswered,    ///< a complete HTTP response arrived
     kNotSent,     ///< no byte was sent: the guard refused, or no connection was established
-    kUnanswered,  ///< no complete response arrived; the request may have been received
+    kUnanswered,  ///< no complete HTTP response arrived; the request may have been received
   };
   Outcome outcome = Outcome::kNotSent;
-  int status = 0;  ///< the HTTP status of an answered call, else 0
+  int status = 0;    ///< the HTTP status of an answered call, else 0
+  std::string body;  ///< that of an answered call
+};
+
+/// What the timeout of a call limits once its connection is established.
+enum class TimeoutScope {
+  kResponse,  ///< the time until the response is complete
+  kProgress,  ///< each wait in which no byte is sent or received
 };
 
 /// Not thread-safe: it runs on the event loop that it is given.
@@ -34,7 +42,7 @@
   /// Called right before the request is written; the request is sent only if it returns true.
   using Guard = std::function<bool()>;
   /// Called once, from the event loop, unless the client is destroyed before.
-  using Callback = std::function<void(const GuardedResult&)>;
+  using Callback = std::function<void(GuardedResult)>;
 
   /// One HTTP call.
   struct Call {
@@ -42,9 +50,12 @@
     std::string method = "POST";
     std::string path;
     Headers headers;
-    std::string body;  ///< JSON
+    std::string body;
+    BodyType type = BodyType::kJson;
     /// Limit for the wait for the connection, and again for the response.
     std::chrono::milliseconds timeout{800};
+    TimeoutScope timeout_scope = TimeoutScope::kResponse;
+    std::uint64_t max_response_bytes = std::uint64_t{1024} * 1024;  ///< of the body
   };
 
   /// `base` has to outlive the client.
@@ -55,7 +66,7 @@
 
   /// Begins the call, on an idle connection if there is one, else on a new one. A call that times out resets
   /// its connection, so that its request does not arrive later.
-  void Start(const Call& call, Guard may_send, Callback done);
+  void Start(Call call, Guard may_send, Callback done);
   /// Closes idle connections that were last used more than `max_idle` ago.
   void CloseIdle(std::chrono::seconds max_idle);
 
--- a/src/control/api/messages.hpp
+++ b/src/control/api/messages.hpp
@@ -30,6 +30,11 @@
 /// The type of a body; kBinary: protocol buffers, in calls between the processes of the system.
 enum class BodyType { kJson, kBinary };
 
+/// The value of the Content-Type header for a body of this type.
+inline const char* ContentType(BodyType type) {
+  return type == BodyType::kJson ? "application/json" : "application/octet-stream";
+}
+
 /// The response to be sent.
 struct Response {
   int status = 200;
--- a/src/control/api/server_connection.cpp
+++ b/src/control/api/server_connection.cpp
@@ -10,7 +10,6 @@
 
 #include "common/listener_limits.hpp"
 #include "common/steady_time.hpp"
-#include "control/api/evhttp_message.hpp"
 #include "control/api/http_status.hpp"
 
 namespace violetwing::http {
--- a/tests/cli/invalid_response_test.sh
+++ b/tests/cli/invalid_response_test.sh
@@ -5,7 +5,7 @@
 program=$1
 work=$(mktemp -d)
 pid=
-trap 'kill -9 $pid 2>/dev/null || true; rm -rf "$work"' EXIT
+trap 'kill $pid 2>/dev/null && wait $pid 2>/dev/null || true; rm -rf "$work"' EXIT
 
 fail() {
   echo "FAILED: $*"
--- a/tests/control/api/guarded_client_test.cpp
+++ b/tests/control/api/guarded_client_test.cpp
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "testing/loopback_listener.hpp"
+#include "testing/unusual_responses.hpp"
 
 namespace violetwing::http {
 namespace {
@@ -158,6 +159,26 @@
 
 }  // namespace
 
+TEST_CASE("MIXED: a guarded call takes neither status nor body from a message that is no HTTP response") {
+  for (const std::string& response : testing::InvalidResponses("{}")) {
+    CAPTURE(response);
+    const GuardedResult result = ResultOfResponse(response);
+    CHECK(result.outcome == Outcome::kUnanswered);
+    CHECK(result.status == 0);
+    CHECK(result.body.empty());
+  }
+}
+
+TEST_CASE("A guarded call takes unusual HTTP responses, and skips interim ones") {
+  for (const std::string& response : testing::UnusualResponses("{}")) {
+    CAPTURE(response);
+    const GuardedResult result = ResultOfResponse(response);
+    CHECK(result.outcome == Outcome::kAnswered);
+    CHECK(result.status == 200);
+    CHECK(result.body == "{}");
+  }
+}
+
 TEST_CASE("FAULT: a guarded call ends as unanswered if its peer announces more than a process can hold") {
   CHECK(ResultOfResponse("HTTP/1.1 200 OK\r\nContent-Length: 1000000000000000\r\n\r\nx").outcome ==
         Outcome::kUnanswered);
