--- a/src/lab/clients/shell.cpp
+++ b/src/lab/clients/shell.cpp
@@ -6,6 +6,8 @@
 #include <optional>
 #include <utility>
 
+#include "common/http_response.hpp"
+
 namespace violetwing::lab {
 namespace {
 
@@ -119,7 +121,8 @@
     const auto& answer = parser_->get();
     const int status = static_cast<int>(answer.result_int());
     TryRecord& record = owner_->Record(*call_);
-    record.invented = status == 200 && answer.body().rfind("served " + record.id + " by ", 0) != 0;
+    record.invented = CheckResponseHead(answer) ||
+                      (status == 200 && answer.body().rfind("served " + record.id + " by ", 0) != 0);
     record.stray = buffer_.size() > 0;
     const Micros wait = RetryAfter(answer[http::field::retry_after]);
     Application* const owner = owner_;
--- a/src/lab/records.hpp
+++ b/src/lab/records.hpp
@@ -41,7 +41,7 @@
   int status = 0;
   bool first_on_connection = false;
   bool resent = false;    // once more, as its connection ended before the sidecar had read it
-  bool invented = false;  // 200 with a body that no server made for it
+  bool invented = false;  // 200 with a body that no server made for it, or no HTTP response
   bool stray = false;     // more came after the answer
 };
 
--- a/src/sidecar/upstream.cpp
+++ b/src/sidecar/upstream.cpp
@@ -242,8 +242,8 @@
     Read();
   }
 
-  // Returns false if the data is not an HTTP response, a limit is exceeded, or the body of an unsuccessful response
-  // is too long.
+  // Returns false if the data is not an HTTP response, a limit is exceeded, or the body of an unsuccessful
+  // response is too long.
   bool Parse() {
     while (buffer_.size() > 0 && !parser_->is_done()) {
       if (response_body_ != nullptr && !response_body_->HasCapacity()) return true;
--- a/tests/dataplane/invalid_response_test.cpp
+++ b/tests/dataplane/invalid_response_test.cpp
@@ -44,7 +44,7 @@
     Response("HTTP/1.1 200 OK", "X-Blank : 1\r\n"),
     Response("HTTP/1.1 200 OK", "X\tTab: 1\r\n"),
     Response("HTTP/1.1 200 OK\r\n X-First: 1"),
-    Response("HTTP/1.1 200 OK", "X\x01Control: 1\r\n"),
+    Response("HTTP/1.1 200 OK", "X\001Control: 1\r\n"),
     Response("HTTP/1.1 200 OK",
              "X\x7f"
              "Delete: 1\r\n"),
--- a/tests/lab/shell_test.cpp
+++ b/tests/lab/shell_test.cpp
@@ -143,6 +143,15 @@
   EXPECT_GE(records.tries[1].answered_late, records.tries[1].gives_up);
 }
 
+TEST_F(ClientShellTest, AnAnswerThatIsNoHttpResponseIsHeldAgainstTheSidecar) {
+  Begin(0);
+  Tcp::socket sidecar = acceptor.accept();
+  Until([&] { return records.tries[0].sent != kNever; });
+  asio::write(sidecar, asio::buffer(std::string("HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n")));
+  Until([&] { return records.tries[0].end == TryEnd::kAnswered; });
+  EXPECT_TRUE(records.tries[0].invented);
+}
+
 TEST_F(ClientShellTest, WhoListensInVainGoesHalfASecondLater) {
   Begin(0);
   Tcp::socket sidecar = acceptor.accept();
--- a/tests/node/soak/client.hpp
+++ b/tests/node/soak/client.hpp
@@ -14,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "common/http_response.hpp"
 #include "node/soak/model_server.hpp"
 
 namespace violetwing::testing::soak {
@@ -30,6 +31,8 @@
   int status = 0;              ///< 0: no head arrived
   bool complete = false;
   bool timed_out = false;  ///< the client gave up at its deadline
+  bool malformed = false;  ///< what arrived is no HTTP response
+  std::string body;
 };
 
 /// A kind of request.
@@ -173,13 +176,23 @@
     deadline_timer_.cancel();
     outcome_.ended_at = Clock::now();
     outcome_.complete = !error;
+    outcome_.malformed = IsMalformed(error);
     if (parser_->is_header_done()) outcome_.status = static_cast<int>(parser_->get().result_int());
+    outcome_.body = parser_->get().body();
     outcomes_.push_back(outcome_);
     if (error || !outcome_.sent_whole) return CloseAndPause();
     if (parser_->keep_alive()) return Pause(Draw(0, 400));
     AwaitClose();
   }
 
+  // Whether the response has invalid syntax, rather than none or no end.
+  bool IsMalformed(ErrorCode error) const {
+    using HttpError = boost::beast::http::error;
+    if (parser_->is_header_done() && CheckResponseHead(parser_->get())) return true;
+    const bool is_syntax = error.category() == make_error_code(HttpError::end_of_stream).category();
+    return error && is_syntax && error != HttpError::end_of_stream && error != HttpError::partial_message;
+  }
+
   // Keeps a connection that is announced to close open until the peer has closed it.
   void AwaitClose() {
     socket_.async_wait(Tcp::socket::wait_read, [this](ErrorCode) { CloseAndPause(); });
--- a/tests/node/soak/judge.hpp
+++ b/tests/node/soak/judge.hpp
@@ -1,5 +1,5 @@
-// Judges the outcomes of a soak by the users' rule LOST (RULES, Draining and shutdown, with the newer text of
-// NEWS-22). All trouble of a soak is planned work.
+// Judges the outcomes of a soak by the users' rules LOST (RULES, Draining and shutdown, with the newer text
+// of NEWS-22) and MIXED. All trouble of a soak is planned work, but for servers that send invalid responses.
 #ifndef VIOLETWING_TESTS_NODE_SOAK_JUDGE_HPP_
 #define VIOLETWING_TESTS_NODE_SOAK_JUDGE_HPP_
 
@@ -52,6 +52,16 @@
   return text;
 }
 
+/// An answer that a client must not get, by the users' rule MIXED: one that is no HTTP response, or that
+/// holds what a server sent in such a message. Empty for any other outcome.
+inline std::optional<std::string> FindInvalidAnswer(const Outcome& outcome) {
+  const bool has_marker = outcome.body.find(kInvalidMarker) != std::string::npos;
+  if (!outcome.malformed && !has_marker) return std::nullopt;
+  return outcome.id + ": status " + std::to_string(outcome.status) +
+         (outcome.malformed ? ", no HTTP response" : "") +
+         (has_marker ? ", body of an invalid response" : "");
+}
+
 }  // namespace violetwing::testing::soak
 
 #endif  // VIOLETWING_TESTS_NODE_SOAK_JUDGE_HPP_
--- a/tests/node/soak/model_server.hpp
+++ b/tests/node/soak/model_server.hpp
@@ -7,14 +7,17 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
+#include <functional>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "common/http_client.hpp"
+#include "testing/unusual_responses.hpp"
 
 namespace violetwing::testing::soak {
 
@@ -30,6 +33,9 @@
   Clock::time_point ended = Clock::time_point::max();  ///< max while the server is at work
 };
 
+/// Part of each message of a server that is no HTTP response.
+inline constexpr const char* kInvalidMarker = "from a server in trouble";
+
 /// What all servers of a soak have run, by request id. A request that ran twice keeps its last run.
 using Runs = std::map<std::string, Run>;
 
@@ -43,6 +49,8 @@
     std::vector<std::string> controls;  ///< addresses that take heartbeats
     std::set<std::string> models;       ///< loaded at the start
     std::chrono::milliseconds load_time{0};
+    /// Of its answers to clients' requests, this share is no HTTP response.
+    double invalid_share = 0;
   };
 
   ModelServer(boost::asio::io_context& io, Settings settings, Runs& runs)
@@ -95,6 +103,13 @@
     HttpExchange::Start(io_, std::move(call), std::move(events));
   }
 
+  bool DrawsInvalidResponse() { return std::bernoulli_distribution(settings_.invalid_share)(random_); }
+
+  std::string DrawInvalidResponse() {
+    const std::vector<std::string> all = InvalidResponses(kInvalidMarker);
+    return all[std::uniform_int_distribution<std::size_t>(0, all.size() - 1)(random_)];
+  }
+
   // Returns the HTTP status for an order.
   unsigned OnOrder(const nlohmann::json& order) {
     const std::string model = order.value("model", "");
@@ -136,6 +151,7 @@
   std::int64_t heartbeats_ = 0;
   std::int64_t revision_ = 0;
   std::string loading_;
+  std::mt19937_64 random_{std::hash<std::string>()(settings_.id)};
 };
 
 /// One connection to a model server.
@@ -168,6 +184,10 @@
       return Answer(421, "", "X-Violetwing-Not-Executed: 1\r\n");
     id_ = std::string(request_["X-Violetwing-Request-Id"]);
     const Clock::time_point now = Clock::now();
+    if (server_.DrawsInvalidResponse()) {
+      server_.runs_[id_] = Run{now, now};
+      return Write(server_.DrawInvalidResponse(), [this] { Read(); });
+    }
     server_.runs_[id_] = Run{now};
     run_end_ = now + std::chrono::milliseconds(std::atoi(std::string(request_[kRunMsHeader]).c_str()));
     Write("HTTP/1.1 200 OK\r\nX-Violetwing-Request-Id: " + id_ + "\r\nX-Violetwing-Response-Signature: s." +
--- a/tests/node/stop_soak_test.cpp
+++ b/tests/node/stop_soak_test.cpp
@@ -1,6 +1,7 @@
 // A soak with real processes: edges and control processes are stopped, started, reloaded and reconfigured in
 // series that overlap, while clients keep using their connections, and others do not behave. SOAK_SEED,
 // SOAK_SECONDS, SOAK_EDGES, SOAK_CLIENTS and SOAK_CROWD (clients that do not behave) set its size.
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstdlib>
 #include <iostream>
@@ -117,14 +118,18 @@
   bool busy_ = false;
 };
 
+// How the servers of a soak answer clients.
+enum class Servers { kValid, kSomeInvalid };
+
 class Soak {
  public:
-  Soak(std::uint64_t seed, int edges, int clients, int crowd)
+  Soak(std::uint64_t seed, int edges, int clients, int crowd, Servers servers)
       : random_(seed),
         fleet_(io_, kControls, edges, seed),
         operator_(io_, fleet_.control_addresses()),
         crowd_size_(crowd) {
-    for (int i = 0; i < kServers; ++i) AddServer(i);
+    constexpr double kInvalidShare = 0.25;
+    for (int i = 0; i < kServers; ++i) AddServer(i, servers == Servers::kSomeInvalid ? kInvalidShare : 0);
     const std::vector<RequestKind> kinds{{"/red/", {"m1", "m1", "m2", "m3", "m4"}, 12s, 4s},
                                          {"/red/", {"m1"}, 12s, 12s},
                                          {"/short/", {"m1", "m2"}, 5s, 2s}};
@@ -162,17 +167,25 @@
       if (const auto loss = FindLoss(outcome, *edges()[outcome.edge], runs_)) losses.push_back(*loss);
     return losses;
   }
+  std::vector<std::string> InvalidAnswers() const {
+    std::vector<std::string> invalid;
+    for (const Outcome& outcome : outcomes_)
+      if (const auto finding = FindInvalidAnswer(outcome)) invalid.push_back(*finding);
+    return invalid;
+  }
+  std::size_t CountAnswers(int status) const {
+    return static_cast<std::size_t>(
+        std::count_if(outcomes_.begin(), outcomes_.end(),
+                      [&](const Outcome& outcome) { return outcome.complete && outcome.status == status; }));
+  }
   Fleet& fleet() { return fleet_; }
   std::vector<std::string> Excesses() const { return monitor_->Excesses(); }
   std::string Summary() const {
     std::size_t complete = 0;
-    std::size_t served = 0;
-    for (const Outcome& outcome : outcomes_) {
-      complete += outcome.complete ? 1 : 0;
-      served += outcome.complete && outcome.status == 200 ? 1 : 0;
-    }
+    for (const Outcome& outcome : outcomes_) complete += outcome.complete ? 1 : 0;
     return std::to_string(outcomes_.size()) + " requests, " + std::to_string(complete) + " answered, " +
-           std::to_string(served) + " served, " + std::to_string(stops_) + " stops, at most " +
+           std::to_string(CountAnswers(200)) + " served, " + std::to_string(CountAnswers(502)) +
+           " with 502, " + std::to_string(stops_) + " stops, at most " +
            std::to_string(monitor_->peak().memory_mb) + " MB and " +
            std::to_string(monitor_->peak().descriptors) + " descriptors";
   }
@@ -190,7 +203,7 @@
     return targets;
   }
 
-  void AddServer(int i) {
+  void AddServer(int i, double invalid_share) {
     ModelServer::Settings settings;
     settings.id = "i-" + std::to_string(i);
     settings.service = "llm";
@@ -198,6 +211,7 @@
     settings.controls = fleet_.control_addresses();
     settings.models = {"m1"};
     settings.load_time = 1900ms;
+    settings.invalid_share = invalid_share;
     servers_.push_back(std::make_unique<ModelServer>(io_, settings, runs_));
   }
 
@@ -250,16 +264,17 @@
 }
 
 // Plays a soak of the size that the environment sets.
-std::unique_ptr<Soak> Play() {
+std::unique_ptr<Soak> Play(Servers servers = Servers::kValid) {
   const auto seed = static_cast<std::uint64_t>(FromEnvironment("SOAK_SEED", 1));
   auto soak = std::make_unique<Soak>(seed, static_cast<int>(FromEnvironment("SOAK_EDGES", 3)),
                                      static_cast<int>(FromEnvironment("SOAK_CLIENTS", 40)),
-                                     static_cast<int>(FromEnvironment("SOAK_CROWD", 30)));
+                                     static_cast<int>(FromEnvironment("SOAK_CROWD", 30)), servers);
   soak->Run(std::chrono::seconds(FromEnvironment("SOAK_SECONDS", 40)));
   std::cout << "soak seed " << seed << ": " << soak->Summary() << "\n";
   Report("lost", soak->Losses());
   Report("failed", soak->fleet().failures());
   Report("exceeded", soak->Excesses());
+  Report("invalid", soak->InvalidAnswers());
   return soak;
 }
 
@@ -273,6 +288,13 @@
   CHECK(Play()->fleet().failures().empty());
 }
 
+TEST_CASE("MIXED: no invalid response of a server reaches a client while processes stop, start and reload",
+          "[soak]") {
+  const auto soak = Play(Servers::kSomeInvalid);
+  CHECK(soak->InvalidAnswers().empty());
+  CHECK(soak->CountAnswers(502) > 0);
+}
+
 // One that holds more is ended by its platform.
 TEST_CASE("FAULT: no process holds more than its limits while clients do not behave", "[soak]") {
   CHECK(Play()->Excesses().empty());
--- a/tests/testing/unusual_responses.hpp
+++ b/tests/testing/unusual_responses.hpp
@@ -36,7 +36,7 @@
           ResponseText("HTTP/1.1 200", body),
           ResponseText("HTTP/1.1 200 OK", body, "X Blank: 1\r\n"),
           ResponseText("HTTP/1.1 200 OK", body, "X-Blank : 1\r\n"),
-          ResponseText("HTTP/1.1 200 OK", body, "X\x01Control: 1\r\n"),
+          ResponseText("HTTP/1.1 200 OK", body, "X\001Control: 1\r\n"),
           ResponseText("HTTP/1.1 200 OK", body, "Content-Length : 1\r\n"),
           ResponseText("HTTP/1.1 200 OK", body, "X-Bare: a\nX-Other: b\r\n"),
           ResponseText("HTTP/1.1 200 OK", body, "Content-Length: 1\r\n"),
