--- a/tests/dataplane/invalid_response_test.cpp
+++ b/tests/dataplane/invalid_response_test.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "dataplane/sidecar_fixture.hpp"
+#include "testing/unusual_responses.hpp"
 
 namespace violetwing {
 namespace {
@@ -16,12 +17,11 @@
 
 // A complete response with the given status line and fields.
 std::string Response(const std::string& status_line, const std::string& fields = "") {
-  return status_line + "\r\n" + kSigned + fields + "Content-Length: " + std::to_string(kServerText.size()) +
-         "\r\n\r\n" + kServerText;
+  return ResponseText(status_line, kServerText, kSigned + fields);
 }
 
 std::string ChunkedResponse(const std::string& version, const std::string& fields) {
-  return version + " 200 OK\r\n" + kSigned + fields + "\r\n12\r\n" + kServerText + "\r\n0\r\n\r\n";
+  return ChunkedResponseText(version, kSigned + fields, kServerText);
 }
 
 const std::vector<std::string> kInvalidStatus{
