Close a control process's sockets at once, not in a later step of its loop

Callers saw nothing; the process held more descriptors than limits.max_fds allows, and could run out of them.

Cause: libevent finalizes a freed bufferevent, and closes its socket, only after the listener's callback has returned, and that callback accepts all connections that wait. Each of them made another one give way, whose descriptor stayed open.

Change: SocketBufferEvent closes the socket with its owner. The calls of a control process had the same lines for themselves; they use it, too. No limit and no check is changed.

--- a/src/control/api/guarded_client.cpp
+++ b/src/control/api/guarded_client.cpp
@@ -15,6 +15,7 @@
 
 #include "common/http_response.hpp"
 #include "control/api/host_port.hpp"
+#include "control/api/socket_buffer_event.hpp"
 
 namespace violetwing::http {
 namespace {
@@ -26,9 +27,6 @@
 // What is read and not parsed yet: the beginning of a head, of a chunk's header, or of a trailer.
 constexpr std::size_t kMaxBufferedBytes = 65'536;
 
-struct BufferEventDeleter {
-  void operator()(bufferevent* owned) const { bufferevent_free(owned); }
-};
 struct EventDeleter {
   void operator()(event* owned) const { event_free(owned); }
 };
@@ -57,7 +55,7 @@
  public:
   explicit Connection(GuardedClient& client)
       : client_(client),
-        socket_(bufferevent_socket_new(client.base_, -1, BEV_OPT_CLOSE_ON_FREE)),
+        socket_(MakeSocketBufferEvent(client.base_, -1)),
         timeout_(event_new(
             client.base_, -1, 0,
             [](evutil_socket_t, short, void* self) { static_cast<Connection*>(self)->OnTimeout(); }, this)) {
@@ -67,14 +65,8 @@
         this);
     evbuffer_add_cb(bufferevent_get_output(socket_.get()), &Connection::OnOutputChange, this);
   }
-  // Closes the socket at once. The bufferevent would close it in a later iteration of the event loop.
   ~Connection() {
-    const evutil_socket_t socket = bufferevent_getfd(socket_.get());
     evbuffer_remove_cb(bufferevent_get_output(socket_.get()), &Connection::OnOutputChange, this);
-    bufferevent_setcb(socket_.get(), nullptr, nullptr, nullptr, nullptr);
-    bufferevent_disable(socket_.get(), EV_READ | EV_WRITE);
-    bufferevent_setfd(socket_.get(), -1);
-    if (socket >= 0) evutil_closesocket(socket);
   }
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
@@ -246,7 +238,7 @@
   }
 
   GuardedClient& client_;
-  const std::unique_ptr<bufferevent, BufferEventDeleter> socket_;
+  const SocketBufferEvent socket_;
   const std::unique_ptr<event, EventDeleter> timeout_;
   Call call_;  // the current call
   Guard may_send_;
--- a/src/control/api/server_connection.cpp
+++ b/src/control/api/server_connection.cpp
@@ -63,7 +63,7 @@
 ServerConnection::ServerConnection(const ServerContext& server, evutil_socket_t socket, OnClosed on_closed)
     : server_(server),
       on_closed_(std::move(on_closed)),
-      socket_(bufferevent_socket_new(server.base, socket, BEV_OPT_CLOSE_ON_FREE)),
+      socket_(MakeSocketBufferEvent(server.base, socket)),
       timeout_(event_new(
           server.base, -1, 0,
           [](evutil_socket_t, short, void* self) { static_cast<ServerConnection*>(self)->Close(); }, this)),
--- a/src/control/api/server_connection.hpp
+++ b/src/control/api/server_connection.hpp
@@ -16,6 +16,7 @@
 
 #include "common/connection_budget.hpp"
 #include "control/api/messages.hpp"
+#include "control/api/socket_buffer_event.hpp"
 
 namespace violetwing::http {
 
@@ -49,9 +50,6 @@
   enum class Phase { kIdle, kReading, kServing, kWriting, kLingering };
   using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
   using ErrorCode = boost::system::error_code;
-  struct BufferEventDeleter {
-    void operator()(bufferevent* owned) const { bufferevent_free(owned); }
-  };
   struct EventDeleter {
     void operator()(event* owned) const { event_free(owned); }
   };
@@ -77,7 +75,7 @@
 
   const ServerContext& server_;
   OnClosed on_closed_;
-  std::unique_ptr<bufferevent, BufferEventDeleter> socket_;
+  SocketBufferEvent socket_;
   std::unique_ptr<event, EventDeleter> timeout_;
   ConnectionClaim claim_;
   std::optional<Parser> parser_;
